--- /dev/null
+++ b/src/cmake/compiler.cmake
@@ -0,0 +1,35 @@
+# Language level, warnings and sanitizers, shared by every target.
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+if(NOT CMAKE_BUILD_TYPE)
+  set(CMAKE_BUILD_TYPE RelWithDebInfo)
+endif()
+set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1")
+
+set(PERIDOT_SANITIZE "" CACHE STRING "Sanitizers for -fsanitize=, for example address,undefined")
+option(PERIDOT_ABORT_ON_INVARIANT "A broken invariant ends the process" ON)
+option(PERIDOT_FUZZ "Build the libFuzzer targets (clang only)" OFF)
+
+add_library(peridot_options INTERFACE)
+target_compile_options(peridot_options INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers)
+if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
+  # These analyses report false positives inside Boost under -O2 and the sanitizers.
+  target_compile_options(peridot_options INTERFACE -Wno-maybe-uninitialized -Wno-stringop-overflow -Wno-array-bounds
+                                                   -Wno-restrict -Wno-tsan)
+endif()
+target_include_directories(peridot_options INTERFACE "${CMAKE_SOURCE_DIR}/src/include")
+target_compile_definitions(peridot_options INTERFACE PERIDOT_VERSION="${PROJECT_VERSION}")
+if(PERIDOT_ABORT_ON_INVARIANT)
+  target_compile_definitions(peridot_options INTERFACE PERIDOT_ABORT_ON_INVARIANT=1)
+endif()
+if(PERIDOT_SANITIZE)
+  target_compile_options(peridot_options INTERFACE -fsanitize=${PERIDOT_SANITIZE} -fno-sanitize-recover=all
+                                                   -fno-omit-frame-pointer)
+  target_link_options(peridot_options INTERFACE -fsanitize=${PERIDOT_SANITIZE})
+endif()
+if(PERIDOT_FUZZ)
+  target_compile_options(peridot_options INTERFACE -fsanitize=fuzzer-no-link,address)
+  target_link_options(peridot_options INTERFACE -fsanitize=address)
+endif()
--- /dev/null
+++ b/src/cmake/parts.cmake
@@ -0,0 +1,36 @@
+# A part is one folder of the library. Sources are found by pattern, so adding a file needs no edit here.
+
+# peridot_part(NAME DIR [LINK targets...]): the static library peridot_NAME from DIR/*.cpp, and the
+# test program NAME_test from DIR/*_test.cpp, registered with ctest under that name.
+function(peridot_part name dir)
+  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS "${dir}/*.cpp")
+  set(tests ${sources})
+  list(FILTER sources EXCLUDE REGEX "_test\\.cpp$")
+  list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
+  if(sources)
+    add_library(peridot_${name} STATIC ${sources})
+    target_link_libraries(peridot_${name} PUBLIC peridot_options ${ARG_LINK})
+  else()
+    add_library(peridot_${name} INTERFACE)
+    target_link_libraries(peridot_${name} INTERFACE peridot_options ${ARG_LINK})
+  endif()
+  if(tests AND NOT PERIDOT_FUZZ)
+    add_executable(${name}_test ${tests} "${CMAKE_SOURCE_DIR}/src/cmake/test_main.cpp")
+    target_compile_definitions(${name}_test PRIVATE BOOST_TEST_DYN_LINK)
+    target_link_libraries(${name}_test PRIVATE peridot_${name} Boost::unit_test_framework)
+    add_test(NAME ${name} COMMAND ${name}_test)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+  endif()
+endfunction()
+
+# peridot_program(NAME DIR [LINK targets...]): the executable NAME from every DIR/*.cpp.
+function(peridot_program name dir)
+  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS "${dir}/*.cpp")
+  list(FILTER sources EXCLUDE REGEX "_test\\.cpp$")
+  if(sources)
+    add_executable(${name} ${sources})
+    target_link_libraries(${name} PRIVATE peridot_options ${ARG_LINK})
+  endif()
+endfunction()
--- /dev/null
+++ b/src/include/peridotgrade/core/hosting/engine_event.h
@@ -0,0 +1,65 @@
+// What an engine tells its model host.
+#pragma once
+
+#include "peridotgrade/core/hosting/engine_command.h"
+#include "peridotgrade/core/messages/session_messages.h"
+#include "peridotgrade/core/messages/stream_messages.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace peridotgrade {
+
+struct EnginePrefillDone {
+    EngineStreamId stream;
+    KvHandle handle;
+    std::string exporter;
+    std::uint64_t kvBytes = 0;
+    std::uint32_t cachedTokens = 0;
+    std::chrono::milliseconds keptFor { 0 };
+};
+
+struct EngineTokens {
+    EngineStreamId stream;
+    std::uint32_t firstIndex = 0;
+    std::vector<std::string> pieces;
+    bool isLast = false;
+    FinishReason finishReason = FinishReason::Stop;
+};
+
+/// The prefill or stream ended without a result; the engine says it holds nothing for it.
+struct EngineStreamFailed {
+    EngineStreamId stream;
+    AttemptFailure reason = AttemptFailure::EngineError;
+};
+
+/// The engine confirms that it holds nothing for the stream any more.
+struct EngineCancelled {
+    EngineStreamId stream;
+};
+
+/// Answer to EngineList: all streams and kept prefill results. The host cancels those it does not own.
+struct EngineListing {
+    std::vector<EngineStreamId> streams;
+};
+
+/// The engine stopped answering or said that it restarted: all it held is gone.
+struct EngineDied { };
+
+/// The engine answers (again), in a new run.
+struct EngineUp {
+    Incarnation incarnation;
+    std::uint32_t placesTotal = 0;
+    std::uint64_t kvTokensTotal = 0;
+    std::uint32_t kvTokensPerPiece = 0;
+    EngineRole role = EngineRole::Mixed;
+    std::vector<ModelId> models;
+    double prefillTokensPerSecond = 0;
+};
+
+using EngineEvent = std::variant<EnginePrefillDone, EngineTokens, EngineStreamFailed, EngineCancelled,
+    EngineListing, EngineDied, EngineUp>;
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/core/messages/stream_messages.h
@@ -0,0 +1,111 @@
+// Messages of prefill, KV transfer and token streams.
+#pragma once
+
+#include "peridotgrade/core/base/ids.h"
+#include "peridotgrade/core/base/time.h"
+#include "peridotgrade/core/messages/place_messages.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridotgrade {
+
+/// Entry to agent: compute the prompt's KV cache and keep it for export. Sent only while a place is held.
+struct StartPrefill {
+    SessionEpoch epoch;
+    AttemptId attempt;
+    ModelId model;
+    Fingerprint fingerprint;
+    Priority priority = Priority::Normal;
+    /// The caller's prompt followed by the text already sent to the caller, when an answer is resumed.
+    std::string prompt;
+    std::uint32_t promptTokens = 0;
+    /// Time left until the result is useless; the agent does not start a prefill that would end later.
+    std::chrono::milliseconds timeLeft { 0 };
+    bool isSuspect = false;
+    ConfigVersion version;
+};
+
+/// Agent to entry: the KV cache is ready at the prefill engine, for a short time.
+struct PrefillFinished {
+    AttemptId attempt;
+    KvHandle handle;
+    /// Address (`ip:port`) of the engine that exports it.
+    std::string exporter;
+    std::uint64_t kvBytes = 0;
+    std::uint32_t cachedTokens = 0;
+    std::chrono::milliseconds keptFor { 0 };
+    LiveLoad load;
+};
+
+/// Entry to agent: import the KV cache into the attempt's place and decode. Without a handle (mixed engines)
+/// the engine computes the prompt itself.
+struct StartDecode {
+    SessionEpoch epoch;
+    AttemptId attempt;
+    ModelId model;
+    /// As in StartPrefill: includes what was already sent.
+    std::string prompt;
+    /// Index of the first token that this attempt produces; earlier ones have reached the caller.
+    std::uint32_t firstIndex = 0;
+    std::uint32_t maxOutputTokens = 0;
+    Priority priority = Priority::Normal;
+    KvHandle handle;
+    std::string exporter;
+    std::chrono::milliseconds timeLeft { 0 };
+    ConfigVersion version;
+};
+
+/// Why a stream ended by itself.
+enum class FinishReason : std::uint8_t { Stop, Length };
+
+/// Agent to entry: consecutive tokens of one attempt, in order of index.
+struct TokenFrame {
+    AttemptId attempt;
+    /// Index of `pieces.front()` in the whole answer.
+    std::uint32_t firstIndex = 0;
+    std::vector<std::string> pieces;
+    /// True in the last frame of a finished stream.
+    bool isLast = false;
+    FinishReason finishReason = FinishReason::Stop;
+};
+
+enum class AttemptFailure : std::uint8_t {
+    EngineDied,
+    EngineError,
+    TransferStalled,
+    KvGone,
+    NoPlaceHeld,
+    TooLate,
+    Draining,
+    SessionLost,
+    ConnectionLost,
+    SuspectPresent,
+};
+
+std::string_view nameOf(AttemptFailure failure);
+
+/// Agent to entry: the attempt is over without a whole answer, and nothing of it is held here any more.
+struct AttemptFailed {
+    AttemptId attempt;
+    AttemptFailure reason = AttemptFailure::EngineError;
+    LiveLoad load;
+};
+
+/// Agent to entry: the engine died while these requests were on it; each is suspected of it.
+struct EngineCrashed {
+    std::vector<Fingerprint> running;
+};
+
+/// Agent to entry, late and with gaps: prefixes that entered or left the engine's prefix cache. A hint.
+struct CacheChanged {
+    /// Counts the engine's cache events; a jump means that some were lost.
+    std::uint64_t sequence = 0;
+    std::vector<std::uint64_t> addedPrefixes;
+    std::vector<std::uint64_t> evictedPrefixes;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/net/http_message.h
@@ -0,0 +1,42 @@
+// HTTP requests and responses as plain values.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridotgrade {
+
+struct HttpField {
+    std::string name;
+    std::string value;
+};
+
+/// A request with its whole body.
+struct HttpRequest {
+    std::string method = "GET";
+    /// Path and query.
+    std::string target = "/";
+    std::vector<HttpField> fields;
+    std::string body;
+
+    /// Value of the first field of that name (case does not matter), or empty.
+    std::string_view field(std::string_view name) const;
+    /// The target without its query.
+    std::string_view path() const;
+    /// Value of a query parameter, percent-decoded, or empty.
+    std::string query(std::string_view name) const;
+};
+
+/// A response with its whole body.
+struct HttpResponse {
+    std::uint16_t status = 200;
+    std::string contentType = "application/json";
+    std::vector<HttpField> fields;
+    std::string body;
+
+    std::string_view field(std::string_view name) const;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/base/backoff.cpp
@@ -0,0 +1,29 @@
+// Implementation of the exponential backoff.
+#include "peridotgrade/core/base/backoff.h"
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+namespace {
+    // Doubling stops here; beyond it the cap has long been reached and the shift would overflow.
+    constexpr std::uint32_t MaxDoublings = 20;
+} // namespace
+
+Backoff::Backoff(Duration first, Duration longest)
+    : first(first)
+    , longest(longest)
+{
+}
+
+Duration Backoff::next(RandomSource& random)
+{
+    std::uint32_t doublings = std::min(this->failures, MaxDoublings);
+    ++this->failures;
+    Duration full = std::min(this->first * (std::int64_t { 1 } << doublings), this->longest);
+    auto half = full.count() / 2;
+    auto jitter = static_cast<Duration::rep>(random.unit() * static_cast<double>(full.count() - half));
+    return Duration { half + jitter };
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/net/asio_impl.cpp
@@ -0,0 +1,3 @@
+// The one place where Boost.Asio and Boost.Beast are compiled.
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/src/libperidotgrade/net/beast_convert.cpp
@@ -0,0 +1,52 @@
+// Conversions between Beast's types and the plain HTTP values.
+#include "beast_convert.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace peridotgrade {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+    NetErrorKind kindOf(const boost::system::error_code& error)
+    {
+        if (error == boost::beast::error::timeout)
+            return NetErrorKind::TimedOut;
+        if (error == http::error::header_limit || error == http::error::body_limit
+            || error == http::error::buffer_overflow)
+            return NetErrorKind::TooLarge;
+        if (error == http::error::end_of_stream || error == http::error::partial_message)
+            return NetErrorKind::Closed;
+        if (error.category() == make_error_code(http::error::end_of_stream).category())
+            return NetErrorKind::Malformed;
+        return NetErrorKind::Closed;
+    }
+
+} // namespace
+
+NetError netErrorFrom(const boost::system::error_code& error, bool mayHaveArrived)
+{
+    return NetError { kindOf(error), mayHaveArrived, error.message() };
+}
+
+std::vector<HttpField> fieldsFrom(const http::fields& fields)
+{
+    std::vector<HttpField> result;
+    for (const auto& field : fields)
+        result.push_back({ std::string { field.name_string() }, std::string { field.value() } });
+    return result;
+}
+
+void fillHead(http::response_header<>& head, const HttpResponse& response)
+{
+    head.version(11);
+    head.result(response.status);
+    if (!response.contentType.empty())
+        head.set(http::field::content_type, response.contentType);
+    for (const HttpField& field : response.fields)
+        head.insert(field.name, field.value);
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/net/beast_convert.h
@@ -0,0 +1,22 @@
+// Conversions between Beast's types and the plain HTTP values.
+#pragma once
+
+#include "peridotgrade/net/http_message.h"
+#include "peridotgrade/net/net_error.h"
+
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace peridotgrade {
+
+/// Turns an error of Asio or Beast into one of this layer.
+NetError netErrorFrom(const boost::system::error_code& error, bool mayHaveArrived);
+
+std::vector<HttpField> fieldsFrom(const boost::beast::http::fields& fields);
+
+/// Sets status, content type, the given fields and `Connection`.
+void fillHead(boost::beast::http::response_header<>& head, const HttpResponse& response);
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/net/http_server.cpp
@@ -0,0 +1,106 @@
+// Implementation of the HTTP server over Boost.Beast.
+#include "peridotgrade/net/http_server.h"
+
+#include "http_session.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+    // After a failed accept (no descriptors left, say) the next one waits, instead of spinning.
+    constexpr std::chrono::milliseconds AcceptRetryDelay { 20 };
+} // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+public:
+    Impl(asio::any_io_executor executor, HttpServerSettings settings, HttpHandler handler)
+        : shared(std::make_shared<HttpSessionShared>(std::move(settings), std::move(handler)))
+        , strand(asio::make_strand(executor))
+        , base(std::move(executor))
+        , acceptor(this->strand)
+    {
+    }
+
+    std::variant<Endpoint, NetError> start()
+    {
+        boost::system::error_code error;
+        const Endpoint& listen = this->shared->settings.listen;
+        tcp::endpoint endpoint(asio::ip::make_address(listen.address, error), listen.port);
+        if (!error)
+            this->acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            this->acceptor.bind(endpoint, error);
+        if (!error)
+            this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (error)
+            return NetError { NetErrorKind::CannotListen, false, toString(listen) + ": " + error.message() };
+        auto bound = this->acceptor.local_endpoint();
+        asio::co_spawn(this->strand, this->acceptLoop(this->shared_from_this()), asio::detached);
+        return Endpoint { bound.address().to_string(), bound.port() };
+    }
+
+    void stopAccepting()
+    {
+        this->shared->isStopping = true;
+        asio::post(this->strand, [self = this->shared_from_this()] {
+            boost::system::error_code ignored;
+            self->acceptor.close(ignored);
+        });
+        this->shared->closeIdle();
+    }
+
+    std::size_t openExchanges() const { return this->shared->openExchanges.load(); }
+
+private:
+    asio::awaitable<void> acceptLoop(std::shared_ptr<Impl>)
+    {
+        while (this->acceptor.is_open()) {
+            boost::system::error_code error;
+            auto connectionStrand = asio::make_strand(this->base);
+            auto socket = co_await this->acceptor.async_accept(
+                connectionStrand, asio::redirect_error(asio::use_awaitable, error));
+            if (this->shared->isStopping)
+                co_return;
+            if (error) {
+                asio::steady_timer pause(this->strand, AcceptRetryDelay);
+                co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+                continue;
+            }
+            if (this->shared->openConnections >= this->shared->settings.maxConnections)
+                continue;
+            startHttpSession(std::move(socket), this->shared);
+        }
+    }
+
+    std::shared_ptr<HttpSessionShared> shared;
+    asio::strand<asio::any_io_executor> strand;
+    asio::any_io_executor base;
+    tcp::acceptor acceptor;
+};
+
+HttpServer::HttpServer(asio::any_io_executor executor, HttpServerSettings settings, HttpHandler handler)
+    : impl(std::make_shared<Impl>(std::move(executor), std::move(settings), std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() { this->impl->stopAccepting(); }
+
+std::variant<Endpoint, NetError> HttpServer::start() { return this->impl->start(); }
+
+void HttpServer::stopAccepting() { this->impl->stopAccepting(); }
+
+std::size_t HttpServer::openExchanges() const { return this->impl->openExchanges(); }
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -0,0 +1,311 @@
+// One connection of the HTTP server: reads requests, guards limits, runs the handler.
+#include "http_session.h"
+
+#include "beast_convert.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <optional>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+void HttpSessionShared::closeIdle()
+{
+    std::lock_guard lock(this->mutex);
+    for (auto& [key, closer] : this->idle)
+        closer();
+    this->idle.clear();
+}
+
+namespace {
+
+    std::uint16_t statusFor(const NetError& error)
+    {
+        switch (error.kind) {
+        case NetErrorKind::TimedOut:
+            return 408;
+        case NetErrorKind::TooLarge:
+            return 413;
+        default:
+            return 400;
+        }
+    }
+
+    HttpResponse errorResponse(std::uint16_t status, const std::string& detail)
+    {
+        HttpResponse response;
+        response.status = status;
+        response.body = R"({"error":{"type":"invalid_request_error","message":")" + detail + R"("}})";
+        return response;
+    }
+
+    class HttpSession final : public HttpExchange, public std::enable_shared_from_this<HttpSession> {
+    public:
+        HttpSession(tcp::socket socket, std::shared_ptr<HttpSessionShared> shared)
+            : stream(std::move(socket))
+            , shared(std::move(shared))
+        {
+            ++this->shared->openConnections;
+        }
+
+        ~HttpSession() override { --this->shared->openConnections; }
+
+        asio::awaitable<void> run(std::shared_ptr<HttpSession>)
+        {
+            boost::system::error_code ignored;
+            this->stream.socket().set_option(tcp::no_delay(true), ignored);
+            while (co_await this->readRequest()) {
+                ++this->shared->openExchanges;
+                co_await this->serve();
+                --this->shared->openExchanges;
+                if (!this->keepAlive || this->shared->isStopping)
+                    break;
+            }
+            this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        }
+
+        const HttpRequest& request() const override { return this->current; }
+
+        asio::awaitable<bool> respond(HttpResponse response) override
+        {
+            http::response<http::string_body> message;
+            fillHead(message, response);
+            message.keep_alive(this->keepAlive && !this->shared->isStopping);
+            message.body() = std::move(response.body);
+            message.prepare_payload();
+            this->isAnswered = true;
+            this->stream.expires_after(this->shared->settings.writeTimeout);
+            boost::system::error_code error;
+            co_await http::async_write(
+                this->stream, message, asio::redirect_error(asio::use_awaitable, error));
+            co_return this->noteWrite(error);
+        }
+
+        asio::awaitable<bool> beginStream(HttpResponse response) override
+        {
+            http::response<http::empty_body> message;
+            fillHead(message, response);
+            message.keep_alive(this->keepAlive && !this->shared->isStopping);
+            message.chunked(true);
+            http::response_serializer<http::empty_body> serializer { message };
+            this->isAnswered = true;
+            this->stream.expires_after(this->shared->settings.writeTimeout);
+            boost::system::error_code error;
+            co_await http::async_write_header(
+                this->stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+            bool isOk = this->noteWrite(error);
+            if (isOk && !response.body.empty())
+                isOk = co_await this->writeChunk(std::move(response.body));
+            co_return isOk;
+        }
+
+        asio::awaitable<bool> writeChunk(std::string chunk) override
+        {
+            if (this->isGone)
+                co_return false;
+            this->stream.expires_after(this->shared->settings.writeTimeout);
+            boost::system::error_code error;
+            co_await asio::async_write(this->stream, http::make_chunk(asio::buffer(chunk)),
+                asio::redirect_error(asio::use_awaitable, error));
+            co_return this->noteWrite(error);
+        }
+
+        asio::awaitable<bool> endStream() override
+        {
+            if (this->isGone)
+                co_return false;
+            this->stream.expires_after(this->shared->settings.writeTimeout);
+            boost::system::error_code error;
+            co_await asio::async_write(
+                this->stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+            co_return this->noteWrite(error);
+        }
+
+        void onClientGone(std::function<void()> callback) override
+        {
+            this->goneCallback = std::move(callback);
+        }
+
+        asio::any_io_executor executor() override { return this->stream.get_executor(); }
+
+    private:
+        enum class ReadState : std::uint8_t { Reading, TimedOut, Done };
+
+        bool noteWrite(const boost::system::error_code& error)
+        {
+            this->stream.expires_never();
+            if (!error)
+                return true;
+            this->keepAlive = false;
+            this->markGone();
+            return false;
+        }
+
+        void markGone()
+        {
+            if (std::exchange(this->isGone, true))
+                return;
+            if (auto callback = std::exchange(this->goneCallback, nullptr))
+                callback();
+        }
+
+        /// Waits for the next request. False at the end of the connection.
+        asio::awaitable<bool> readRequest()
+        {
+            if (this->buffer.size() == 0 && !co_await this->waitForFirstByte())
+                co_return false;
+            this->parser.emplace();
+            this->parser->header_limit(this->shared->settings.maxHeaderBytes);
+            this->parser->body_limit(this->shared->settings.maxBodyBytes);
+            // A time-out of the stream itself would close the socket, and the client would get no status.
+            auto reading = std::make_shared<ReadState>(ReadState::Reading);
+            asio::steady_timer limit(this->stream.get_executor(), this->shared->settings.readTimeout);
+            limit.async_wait(
+                [self = this->shared_from_this(), reading](const boost::system::error_code& aborted) {
+                    if (aborted || *reading != ReadState::Reading)
+                        return;
+                    *reading = ReadState::TimedOut;
+                    self->stream.cancel();
+                });
+            boost::system::error_code error;
+            co_await http::async_read(
+                this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, error));
+            bool isTimedOut = std::exchange(*reading, ReadState::Done) == ReadState::TimedOut;
+            limit.cancel();
+            if (error) {
+                co_await this->refuse(isTimedOut ? beast::error::timeout : error);
+                co_return false;
+            }
+            this->takeRequest();
+            co_return true;
+        }
+
+        asio::awaitable<bool> waitForFirstByte()
+        {
+            std::uint64_t key = this->registerIdle();
+            this->stream.expires_after(this->shared->settings.idleTimeout);
+            boost::system::error_code error;
+            auto space = this->buffer.prepare(ReadSize);
+            std::size_t size = co_await this->stream.async_read_some(
+                space, asio::redirect_error(asio::use_awaitable, error));
+            this->buffer.commit(size);
+            this->unregisterIdle(key);
+            co_return !error;
+        }
+
+        std::uint64_t registerIdle()
+        {
+            std::lock_guard lock(this->shared->mutex);
+            std::uint64_t key = ++this->shared->lastKey;
+            std::weak_ptr<HttpSession> weak = this->shared_from_this();
+            this->shared->idle[key] = [weak, executor = this->stream.get_executor()] {
+                asio::post(executor, [weak] {
+                    if (auto self = weak.lock())
+                        self->stream.cancel();
+                });
+            };
+            return key;
+        }
+
+        void unregisterIdle(std::uint64_t key)
+        {
+            std::lock_guard lock(this->shared->mutex);
+            this->shared->idle.erase(key);
+        }
+
+        asio::awaitable<void> refuse(const boost::system::error_code& error)
+        {
+            NetError netError = netErrorFrom(error, true);
+            if (netError.kind == NetErrorKind::Closed)
+                co_return;
+            bool isHeader = error == http::error::header_limit || error == http::error::buffer_overflow;
+            std::uint16_t status = isHeader ? 431 : statusFor(netError);
+            this->keepAlive = false;
+            co_await this->respond(errorResponse(status, netError.detail));
+        }
+
+        void takeRequest()
+        {
+            auto message = this->parser->release();
+            this->keepAlive = message.keep_alive();
+            this->current = HttpRequest {};
+            this->current.method = std::string { message.method_string() };
+            this->current.target = std::string { message.target() };
+            this->current.fields = fieldsFrom(message);
+            this->current.body = std::move(message.body());
+            this->isAnswered = false;
+            this->goneCallback = nullptr;
+        }
+
+        asio::awaitable<void> serve()
+        {
+            this->watchClient();
+            try {
+                co_await this->shared->handler(*this);
+            } catch (const std::exception&) {
+                this->keepAlive = false;
+            }
+            this->goneCallback = nullptr;
+            this->isWatching = false;
+            boost::system::error_code ignored;
+            this->stream.socket().cancel(ignored);
+            if (!this->isAnswered && !this->isGone)
+                co_await this->respond(errorResponse(500, "the request was not handled"));
+        }
+
+        /// While the handler works, a readable socket without bytes means that the client has closed.
+        void watchClient()
+        {
+            this->isWatching = true;
+            this->stream.socket().async_wait(tcp::socket::wait_read,
+                [self = this->shared_from_this()](const boost::system::error_code& error) {
+                    if (error || !self->isWatching)
+                        return;
+                    boost::system::error_code failure;
+                    std::size_t waiting = self->stream.socket().available(failure);
+                    if (failure || waiting == 0)
+                        self->markGone();
+                });
+        }
+
+        static constexpr std::size_t ReadSize = 4096;
+
+        beast::tcp_stream stream;
+        std::shared_ptr<HttpSessionShared> shared;
+        beast::flat_buffer buffer;
+        std::optional<http::request_parser<http::string_body>> parser;
+        HttpRequest current;
+        std::function<void()> goneCallback;
+        bool keepAlive = true;
+        bool isAnswered = false;
+        bool isGone = false;
+        bool isWatching = false;
+    };
+
+} // namespace
+
+void startHttpSession(tcp::socket socket, std::shared_ptr<HttpSessionShared> shared)
+{
+    auto executor = socket.get_executor();
+    auto session = std::make_shared<HttpSession>(std::move(socket), std::move(shared));
+    asio::co_spawn(executor, session->run(session), asio::detached);
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/net/http_session.h
@@ -0,0 +1,41 @@
+// One connection of the HTTP server.
+#pragma once
+
+#include "peridotgrade/net/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace peridotgrade {
+
+/// What all connections of one server share. Thread safe.
+struct HttpSessionShared {
+    HttpSessionShared(HttpServerSettings settings, HttpHandler handler)
+        : settings(std::move(settings))
+        , handler(std::move(handler))
+    {
+    }
+
+    /// Ends the connections that wait for a request.
+    void closeIdle();
+
+    const HttpServerSettings settings;
+    const HttpHandler handler;
+    std::atomic<bool> isStopping = false;
+    std::atomic<std::size_t> openConnections = 0;
+    std::atomic<std::size_t> openExchanges = 0;
+
+    std::mutex mutex;
+    std::uint64_t lastKey = 0;
+    /// Closers of the connections that are idle now. Guarded by `mutex`.
+    std::unordered_map<std::uint64_t, std::function<void()>> idle;
+};
+
+/// Serves the connection until it ends. The socket's executor must be a strand.
+void startHttpSession(boost::asio::ip::tcp::socket socket, std::shared_ptr<HttpSessionShared> shared);
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/net/http_test.cpp
@@ -0,0 +1,190 @@
+// Tests of the HTTP server and client against each other over loopback.
+#include "peridotgrade/net/http_client.h"
+#include "peridotgrade/net/http_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace peridotgrade;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+asio::awaitable<void> serveTestPages(HttpExchange& exchange, bool& isGone)
+{
+    if (exchange.request().path() == "/stream") {
+        HttpResponse head;
+        head.contentType = "text/event-stream";
+        head.body = "one";
+        co_await exchange.beginStream(std::move(head));
+        co_await exchange.writeChunk("two");
+        co_await exchange.endStream();
+        co_return;
+    }
+    if (exchange.request().path() == "/wait") {
+        asio::steady_timer forever(exchange.executor(), 1h);
+        exchange.onClientGone([&] {
+            isGone = true;
+            forever.cancel();
+        });
+        boost::system::error_code ignored;
+        co_await forever.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_return;
+    }
+    HttpResponse response;
+    response.body
+        = exchange.request().method + " " + exchange.request().query("q") + " " + exchange.request().body;
+    co_await exchange.respond(std::move(response));
+}
+
+HttpRequest makeRequest(std::string method, std::string target, std::string body = {})
+{
+    HttpRequest request;
+    request.method = std::move(method);
+    request.target = std::move(target);
+    request.body = std::move(body);
+    return request;
+}
+
+struct HttpFixture {
+    HttpFixture()
+        : server(context.get_executor(), makeSettings(),
+            [this](HttpExchange& exchange) { return serveTestPages(exchange, this->isGone); })
+    {
+        this->endpoint = std::get<Endpoint>(this->server.start());
+    }
+
+    static HttpServerSettings makeSettings()
+    {
+        HttpServerSettings settings;
+        settings.listen = { "127.0.0.1", 0 };
+        settings.maxBodyBytes = 1000;
+        settings.maxHeaderBytes = 2000;
+        settings.readTimeout = 100ms;
+        return settings;
+    }
+
+    template <typename Body> void run(Body body)
+    {
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                co_await body();
+                this->context.stop();
+            },
+            [](std::exception_ptr failure) {
+                if (failure)
+                    std::rethrow_exception(failure);
+            });
+        this->context.run();
+    }
+
+    /// Sends raw bytes and reads until the server closes.
+    asio::awaitable<std::string> sendRaw(std::string bytes)
+    {
+        asio::ip::tcp::socket socket(this->context);
+        asio::ip::tcp::endpoint peer(asio::ip::make_address(this->endpoint.address), this->endpoint.port);
+        co_await socket.async_connect(peer, asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+        std::string answer;
+        boost::system::error_code ignored;
+        co_await asio::async_read(
+            socket, asio::dynamic_buffer(answer), asio::redirect_error(asio::use_awaitable, ignored));
+        co_return answer;
+    }
+
+    asio::io_context context;
+    bool isGone = false;
+    HttpServer server;
+    Endpoint endpoint;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http, HttpFixture)
+
+BOOST_AUTO_TEST_CASE(whole_response_with_query_and_body)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        HttpClient client(this->context.get_executor(), this->endpoint);
+        for (int round = 0; round < 3; ++round) {
+            auto result = co_await client.send(makeRequest("POST", "/x?q=a%20b", "body"), 5s);
+            BOOST_REQUIRE(std::holds_alternative<HttpResponse>(result));
+            BOOST_TEST(std::get<HttpResponse>(result).body == "POST a b body");
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(stream_is_read_to_its_end)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        HttpClient client(this->context.get_executor(), this->endpoint);
+        auto opened = co_await client.open(makeRequest("GET", "/stream"), 5s);
+        BOOST_REQUIRE(opened.index() == 0);
+        auto stream = std::move(std::get<0>(opened));
+        BOOST_TEST(stream->head().contentType == "text/event-stream");
+        std::string all;
+        while (true) {
+            auto part = std::get<std::string>(co_await stream->read(5s));
+            if (part.empty())
+                break;
+            all += part;
+        }
+        BOOST_TEST(all == "onetwo");
+    });
+}
+
+BOOST_AUTO_TEST_CASE(limits_and_malformed_requests_get_their_status)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        HttpClient client(this->context.get_executor(), this->endpoint);
+        auto large = co_await client.send(makeRequest("POST", "/", std::string(2000, 'x')), 5s);
+        BOOST_TEST(std::get<HttpResponse>(large).status == 413);
+        auto withLongField = makeRequest("GET", "/");
+        withLongField.fields.push_back(HttpField { "X-Long", std::string(5000, 'x') });
+        auto longField = co_await client.send(std::move(withLongField), 5s);
+        BOOST_TEST(std::get<HttpResponse>(longField).status == 431);
+        auto malformed = co_await this->sendRaw("NONSENSE\r\n\r\n");
+        BOOST_TEST(malformed.substr(0, 12) == "HTTP/1.1 400");
+        auto slow = co_await this->sendRaw("GET / HTTP/1.1\r\n");
+        BOOST_TEST(slow.substr(0, 12) == "HTTP/1.1 408");
+    });
+}
+
+BOOST_AUTO_TEST_CASE(handler_learns_that_the_client_is_gone)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        HttpClient client(this->context.get_executor(), this->endpoint);
+        auto result = co_await client.send(makeRequest("GET", "/wait"), 50ms);
+        BOOST_TEST((std::get<NetError>(result).kind == NetErrorKind::TimedOut));
+        asio::steady_timer pause(this->context);
+        for (int tries = 0; tries < 1000 && !this->isGone; ++tries) {
+            pause.expires_after(5ms);
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        BOOST_TEST(this->isGone);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(nothing_listening_is_told_as_not_arrived)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        Endpoint nobody { "127.0.0.1", 1 };
+        HttpClient client(this->context.get_executor(), nobody);
+        auto result = co_await client.send(makeRequest("GET", "/"), 5s);
+        BOOST_TEST((std::get<NetError>(result).kind == NetErrorKind::ConnectFailed));
+        BOOST_TEST(!std::get<NetError>(result).mayHaveArrived);
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/peridotctl/main.cpp
@@ -0,0 +1,10 @@
+// Entry point of peridotctl.
+#include <CLI/CLI.hpp>
+
+int main(int argc, char** argv)
+{
+    CLI::App app { "peridotctl" };
+    app.set_version_flag("--version", PERIDOT_VERSION);
+    CLI11_PARSE(app, argc, argv);
+    return 0;
+}
--- /dev/null
+++ b/tools/check_style.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Formatter, head comments, and the layering of the core. With --fix the formatter rewrites the files.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t files < <(git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v '^src/generated/' | while read -r f; do [ -f "$f" ] && echo "$f"; done)
+if [ "${1:-}" = --fix ]; then
+  clang-format -i "${files[@]}"
+  exit 0
+fi
+status=0
+clang-format --dry-run --Werror "${files[@]}" || status=1
+for file in "${files[@]}"; do
+  head -1 "$file" | grep -q '^// ' || { echo "$file: no head comment"; status=1; }
+done
+core=(src/include/peridotgrade/core src/libperidotgrade/core)
+if grep -rnE '#include *<(boost/(asio|beast)|thrift|log4cplus)|(steady|system)_clock::now|random_device|<(thread|mutex)>' "${core[@]}"; then
+  echo "the core must not do I/O, lock, or read clocks and random devices"
+  status=1
+fi
+if grep -rnE '#include *"peridotgrade/(net|wire|platform|ops)/' "${core[@]}"; then
+  echo "the core must not include outer layers"
+  status=1
+fi
+exit $status
