--- /dev/null
+++ b/src/bench/goodput/site_run.h
@@ -0,0 +1,408 @@
+// One benchmark run: real routers and hosts, modelled engines and network, in virtual time.
+#pragma once
+
+#include "run_result.h"
+#include "site_settings.h"
+
+#include "peridotgrade/core/hosting/model_host.h"
+#include "peridotgrade/core/quarantine/quarantine.h"
+#include "peridotgrade/core/routing/model_router.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace peridotgrade::bench {
+
+/// Drives the product's own state machines under `Policy` and counts what callers get. All parts share one
+/// timer service, which is the virtual clock and the network's queue at once.
+template <PlacementPolicy Policy> class SiteRun {
+public:
+    explicit SiteRun(SiteSettings settings)
+        : settings(std::move(settings))
+        , capacity(capacityOf(this->settings))
+        , arrivalRandom(this->settings.seed)
+        , networkRandom(this->settings.seed + 1)
+        , workload(this->settings.workload, this->settings.seed + 2)
+    {
+        this->result.idealShare = this->capacity.idealShare(this->settings.load);
+        auto seconds = std::chrono::duration_cast<std::chrono::seconds>(this->settings.length).count() + 1;
+        this->result.goodBySecond.resize(static_cast<std::size_t>(seconds));
+        this->result.offeredBySecond.resize(static_cast<std::size_t>(seconds));
+    }
+
+    RunResult run()
+    {
+        this->buildNodes();
+        this->buildEntries();
+        this->connectAll();
+        this->scheduleArrival();
+        this->scheduleReports();
+        this->scheduleFault();
+        this->timers.advance(TimePoint {} + this->settings.length);
+        // What is open is finished, not cut off, so that every counted request has its verdict.
+        this->isArriving = false;
+        constexpr Duration LongestAnswer = std::chrono::seconds { 180 };
+        this->timers.advance(TimePoint {} + this->settings.length + LongestAnswer);
+        this->collect();
+        return this->result;
+    }
+
+private:
+    struct Node {
+        AgentId agent;
+        DataCentreId dataCentre;
+        EngineRole role = EngineRole::Decode;
+        std::unique_ptr<EngineModel> engine;
+        std::unique_ptr<RandomSource> random;
+        std::unique_ptr<ModelHost> host;
+        bool isUp = true;
+        std::uint32_t freeSeen = 0;
+    };
+    struct EntryNode {
+        DataCentreId dataCentre;
+        std::unique_ptr<RandomSource> random;
+        std::unique_ptr<Quarantine> quarantine;
+        std::unique_ptr<ModelRouter<Policy>> router;
+    };
+    struct Watch {
+        PromptShape shape;
+        TimePoint arrived;
+        TimePoint lastToken;
+        std::uint32_t tokens = 0;
+        std::uint32_t slowGaps = 0;
+        bool isFirstInTime = false;
+        bool isCounted = false;
+        bool isComeBack = false;
+    };
+
+    DataCentreId dataCentreOf(std::uint32_t index) const
+    {
+        return DataCentreId { "dc" + std::to_string(index % this->settings.dataCentres) };
+    }
+
+    void buildNodes()
+    {
+        std::uint32_t total = this->settings.prefillEngines + this->settings.decodeEngines;
+        for (std::uint32_t i = 0; i < total; ++i) {
+            auto node = std::make_unique<Node>();
+            node->agent = AgentId { "vm" + std::to_string(i) };
+            node->role = i < this->settings.prefillEngines ? EngineRole::Prefill : EngineRole::Decode;
+            node->dataCentre = this->dataCentreOf(i);
+            EngineModelSettings engine = this->settings.engine;
+            engine.role = node->role;
+            engine.model = this->model;
+            node->engine = std::make_unique<EngineModel>(
+                engine, node->agent.raw(), this->timers, this->engineDirectory);
+            node->random = std::make_unique<RandomSource>(this->settings.seed + 1000 + i);
+            this->nodes.push_back(std::move(node));
+            this->startHost(i, 1);
+        }
+    }
+
+    void startHost(std::uint32_t index, std::uint64_t incarnation)
+    {
+        Node& node = *this->nodes[index];
+        ModelHostSettings host;
+        host.agent = node.agent;
+        host.incarnation = Incarnation { index * 1000 + incarnation };
+        node.host = std::make_unique<ModelHost>(host, this->timers, *node.random, this->events);
+        node.engine->setHandler([this, index](const EngineEvent& event) {
+            this->nodes[index]->host->onEngineEvent(event);
+            this->drainHost(index);
+        });
+        node.engine->start();
+    }
+
+    void buildEntries()
+    {
+        for (std::uint32_t i = 0; i < this->settings.entries; ++i) {
+            auto entry = std::make_unique<EntryNode>();
+            entry->dataCentre = this->dataCentreOf(i);
+            entry->random = std::make_unique<RandomSource>(this->settings.seed + 5000 + i);
+            entry->quarantine = std::make_unique<Quarantine>();
+            ModelRouterSettings router = this->settings.router;
+            router.entry = EntryId { "entry" + std::to_string(i) + "/0" };
+            router.incarnation = Incarnation { 7000 + i };
+            router.dataCentre = entry->dataCentre;
+            entry->router = std::make_unique<ModelRouter<Policy>>(
+                router, Policy {}, this->timers, *entry->random, *entry->quarantine, this->events);
+            this->entries.push_back(std::move(entry));
+        }
+    }
+
+    void connectAll()
+    {
+        RoutingView view = this->viewNow();
+        for (std::uint32_t e = 0; e < this->entries.size(); ++e) {
+            this->entries[e]->router->updateView(view);
+            for (std::uint32_t n = 0; n < this->nodes.size(); ++n) {
+                this->nodes[n]->host->onConnected(this->connection(e));
+                this->entries[e]->router->onAgentConnected(this->nodes[n]->agent);
+            }
+            this->drainRouter(e);
+        }
+    }
+
+    RoutingView viewNow() const
+    {
+        RoutingView view;
+        view.version = ConfigVersion { 1 };
+        for (const auto& node : this->nodes) {
+            if (node->isUp)
+                view.engines.push_back({ node->agent, node->dataCentre, this->model, node->role });
+        }
+        return view;
+    }
+
+    static ConnectionId connection(std::uint32_t entry) { return ConnectionId { entry + 1 }; }
+
+    Duration delay(const DataCentreId& from, const DataCentreId& to)
+    {
+        Duration base = from == to ? this->settings.networkDelay : this->settings.crossDelay;
+        return base + Duration { static_cast<Duration::rep>(this->networkRandom.unit() * base.count() / 2) };
+    }
+
+    /// Delivers in order of sending on each directed link, as a connection does.
+    template <typename Deliver>
+    void send(std::uint64_t link, const DataCentreId& from, const DataCentreId& to, Deliver deliver)
+    {
+        ++this->result.messages;
+        TimePoint& last = this->linkLast[link];
+        last = std::max(last, this->timers.now() + this->delay(from, to));
+        this->timers.subscribeAt(last, std::move(deliver));
+    }
+
+    void drainRouter(std::uint32_t e)
+    {
+        for (RouterAction& action : this->entries[e]->router->takeActions()) {
+            if (auto* message = std::get_if<SendToAgent>(&action))
+                this->toAgent(e, std::move(*message));
+            else if (auto* tokens = std::get_if<DeliverTokens>(&action))
+                this->onTokens(*tokens);
+            else if (auto* finished = std::get_if<FinishAnswer>(&action))
+                this->onFinished(*finished);
+            else if (auto* refused = std::get_if<RefuseRequest>(&action))
+                this->onRefused(*refused);
+        }
+    }
+
+    void toAgent(std::uint32_t e, SendToAgent message)
+    {
+        auto n = static_cast<std::uint32_t>(std::stoul(message.agent.raw().substr(2)));
+        auto deliver = [this, e, n, message = std::move(message.message)] {
+            if (!this->nodes[n]->isUp)
+                return;
+            this->nodes[n]->host->onMessage(connection(e), message);
+            this->drainHost(n);
+        };
+        this->send(
+            e * 100'000ull + n, this->entries[e]->dataCentre, this->nodes[n]->dataCentre, std::move(deliver));
+    }
+
+    void drainHost(std::uint32_t n)
+    {
+        for (HostAction& action : this->nodes[n]->host->takeActions()) {
+            if (auto* command = std::get_if<TellEngine>(&action)) {
+                this->nodes[n]->engine->onCommand(command->command);
+                continue;
+            }
+            auto& message = std::get<SendToEntry>(action);
+            auto e = static_cast<std::uint32_t>(message.connection.raw() - 1);
+            auto deliver = [this, e, n, message = std::move(message.message)] {
+                if (!this->nodes[n]->isUp)
+                    return;
+                this->entries[e]->router->onMessage(this->nodes[n]->agent, message);
+                this->drainRouter(e);
+            };
+            this->send((1ull << 40) + n * 100'000ull + e, this->nodes[n]->dataCentre,
+                this->entries[e]->dataCentre, std::move(deliver));
+        }
+    }
+
+    void scheduleArrival()
+    {
+        double rate = this->settings.load * this->capacity.requestsPerSecond;
+        this->timers.subscribeAfter(poissonGap(this->arrivalRandom, rate), [this] {
+            if (!this->isArriving)
+                return;
+            this->submit(this->workload.next(), false);
+            this->scheduleArrival();
+        });
+    }
+
+    void submit(PromptShape shape, bool isComeBack)
+    {
+        auto e = static_cast<std::uint32_t>(this->arrivalRandom.below(this->entries.size()));
+        RequestId id { ++this->lastRequest };
+        Watch watch;
+        watch.shape = shape;
+        watch.arrived = this->timers.now();
+        watch.isComeBack = isComeBack;
+        watch.isCounted = !isComeBack && this->timers.now() >= TimePoint {} + this->settings.warmUp;
+        this->result.offered += watch.isCounted;
+        if (!isComeBack)
+            ++this->result.offeredBySecond[this->secondOf(watch)];
+        this->result.cameBack += isComeBack;
+        this->watches[id] = watch;
+        this->entries[e]->router->submit(this->makeRequest(id, shape));
+        this->drainRouter(e);
+    }
+
+    ModelRequest makeRequest(RequestId id, const PromptShape& shape) const
+    {
+        constexpr Duration GiveUp = std::chrono::seconds { 170 };
+        ModelRequest request;
+        request.id = id;
+        request.workspace = WorkspaceId { "w" };
+        request.model = this->model;
+        request.prompt = encodeShape(shape);
+        request.promptTokens = shape.promptTokens();
+        request.maxOutputTokens = shape.outputTokens;
+        request.firstTokenDue = this->timers.now() + this->settings.firstTokenTarget;
+        request.deadline = this->timers.now() + GiveUp;
+        return request;
+    }
+
+    std::size_t secondOf(const Watch& watch) const
+    {
+        auto second
+            = std::chrono::duration_cast<std::chrono::seconds>(watch.arrived.time_since_epoch()).count();
+        return std::min(static_cast<std::size_t>(second), this->result.offeredBySecond.size() - 1);
+    }
+
+    void onTokens(const DeliverTokens& tokens)
+    {
+        auto found = this->watches.find(tokens.request);
+        if (found == this->watches.end())
+            return;
+        Watch& watch = found->second;
+        TimePoint now = this->timers.now();
+        if (watch.tokens == 0)
+            watch.isFirstInTime = now - watch.arrived <= this->settings.firstTokenTarget;
+        else if (now - watch.lastToken > this->settings.interTokenTarget)
+            ++watch.slowGaps;
+        watch.lastToken = now;
+        watch.tokens += static_cast<std::uint32_t>(tokens.pieces.size());
+    }
+
+    void onFinished(const FinishAnswer& finished)
+    {
+        auto found = this->watches.find(finished.request);
+        if (found == this->watches.end())
+            return;
+        const Watch& watch = found->second;
+        // 95 in 100 of an answer's gaps have to be within the target.
+        bool isGood = watch.isFirstInTime && watch.slowGaps * 20 <= watch.tokens;
+        this->result.good += watch.isCounted && isGood;
+        this->result.late += watch.isCounted && !isGood;
+        this->result.cameBackAdmitted += watch.isComeBack;
+        if (isGood && !watch.isComeBack)
+            ++this->result.goodBySecond[this->secondOf(watch)];
+        this->watches.erase(found);
+    }
+
+    void onRefused(const RefuseRequest& refused)
+    {
+        auto found = this->watches.find(refused.request);
+        if (found == this->watches.end())
+            return;
+        Watch watch = found->second;
+        this->watches.erase(found);
+        this->result.refused += watch.isCounted && watch.tokens == 0;
+        this->result.broken += watch.isCounted && watch.tokens > 0;
+        bool comesBack = !watch.isComeBack && refused.refusal.retryAfter
+            && this->networkRandom.unit() < this->settings.comeBackShare;
+        if (!comesBack || !this->isArriving)
+            return;
+        this->timers.subscribeAfter(*refused.refusal.retryAfter, [this, shape = watch.shape] {
+            if (this->isArriving)
+                this->submit(shape, true);
+        });
+    }
+
+    /// Load reports with a lag: the state now reaches the routers one interval later.
+    void scheduleReports()
+    {
+        this->timers.subscribeAfter(this->settings.reportInterval, [this] {
+            bool isStopped = this->settings.fault == Fault::LoadReportsStop
+                && this->timers.now() >= TimePoint {} + this->settings.faultAt;
+            if (!isStopped)
+                this->reportLoads();
+            if (this->isArriving)
+                this->scheduleReports();
+        });
+    }
+
+    void reportLoads()
+    {
+        for (std::uint32_t n = 0; n < this->nodes.size(); ++n) {
+            if (!this->nodes[n]->isUp)
+                continue;
+            LiveLoad load = this->nodes[n]->engine->load();
+            this->timers.subscribeAfter(this->settings.reportInterval, [this, n, load] {
+                for (auto& entry : this->entries)
+                    entry->router->onLoadReport(this->nodes[n]->agent, load);
+            });
+        }
+    }
+
+    void scheduleFault()
+    {
+        if (this->settings.fault == Fault::None || this->settings.fault == Fault::LoadReportsStop)
+            return;
+        this->timers.subscribeAt(TimePoint {} + this->settings.faultAt, [this] {
+            if (this->settings.fault == Fault::EngineCrash)
+                this->loseNode(this->settings.prefillEngines);
+            else
+                this->loseDataCentre(DataCentreId { "dc0" });
+        });
+    }
+
+    void loseDataCentre(const DataCentreId& lost)
+    {
+        for (std::uint32_t n = 0; n < this->nodes.size(); ++n) {
+            if (this->nodes[n]->dataCentre == lost)
+                this->loseNode(n);
+        }
+    }
+
+    void loseNode(std::uint32_t n)
+    {
+        this->nodes[n]->isUp = false;
+        this->nodes[n]->engine->crash();
+        for (std::uint32_t e = 0; e < this->entries.size(); ++e) {
+            this->entries[e]->router->onAgentLost(this->nodes[n]->agent);
+            this->entries[e]->router->updateView(this->viewNow());
+            this->drainRouter(e);
+        }
+    }
+
+    void collect()
+    {
+        for (const auto& node : this->nodes) {
+            this->result.prefillTokens += node->engine->counters().prefillTokens;
+            this->result.prefillTokensWasted += node->engine->counters().prefillTokensWasted;
+        }
+    }
+
+    const SiteSettings settings;
+    const SiteCapacity capacity;
+    const ModelId model { "m" };
+    TimerService timers;
+    NullEventSink events;
+    EngineDirectory engineDirectory;
+    RandomSource arrivalRandom;
+    RandomSource networkRandom;
+    Workload workload;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<std::unique_ptr<EntryNode>> entries;
+    std::unordered_map<std::uint64_t, TimePoint> linkLast;
+    std::unordered_map<RequestId, Watch> watches;
+    std::uint64_t lastRequest = 0;
+    bool isArriving = true;
+    RunResult result;
+};
+
+} // namespace peridotgrade::bench
--- /dev/null
+++ b/src/bench/goodput/site_settings.h
@@ -0,0 +1,55 @@
+// Size, load and faults of one benchmark run.
+#pragma once
+
+#include "engine_model.h"
+#include "workload.h"
+
+#include "peridotgrade/core/routing/model_router.h"
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace peridotgrade::bench {
+
+/// What fails in the middle of a run.
+enum class Fault : std::uint8_t { None, EngineCrash, DataCentreLoss, LoadReportsStop };
+
+/// One run. The same settings give the same run for every policy.
+struct SiteSettings {
+    WorkloadSettings workload;
+    std::uint32_t entries = 1;
+    std::uint32_t prefillEngines = 6;
+    std::uint32_t decodeEngines = 14;
+    std::uint32_t dataCentres = 2;
+    /// Offered work as a share of capacity.
+    double load = 0.95;
+    Duration length = std::chrono::seconds { 60 };
+    /// Requests that arrive earlier are served, not counted.
+    Duration warmUp = std::chrono::seconds { 15 };
+    Duration firstTokenTarget = std::chrono::milliseconds { 820 };
+    Duration interTokenTarget = std::chrono::milliseconds { 77 };
+    Duration networkDelay = std::chrono::microseconds { 500 };
+    Duration crossDelay = std::chrono::milliseconds { 3 };
+    Duration reportInterval = std::chrono::milliseconds { 500 };
+    /// Share of refused callers that come back after Retry-After.
+    double comeBackShare = 0.1;
+    ModelRouterSettings router;
+    EngineModelSettings engine;
+    Fault fault = Fault::None;
+    Duration faultAt = std::chrono::seconds { 30 };
+    std::uint64_t seed = 1;
+};
+
+/// Capacity of the settings' engines in requests a second, by the workload's means.
+struct SiteCapacity {
+    double requestsPerSecond = 0;
+    double hopelessShare = 0;
+
+    /// Goodput over offered that an all-seeing scheduler could reach.
+    double idealShare(double load) const;
+};
+
+SiteCapacity capacityOf(const SiteSettings& settings);
+
+} // namespace peridotgrade::bench
--- /dev/null
+++ b/src/bench/goodput/workload.h
@@ -0,0 +1,63 @@
+// Requests of the goodput benchmark: arrivals, lengths, shared prefixes.
+#pragma once
+
+#include "peridotgrade/core/base/random_source.h"
+#include "peridotgrade/core/base/time.h"
+#include "prompt_shape.h"
+
+#include <string>
+
+namespace peridotgrade::bench {
+
+/// Distributions of one deployment's requests. Lengths are log-normal, cut off at both ends.
+struct WorkloadSettings {
+    std::string name;
+    double promptTokensMedian = 0;
+    double promptTokensSigma = 0;
+    std::uint32_t promptTokensMost = 0;
+    double outputTokensMedian = 0;
+    double outputTokensSigma = 0;
+    std::uint32_t outputTokensMost = 0;
+    /// Share of the requests that begin with one of `prefixes` common prefixes of `prefixTokens`.
+    double prefixShare = 0;
+    std::uint32_t prefixes = 1;
+    std::uint32_t prefixTokens = 0;
+};
+
+/// Reminders and reading summaries: short prompts behind few common prefixes, short answers.
+WorkloadSettings kigaliMorning();
+/// Feeding plans and letters: long prompts, long answers with a heavy tail.
+WorkloadSettings zelenicaPlans();
+
+/// Means that the offered work is computed from.
+struct WorkloadMeans {
+    double uncachedPromptTokens = 0;
+    double promptTokens = 0;
+    double outputTokens = 0;
+    /// Share of requests whose prefill alone takes longer than the first token may.
+    double hopelessShare = 0;
+};
+
+/// Draws requests. The same seed gives the same requests, whatever is measured on them.
+class Workload {
+public:
+    Workload(WorkloadSettings settings, std::uint64_t seed);
+
+    PromptShape next();
+
+    /// Means over a large sample; prefills at `prefillTokensPerSecond`, warm prefix cache.
+    static WorkloadMeans means(
+        const WorkloadSettings& settings, double prefillTokensPerSecond, Duration firstTokenTarget);
+
+private:
+    std::uint32_t logNormal(double median, double sigma, std::uint32_t most);
+
+    WorkloadSettings settings;
+    RandomSource random;
+    std::uint64_t drawn = 0;
+};
+
+/// Exponential gap to the next arrival.
+Duration poissonGap(RandomSource& random, double ratePerSecond);
+
+} // namespace peridotgrade::bench
--- /dev/null
+++ b/src/include/peridotgrade/core/policy/least_reported_policy.h
@@ -0,0 +1,28 @@
+// Baseline: prefill first, the engine with the least reported load.
+#pragma once
+
+#include "peridotgrade/core/policy/reported_load.h"
+
+namespace peridotgrade {
+
+/// Takes the engine that reported the least load. Reports lag, so that many requests go to the same engine
+/// until the next one. A baseline that others are measured against.
+class LeastReportedPolicy {
+public:
+    static constexpr bool AsksPlaceFirst = false;
+
+    std::vector<std::size_t> decodeChoices(const PlacementRequest&, const std::vector<EngineView>& engines,
+        TimePoint, RandomSource& random, std::uint32_t)
+    {
+        auto best = bestOf(engines, random, hasMoreReportedPlaces);
+        return best ? std::vector<std::size_t> { *best } : std::vector<std::size_t> {};
+    }
+
+    std::optional<std::size_t> prefillChoice(
+        const PlacementRequest&, const std::vector<EngineView>& engines, TimePoint, RandomSource& random)
+    {
+        return bestOf(engines, random, hasLessReportedBacklog);
+    }
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/core/policy/reported_load.h
@@ -0,0 +1,49 @@
+// Comparison of engines by the load that they last reported.
+#pragma once
+
+#include "peridotgrade/core/policy/placement.h"
+
+namespace peridotgrade {
+
+/// True if `a` reported more free places for what is asked of it than `b`.
+inline bool hasMoreReportedPlaces(const EngineView& a, const EngineView& b)
+{
+    return a.load.placesFree > b.load.placesFree;
+}
+
+/// True if `a` reported less prefill work waiting than `b`.
+inline bool hasLessReportedBacklog(const EngineView& a, const EngineView& b)
+{
+    return a.load.prefillBacklog < b.load.prefillBacklog;
+}
+
+/// Index of the best of `engines` under `isBetter`; of equals a random one, so that entries do not herd.
+template <typename IsBetter>
+std::optional<std::size_t> bestOf(
+    const std::vector<EngineView>& engines, RandomSource& random, IsBetter isBetter)
+{
+    if (engines.empty())
+        return std::nullopt;
+    std::size_t offset = random.below(engines.size());
+    std::size_t best = offset;
+    for (std::size_t step = 1; step < engines.size(); ++step) {
+        std::size_t index = (offset + step) % engines.size();
+        if (isBetter(engines[index], engines[best]))
+            best = index;
+    }
+    return best;
+}
+
+/// The better of two random engines under `isBetter`.
+template <typename IsBetter>
+std::optional<std::size_t> betterOfTwo(
+    const std::vector<EngineView>& engines, RandomSource& random, IsBetter isBetter)
+{
+    if (engines.empty())
+        return std::nullopt;
+    std::size_t first = random.below(engines.size());
+    std::size_t second = random.below(engines.size());
+    return isBetter(engines[second], engines[first]) ? second : first;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/core/policy/reported_two_choices_policy.h
@@ -0,0 +1,27 @@
+// Baseline: prefill first, the better of two random engines by reported load.
+#pragma once
+
+#include "peridotgrade/core/policy/reported_load.h"
+
+namespace peridotgrade {
+
+/// Draws two engines and takes the one that reported less load. A baseline that others are measured against.
+class ReportedTwoChoicesPolicy {
+public:
+    static constexpr bool AsksPlaceFirst = false;
+
+    std::vector<std::size_t> decodeChoices(const PlacementRequest&, const std::vector<EngineView>& engines,
+        TimePoint, RandomSource& random, std::uint32_t)
+    {
+        auto better = betterOfTwo(engines, random, hasMoreReportedPlaces);
+        return better ? std::vector<std::size_t> { *better } : std::vector<std::size_t> {};
+    }
+
+    std::optional<std::size_t> prefillChoice(
+        const PlacementRequest&, const std::vector<EngineView>& engines, TimePoint, RandomSource& random)
+    {
+        return betterOfTwo(engines, random, hasLessReportedBacklog);
+    }
+};
+
+} // namespace peridotgrade
