Add quarantine of crashing requests and membership of backend servers

Cause: the model router and both daemons need to know which requests crash their servers and which servers may get work; both were headers only.

Membership::onConnected now takes the incarnation: without it a draining agent that reconnects could not be told from its successor.

Ruled out: counting reports instead of deaths, since one death is reported to every shard that had work there.

--- a/src/include/peridotgrade/core/membership/membership.h
+++ b/src/include/peridotgrade/core/membership/membership.h
@@ -24,12 +24,14 @@
 
     /// The list as read now, whole.
     void onVmList(std::vector<VmRecord> vms);
-    void onConnected(const AgentId& agent);
+    /// The agent's connection is up and it has told which run of it answers.
+    void onConnected(const AgentId& agent, Incarnation incarnation);
     void onLost(const AgentId& agent);
     /// The agent said that it is draining; holds until its process is replaced (a new incarnation connects).
     void onDraining(const AgentId& agent);
 
-    /// All VMs that a connection should be kept or tried to, in order of name.
+    /// Backend servers that a connection should be kept or tried to, in order of name: those on the list, and
+    /// those gone from it while their connection is up, so that what runs there is finished.
     std::vector<VmRecord> contacts() const;
     /// Backend servers that may get new work, in order of name.
     std::vector<VmRecord> usable() const;
--- /dev/null
+++ b/src/libperidotgrade/core/membership/membership.cpp
@@ -0,0 +1,126 @@
+// Joins the VM list, the agents' word and the connections.
+#include "peridotgrade/core/membership/membership.h"
+
+#include <map>
+#include <optional>
+
+namespace peridotgrade {
+
+namespace {
+
+    struct Member {
+        VmRecord vm;
+        bool isListed = false;
+        bool isConnected = false;
+        Incarnation incarnation;
+        /// The run that said it is draining; a later run has not.
+        std::optional<Incarnation> drainingRun;
+
+        bool isDraining() const { return this->drainingRun == this->incarnation; }
+
+        bool isUsable() const
+        {
+            if (!this->isListed || this->vm.state != VmState::Live)
+                return false;
+            return this->isConnected && !this->isDraining();
+        }
+
+        /// A VM that the list has lost is left alone while connected: the list may be wrong, and what runs
+        /// there is finished.
+        bool isContact() const { return this->isListed || (this->isConnected && !this->vm.name.empty()); }
+
+        bool isForgettable() const { return !this->isListed && !this->isConnected; }
+    };
+
+} // namespace
+
+class Membership::Impl {
+public:
+    void onVmList(std::vector<VmRecord> vms)
+    {
+        for (auto& [name, member] : this->members)
+            member.isListed = false;
+        for (VmRecord& vm : vms) {
+            if (vm.kind == VmKind::Entry)
+                continue;
+            Member& member = this->members[vm.name];
+            member.vm = std::move(vm);
+            member.isListed = true;
+        }
+        std::erase_if(this->members, [](const auto& entry) { return entry.second.isForgettable(); });
+    }
+
+    Member& at(const AgentId& agent) { return this->members[agent.raw()]; }
+
+    const Member* find(const AgentId& agent) const
+    {
+        auto found = this->members.find(agent.raw());
+        return found == this->members.end() ? nullptr : &found->second;
+    }
+
+    void onLost(const AgentId& agent)
+    {
+        auto found = this->members.find(agent.raw());
+        if (found == this->members.end())
+            return;
+        found->second.isConnected = false;
+        if (found->second.isForgettable())
+            this->members.erase(found);
+    }
+
+    template <typename Predicate> std::vector<VmRecord> select(Predicate predicate) const
+    {
+        std::vector<VmRecord> selected;
+        for (const auto& [name, member] : this->members) {
+            if (predicate(member))
+                selected.push_back(member.vm);
+        }
+        return selected;
+    }
+
+private:
+    /// By name. Invariant: every member is listed or connected.
+    std::map<std::string, Member> members;
+};
+
+Membership::Membership()
+    : impl(std::make_unique<Impl>())
+{
+}
+
+Membership::~Membership() = default;
+
+void Membership::onVmList(std::vector<VmRecord> vms) { this->impl->onVmList(std::move(vms)); }
+
+void Membership::onConnected(const AgentId& agent, Incarnation incarnation)
+{
+    Member& member = this->impl->at(agent);
+    member.isConnected = true;
+    member.incarnation = incarnation;
+}
+
+void Membership::onLost(const AgentId& agent) { this->impl->onLost(agent); }
+
+void Membership::onDraining(const AgentId& agent)
+{
+    Member& member = this->impl->at(agent);
+    member.drainingRun = member.incarnation;
+}
+
+std::vector<VmRecord> Membership::contacts() const
+{
+    return this->impl->select([](const Member& member) { return member.isContact(); });
+}
+
+std::vector<VmRecord> Membership::usable() const
+{
+    return this->impl->select([](const Member& member) { return member.isUsable(); });
+}
+
+bool Membership::isUsable(const AgentId& agent) const
+{
+    const Member* member = this->impl->find(agent);
+    return member && member->isUsable();
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/quarantine/quarantine_test.cpp
@@ -0,0 +1,83 @@
+// Tests of suspicion, quarantine and their bounds.
+#include "peridotgrade/core/quarantine/quarantine.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace peridotgrade;
+
+namespace {
+
+const Fingerprint Poison { 1 };
+const Fingerprint Innocent { 2 };
+const AgentId FirstAgent { "engine-1" };
+const AgentId SecondAgent { "engine-2" };
+const Incarnation FirstRun { 10 };
+const Incarnation SecondRun { 11 };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(quarantine)
+
+BOOST_AUTO_TEST_CASE(all_that_ran_are_suspects_and_the_second_death_decides)
+{
+    Quarantine quarantine;
+    BOOST_TEST(quarantine.recordCrash(FirstAgent, FirstRun, { Poison, Innocent }).empty());
+    BOOST_TEST((quarantine.standingOf(Innocent) == Standing::Suspect));
+    auto added = quarantine.recordCrash(SecondAgent, FirstRun, { Poison });
+    BOOST_TEST((added == std::vector<Fingerprint> { Poison }));
+    BOOST_TEST((quarantine.standingOf(Poison) == Standing::Quarantined));
+    BOOST_TEST((quarantine.standingOf(Innocent) == Standing::Suspect));
+}
+
+BOOST_AUTO_TEST_CASE(one_death_reported_twice_counts_once)
+{
+    Quarantine quarantine;
+    quarantine.recordCrash(FirstAgent, FirstRun, { Innocent });
+    BOOST_TEST(quarantine.recordCrash(FirstAgent, FirstRun, { Innocent }).empty());
+    BOOST_TEST((quarantine.standingOf(Innocent) == Standing::Suspect));
+}
+
+BOOST_AUTO_TEST_CASE(the_same_server_dying_again_after_a_restart_counts)
+{
+    Quarantine quarantine;
+    quarantine.recordCrash(FirstAgent, FirstRun, { Poison });
+    BOOST_TEST(quarantine.recordCrash(FirstAgent, SecondRun, { Poison }).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_clears_a_suspect_but_lifts_no_quarantine)
+{
+    Quarantine quarantine;
+    quarantine.recordCrash(FirstAgent, FirstRun, { Innocent });
+    quarantine.recordAnswered(Innocent);
+    BOOST_TEST((quarantine.standingOf(Innocent) == Standing::Clean));
+    BOOST_TEST(quarantine.recordCrash(SecondAgent, FirstRun, { Innocent }).empty());
+
+    quarantine.quarantine(Poison);
+    quarantine.recordAnswered(Poison);
+    BOOST_TEST((quarantine.standingOf(Poison) == Standing::Quarantined));
+}
+
+BOOST_AUTO_TEST_CASE(a_quarantine_is_told_as_new_only_once)
+{
+    Quarantine quarantine;
+    quarantine.quarantine(Poison);
+    quarantine.quarantine(Poison);
+    BOOST_TEST(quarantine.recordCrash(FirstAgent, FirstRun, { Poison }).empty());
+    BOOST_TEST((quarantine.quarantined() == std::vector<Fingerprint> { Poison }));
+}
+
+BOOST_AUTO_TEST_CASE(suspects_are_forgotten_before_quarantined_ones)
+{
+    Quarantine quarantine(2);
+    quarantine.quarantine(Poison);
+    quarantine.recordCrash(FirstAgent, FirstRun, { Fingerprint { 5 }, Fingerprint { 6 } });
+    BOOST_TEST((quarantine.standingOf(Poison) == Standing::Quarantined));
+    BOOST_TEST((quarantine.standingOf(Fingerprint { 5 }) == Standing::Clean));
+    BOOST_TEST((quarantine.standingOf(Fingerprint { 6 }) == Standing::Suspect));
+    quarantine.quarantine(Fingerprint { 7 });
+    quarantine.quarantine(Fingerprint { 8 });
+    BOOST_TEST(
+        (quarantine.quarantined() == std::vector<Fingerprint> { Fingerprint { 7 }, Fingerprint { 8 } }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
