Add the configuration's fold and the clients of log and VM list

Cause: the daemons need the configuration from the platform's log, and the log tells apart appends that surely failed from those whose answer was lost.

Ruled out: a nonce per confirmation; a plan's id binds its base version, and a version left is never in force again, so one plan takes effect at most once however often it is appended.

--- /dev/null
+++ b/src/include/peridotgrade/core/config/site_configuration.h
@@ -0,0 +1,86 @@
+// The configuration of a site: what is served where, for whom, and within which commitment.
+#pragma once
+
+#include "peridotgrade/core/base/ids.h"
+#include "peridotgrade/core/messages/place_messages.h"
+#include "peridotgrade/core/messages/session_messages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridotgrade {
+
+/// What one agent's engine is to serve. Lists are kept sorted, so that equal assignments compare equal.
+struct EngineAssignment {
+    AgentId agent;
+    ServiceId service;
+    ModelId model;
+    std::string modelVersion;
+    std::vector<std::string> adapters;
+    EngineRole role = EngineRole::Mixed;
+
+    friend bool operator==(const EngineAssignment&, const EngineAssignment&) = default;
+};
+
+/// A caller's workspace. A rate of 0 means no limit of its own.
+struct Workspace {
+    WorkspaceId id;
+    /// SHA-256 of the key that callers send, in hexadecimal; the key itself is not kept.
+    std::string keySha256;
+    Priority priority = Priority::Normal;
+    double requestsPerSecond = 0;
+    double outputTokensPerSecond = 0;
+    /// Weight among the workspaces of a service that is short of capacity.
+    double share = 1;
+
+    friend bool operator==(const Workspace&, const Workspace&) = default;
+};
+
+enum class ServiceKind : std::uint8_t { Model, Application };
+
+/// One service that callers reach.
+struct ServiceConfiguration {
+    ServiceId id;
+    ServiceKind kind = ServiceKind::Model;
+    /// The part of the committed capacity meant for this service, in [0, 1].
+    double committedShare = 0;
+
+    friend bool operator==(const ServiceConfiguration&, const ServiceConfiguration&) = default;
+};
+
+/// The spend that the site owes its provider for each period, used or not.
+struct Commitment {
+    std::uint32_t periodDays = 30;
+    /// In the smallest unit of the currency.
+    std::uint64_t spendMinorUnits = 0;
+    /// What one engine costs for an hour, in the same unit.
+    std::uint64_t engineHourMinorUnits = 0;
+
+    friend bool operator==(const Commitment&, const Commitment&) = default;
+};
+
+/// Everything that operators decide. A value: nodes at the same version hold equal ones.
+struct SiteConfiguration {
+    std::map<AgentId, EngineAssignment> engines;
+    std::map<WorkspaceId, Workspace> workspaces;
+    std::map<ServiceId, ServiceConfiguration> services;
+    Commitment commitment;
+
+    /// The workspace whose key has this SHA-256 (hexadecimal), or null.
+    const Workspace* workspaceOfKey(std::string_view keySha256) const;
+
+    friend bool operator==(const SiteConfiguration&, const SiteConfiguration&) = default;
+};
+
+std::string_view nameOf(EngineRole role);
+std::string_view nameOf(Priority priority);
+std::string_view nameOf(ServiceKind kind);
+std::optional<EngineRole> engineRoleFrom(std::string_view name);
+std::optional<Priority> priorityFrom(std::string_view name);
+std::optional<ServiceKind> serviceKindFrom(std::string_view name);
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/config/configuration_fold.cpp
@@ -0,0 +1,245 @@
+// Implementation of the configuration's fold.
+#include "peridotgrade/core/config/configuration_fold.h"
+
+#include "peridotgrade/core/base/invariant.h"
+#include "peridotgrade/core/base/name_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotgrade {
+
+namespace {
+
+    constexpr auto FateNames
+        = std::to_array<std::string_view>({ "unseen", "in_force", "superseded", "void" });
+
+    constexpr std::size_t MaxHistory = 256;
+    constexpr std::size_t MaxVoidPlans = 256;
+
+    FoldStep stepOf(FoldStep::Kind kind, PlanId plan, std::string detail)
+    {
+        return { kind, std::move(plan), std::move(detail) };
+    }
+
+} // namespace
+
+std::string_view nameOf(PlanFate fate) { return nameAt(FateNames, fate); }
+
+FoldStep ConfigurationFold::onRecord(const LogRecord& record)
+{
+    if (record.offset < this->next)
+        return stepOf(FoldStep::Kind::Ignored, {}, "read before");
+    this->next = LogOffset { record.offset.raw() + 1 };
+    this->rememberTime(record);
+    auto decoded = decodeRecord(record.data);
+    if (auto* error = std::get_if<ConfigError>(&decoded))
+        return stepOf(FoldStep::Kind::Malformed, {}, error->detail);
+    const ConfigurationRecord& content = std::get<ConfigurationRecord>(decoded);
+    if (const auto* snapshot = std::get_if<Snapshot>(&content))
+        return this->applySnapshot(*snapshot);
+    const auto& confirmed = std::get<Confirmed>(content);
+    if (this->isGapped) {
+        this->held.push_back({ record.offset, record.appendedAt, confirmed });
+        return stepOf(FoldStep::Kind::Held, confirmed.plan, "records before it are missing");
+    }
+    return this->applyConfirmed(record.offset, record.appendedAt, confirmed);
+}
+
+void ConfigurationFold::onGap(LogOffset oldest)
+{
+    if (oldest <= this->next)
+        return;
+    this->isGapped = true;
+    this->gapEnd = oldest;
+    this->next = oldest;
+    this->held.clear();
+    this->recentTimes.clear();
+}
+
+void ConfigurationFold::onCaughtUp(LogOffset through)
+{
+    if (!this->isGapped && this->next >= through)
+        this->knowsVersion = true;
+}
+
+FoldStep ConfigurationFold::applyConfirmed(LogOffset offset, WallTime appendedAt, const Confirmed& confirmed)
+{
+    if (confirmed.base != this->versionInForce) {
+        this->rememberVoid(confirmed.plan);
+        return stepOf(FoldStep::Kind::VoidPlan, confirmed.plan,
+            "made on version " + std::to_string(confirmed.base.raw()) + ", in force was "
+                + std::to_string(this->versionInForce.raw()));
+    }
+    ConfigVersion version { offset.raw() + 1 };
+    this->moveTo(version, withChanges(this->inForce, confirmed.changes));
+    HistoryEntry entry;
+    entry.version = version;
+    entry.base = confirmed.base;
+    entry.plan = confirmed.plan;
+    entry.operatorName = confirmed.operatorName;
+    entry.summary = confirmed.summary;
+    entry.confirmedAt = appendedAt;
+    this->plansInForce.push_back(std::move(entry));
+    if (this->plansInForce.size() > MaxHistory)
+        this->plansInForce.erase(this->plansInForce.begin());
+    return stepOf(FoldStep::Kind::Applied, confirmed.plan, {});
+}
+
+FoldStep ConfigurationFold::applySnapshot(const Snapshot& snapshot)
+{
+    if (!this->isGapped) {
+        checkInvariant(snapshot.version <= this->versionInForce, Invariant::SameVersionSameConfiguration,
+            "a snapshot is ahead of the records before it");
+        this->compare(snapshot);
+        this->rememberSnapshot(snapshot);
+        return stepOf(FoldStep::Kind::Ignored, {}, "snapshot of what is known");
+    }
+    if (!this->bridge(snapshot))
+        return stepOf(FoldStep::Kind::Ignored, {}, "snapshot ends before the gap does");
+    this->rememberSnapshot(snapshot);
+    return stepOf(FoldStep::Kind::Applied, {}, "snapshot bridged a gap");
+}
+
+std::variant<bool, ConfigError> ConfigurationFold::onPeerSnapshot(const ConfigurationSnapshot& message)
+{
+    auto decoded = decodeRecord(message.snapshot);
+    if (auto* error = std::get_if<ConfigError>(&decoded))
+        return std::move(*error);
+    const auto* snapshot = std::get_if<Snapshot>(&std::get<ConfigurationRecord>(decoded));
+    if (snapshot == nullptr)
+        return ConfigError { ConfigErrorKind::Malformed, "a peer's text is not a snapshot" };
+    ConfigVersion before = this->versionInForce;
+    this->takePeer(*snapshot);
+    return this->versionInForce > before;
+}
+
+void ConfigurationFold::takePeer(const Snapshot& snapshot)
+{
+    if (snapshot.version < this->versionInForce)
+        return;
+    this->knowsVersion = true;
+    if (this->isGapped && this->bridge(snapshot))
+        return;
+    this->adopt(snapshot);
+    // Behind a gap the records read so far may hold later plans: they stay held until a bridge comes.
+    if (!this->isGapped)
+        this->next = std::max(this->next, snapshot.through);
+}
+
+bool ConfigurationFold::bridge(const Snapshot& snapshot)
+{
+    if (snapshot.through < this->gapEnd || snapshot.version < this->versionInForce)
+        return false;
+    this->adopt(snapshot);
+    this->isGapped = false;
+    this->knowsVersion = true;
+    std::deque<HeldRecord> waiting = std::exchange(this->held, {});
+    for (const HeldRecord& record : waiting) {
+        if (record.offset >= snapshot.through)
+            this->applyConfirmed(record.offset, record.appendedAt, record.confirmed);
+    }
+    this->next = std::max(this->next, snapshot.through);
+    return true;
+}
+
+void ConfigurationFold::adopt(const Snapshot& snapshot)
+{
+    this->compare(snapshot);
+    if (snapshot.version <= this->versionInForce)
+        return;
+    this->moveTo(snapshot.version, snapshot.configuration);
+    this->plansInForce = snapshot.history;
+}
+
+void ConfigurationFold::compare(const Snapshot& snapshot) const
+{
+    if (snapshot.version != this->versionInForce)
+        return;
+    checkInvariant(digestOf(snapshot.configuration) == this->digestInForce,
+        Invariant::SameVersionSameConfiguration,
+        "two configurations at version " + std::to_string(snapshot.version.raw()));
+}
+
+void ConfigurationFold::moveTo(ConfigVersion version, SiteConfiguration configuration)
+{
+    checkInvariant(version > this->versionInForce, Invariant::ConfigurationNeverReverts,
+        "from version " + std::to_string(this->versionInForce.raw()) + " to "
+            + std::to_string(version.raw()));
+    this->versionInForce = version;
+    this->inForce = std::move(configuration);
+    this->digestInForce = digestOf(this->inForce);
+}
+
+void ConfigurationFold::rememberVoid(const PlanId& plan)
+{
+    this->voidPlans.push_back(plan);
+    if (this->voidPlans.size() > MaxVoidPlans)
+        this->voidPlans.pop_front();
+}
+
+void ConfigurationFold::rememberTime(const LogRecord& record)
+{
+    this->recentTimes.push_back({ record.offset, record.appendedAt });
+    if (this->recentTimes.size() > MaxRecentTimes)
+        this->recentTimes.pop_front();
+}
+
+void ConfigurationFold::rememberSnapshot(const Snapshot& snapshot)
+{
+    // A snapshot is of use while the records from its `through` on are kept, so the time of the first of
+    // them counts and not its own.
+    for (const RecordTime& each : this->recentTimes) {
+        if (each.offset < snapshot.through)
+            continue;
+        bool isKnownFromStart = each.offset == snapshot.through;
+        if (isKnownFromStart)
+            this->snapshotCoversFrom = std::max(this->snapshotCoversFrom.value_or(each.at), each.at);
+        return;
+    }
+}
+
+const HistoryEntry* ConfigurationFold::historyOf(const PlanId& plan) const
+{
+    for (const HistoryEntry& entry : this->plansInForce) {
+        if (entry.plan == plan)
+            return &entry;
+    }
+    return nullptr;
+}
+
+PlanFate ConfigurationFold::fateOf(const PlanId& plan) const
+{
+    const HistoryEntry* entry = this->historyOf(plan);
+    if (entry != nullptr)
+        return entry->version == this->versionInForce ? PlanFate::InForce : PlanFate::Superseded;
+    bool isVoid = std::find(this->voidPlans.begin(), this->voidPlans.end(), plan) != this->voidPlans.end();
+    return isVoid ? PlanFate::Void : PlanFate::Unseen;
+}
+
+std::optional<WallTime> ConfigurationFold::lastChangeAt() const
+{
+    if (this->plansInForce.empty())
+        return std::nullopt;
+    return this->plansInForce.back().confirmedAt;
+}
+
+Snapshot ConfigurationFold::snapshot() const
+{
+    Snapshot snapshot;
+    snapshot.version = this->versionInForce;
+    snapshot.through = this->isGapped ? LogOffset { this->versionInForce.raw() } : this->next;
+    snapshot.configuration = this->inForce;
+    snapshot.history = this->plansInForce;
+    return snapshot;
+}
+
+ConfigurationSnapshot ConfigurationFold::peerSnapshot() const
+{
+    ConfigurationSnapshot message;
+    message.version = this->versionInForce;
+    message.snapshot = encodeRecord(this->snapshot());
+    return message;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/config/configuration_fold_test.cpp
@@ -0,0 +1,158 @@
+// Tests of the fold: races, gaps, snapshots, peers.
+#include "peridotgrade/core/config/configuration_fold.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace peridotgrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+LogRecord recordOf(std::uint64_t offset, const ConfigurationRecord& content)
+{
+    LogRecord record;
+    record.offset = LogOffset { offset };
+    record.appendedAt = WallTime { std::chrono::seconds { offset } };
+    record.data = encodeRecord(content);
+    return record;
+}
+
+Confirmed confirmOf(const std::string& plan, std::uint64_t base, const std::string& modelVersion)
+{
+    EngineAssignment engine;
+    engine.agent = AgentId { "engine-1" };
+    engine.service = ServiceId { "planwriter" };
+    engine.model = ModelId { "planwriter" };
+    engine.modelVersion = modelVersion;
+    engine.adapters = { "customer", "soil" };
+    Confirmed confirmed;
+    confirmed.plan = PlanId { plan };
+    confirmed.base = ConfigVersion { base };
+    confirmed.operatorName = "ana";
+    confirmed.changes.push_back(SetEngine { engine });
+    return confirmed;
+}
+
+std::string modelVersionOf(const ConfigurationFold& fold)
+{
+    auto found = fold.configuration().engines.find(AgentId { "engine-1" });
+    return found == fold.configuration().engines.end() ? "none" : found->second.modelVersion;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(configuration_fold)
+
+BOOST_AUTO_TEST_CASE(of_two_racing_confirmations_the_first_in_the_log_wins)
+{
+    ConfigurationFold fold;
+    fold.onRecord(recordOf(0, confirmOf("a", 0, "v1")));
+    BOOST_TEST((fold.onRecord(recordOf(1, confirmOf("b", 0, "v2"))).kind == FoldStep::Kind::VoidPlan));
+    BOOST_TEST(modelVersionOf(fold) == "v1");
+    BOOST_TEST((fold.version() == ConfigVersion { 1 }));
+    BOOST_TEST(nameOf(fold.fateOf(PlanId { "a" })) == "in_force");
+    BOOST_TEST(nameOf(fold.fateOf(PlanId { "b" })) == "void");
+    BOOST_TEST(nameOf(fold.fateOf(PlanId { "c" })) == "unseen");
+}
+
+BOOST_AUTO_TEST_CASE(the_same_confirmation_twice_takes_effect_once)
+{
+    ConfigurationFold fold;
+    fold.onRecord(recordOf(0, confirmOf("a", 0, "v1")));
+    fold.onRecord(recordOf(1, confirmOf("a", 0, "v1")));
+    BOOST_TEST((fold.version() == ConfigVersion { 1 }));
+    BOOST_TEST(nameOf(fold.fateOf(PlanId { "a" })) == "in_force");
+    fold.onRecord(recordOf(2, confirmOf("b", 1, "v2")));
+    BOOST_TEST(nameOf(fold.fateOf(PlanId { "a" })) == "superseded");
+    BOOST_TEST((fold.version() == ConfigVersion { 3 }));
+}
+
+BOOST_AUTO_TEST_CASE(records_that_come_again_change_nothing)
+{
+    ConfigurationFold fold;
+    fold.onRecord(recordOf(0, confirmOf("a", 0, "v1")));
+    fold.onRecord(recordOf(1, confirmOf("b", 1, "v2")));
+    BOOST_TEST((fold.onRecord(recordOf(0, confirmOf("a", 0, "v1"))).kind == FoldStep::Kind::Ignored));
+    BOOST_TEST(modelVersionOf(fold) == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(a_new_reader_starts_from_a_snapshot_and_what_came_beside_it)
+{
+    ConfigurationFold writer;
+    writer.onRecord(recordOf(0, confirmOf("a", 0, "v1")));
+    Snapshot snapshot = writer.snapshot();
+    // Confirmed while the snapshot was on its way to the log: it lies before the snapshot but is not in it.
+    LogRecord beside = recordOf(1, confirmOf("b", 1, "v2"));
+    ConfigurationFold reader;
+    reader.onGap(LogOffset { 1 });
+    BOOST_TEST((reader.onRecord(beside).kind == FoldStep::Kind::Held));
+    BOOST_TEST(!reader.isReady());
+    reader.onRecord(recordOf(2, snapshot));
+    reader.onCaughtUp(LogOffset { 3 });
+    BOOST_TEST(reader.isReady());
+    BOOST_TEST(modelVersionOf(reader) == "v2");
+    BOOST_TEST((reader.version() == ConfigVersion { 2 }));
+    writer.onRecord(beside);
+    BOOST_TEST(writer.digest() == reader.digest());
+    BOOST_TEST((writer.history() == reader.history()));
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_that_ends_before_the_gap_does_is_no_bridge)
+{
+    ConfigurationFold writer;
+    writer.onRecord(recordOf(0, confirmOf("a", 0, "v1")));
+    Snapshot early = writer.snapshot();
+    ConfigurationFold reader;
+    reader.onGap(LogOffset { 2 });
+    reader.onRecord(recordOf(2, early));
+    reader.onCaughtUp(LogOffset { 3 });
+    BOOST_TEST(!reader.isReady());
+    BOOST_TEST(reader.hasGap());
+}
+
+BOOST_AUTO_TEST_CASE(a_gap_keeps_the_configuration_and_holds_back_later_plans)
+{
+    ConfigurationFold reader;
+    reader.onRecord(recordOf(0, confirmOf("a", 0, "v1")));
+    reader.onGap(LogOffset { 5 });
+    reader.onRecord(recordOf(5, confirmOf("late", 1, "v9")));
+    BOOST_TEST(modelVersionOf(reader) == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_brings_a_version_forward_never_back)
+{
+    ConfigurationFold ahead;
+    ahead.onRecord(recordOf(0, confirmOf("a", 0, "v1")));
+    ConfigurationSnapshot old = ahead.peerSnapshot();
+    ahead.onRecord(recordOf(1, confirmOf("b", 1, "v2")));
+    ConfigurationFold fresh;
+    BOOST_TEST(!fresh.isReady());
+    BOOST_TEST(std::get<bool>(fresh.onPeerSnapshot(ahead.peerSnapshot())));
+    BOOST_TEST(fresh.isReady());
+    BOOST_TEST((fresh.readThrough() == LogOffset { 2 }));
+    BOOST_TEST(!std::get<bool>(fresh.onPeerSnapshot(old)));
+    BOOST_TEST(modelVersionOf(fresh) == "v2");
+    ConfigurationSnapshot broken;
+    broken.snapshot = "{}";
+    BOOST_TEST(std::holds_alternative<ConfigError>(fresh.onPeerSnapshot(broken)));
+}
+
+BOOST_AUTO_TEST_CASE(records_survive_their_text)
+{
+    Workspace workspace;
+    workspace.id = WorkspaceId { "parishes" };
+    workspace.keySha256 = "00ff";
+    workspace.priority = Priority::Urgent;
+    workspace.requestsPerSecond = 12.5;
+    Confirmed confirmed = confirmOf("a", 7, "v1");
+    confirmed.changes.push_back(SetWorkspace { workspace });
+    confirmed.changes.push_back(RemoveEngine { AgentId { "engine-2" } });
+    confirmed.changes.push_back(SetService { { ServiceId { "care-app" }, ServiceKind::Application, 0.25 } });
+    confirmed.changes.push_back(SetCommitment { { 30, 1'000, 5 } });
+    std::string text = encodeRecord(confirmed);
+    auto decoded = decodeRecord(text);
+    BOOST_REQUIRE(std::holds_alternative<ConfigurationRecord>(decoded));
+    BOOST_TEST(encodeRecord(std::get<ConfigurationRecord>(decoded)) == text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/libperidotgrade/platform/log_tail.cpp
@@ -0,0 +1,157 @@
+// Implementation of the log tail: long polls, backoff, gaps.
+#include "peridotgrade/platform/log_tail.h"
+
+#include "peridotgrade/core/base/backoff.h"
+#include "peridotgrade/core/base/random_source.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <optional>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::uint32_t RecordsPerRead = 1'000;
+    constexpr std::chrono::milliseconds LongPoll { 2'000 };
+    constexpr std::chrono::milliseconds FirstRetry { 100 };
+    constexpr std::chrono::milliseconds LongestRetry { 2'000 };
+
+} // namespace
+
+class LogTail::Impl : public std::enable_shared_from_this<LogTail::Impl> {
+public:
+    Impl(asio::any_io_executor executor, Endpoint platform, std::string stream, LogOffset from,
+        std::uint64_t seed, LogTailListener& listener)
+        : executor(executor)
+        , client(executor, std::move(platform))
+        , stream(std::move(stream))
+        , from(from)
+        , random(seed)
+        , backoff(FirstRetry, LongestRetry)
+        , pause(executor)
+        , listener(&listener)
+    {
+    }
+
+    asio::awaitable<void> run()
+    {
+        auto self = this->shared_from_this();
+        std::chrono::milliseconds wait { 0 };
+        while (this->listener != nullptr) {
+            auto result = co_await this->client.read(this->stream, this->from, RecordsPerRead, wait);
+            if (this->listener == nullptr)
+                co_return;
+            if (auto* page = std::get_if<LogPage>(&result)) {
+                this->takePage(std::move(*page));
+                wait = LongPoll;
+                continue;
+            }
+            const LogError& error = std::get<LogError>(result);
+            if (error.kind == LogErrorKind::Gone && error.oldest > this->from) {
+                this->takeGap(error.oldest);
+                wait = std::chrono::milliseconds { 0 };
+                continue;
+            }
+            this->reportAvailability(false);
+            co_await this->waitForRetry();
+        }
+    }
+
+    void stop()
+    {
+        this->listener = nullptr;
+        this->pause.cancel();
+    }
+
+    const asio::any_io_executor executor;
+    LogClient client;
+    const std::string stream;
+    /// Invariant: never falls.
+    LogOffset from;
+
+private:
+    void takePage(LogPage page)
+    {
+        this->backoff.reset();
+        this->reportAvailability(true);
+        std::vector<LogRecord> fresh;
+        for (LogRecord& record : page.records) {
+            // A skip may have moved `from` while the read was on its way.
+            if (record.offset < this->from)
+                continue;
+            this->from = LogOffset { record.offset.raw() + 1 };
+            fresh.push_back(std::move(record));
+        }
+        if (!fresh.empty() && this->listener != nullptr)
+            this->listener->onLogRecords(std::move(fresh));
+        bool isCaughtUp = this->from >= page.next;
+        if (isCaughtUp && this->listener != nullptr)
+            this->listener->onLogCaughtUp(page.oldest, page.next);
+    }
+
+    void takeGap(LogOffset oldest)
+    {
+        this->from = oldest;
+        this->reportAvailability(true);
+        if (this->listener != nullptr)
+            this->listener->onLogGap(oldest);
+    }
+
+    void reportAvailability(bool isAvailable)
+    {
+        if (this->lastAvailability == isAvailable || this->listener == nullptr)
+            return;
+        this->lastAvailability = isAvailable;
+        this->listener->onLogAvailability(isAvailable);
+    }
+
+    asio::awaitable<void> waitForRetry()
+    {
+        if (this->listener == nullptr)
+            co_return;
+        this->pause.expires_after(
+            std::chrono::duration_cast<asio::steady_timer::duration>(this->backoff.next(this->random)));
+        boost::system::error_code ignored;
+        co_await this->pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    RandomSource random;
+    Backoff backoff;
+    asio::steady_timer pause;
+    /// Invariant: null once stopped.
+    LogTailListener* listener;
+    std::optional<bool> lastAvailability;
+};
+
+LogTail::LogTail(asio::any_io_executor executor, Endpoint platform, std::string stream, LogOffset from,
+    std::uint64_t seed, LogTailListener& listener)
+    : impl(std::make_shared<Impl>(
+        std::move(executor), std::move(platform), std::move(stream), from, seed, listener))
+{
+}
+
+LogTail::~LogTail() { this->stop(); }
+
+void LogTail::start()
+{
+    auto self = this->impl;
+    asio::co_spawn(
+        self->executor, [self] { return self->run(); }, asio::detached);
+}
+
+void LogTail::stop() { this->impl->stop(); }
+
+void LogTail::skipTo(LogOffset from)
+{
+    if (from > this->impl->from)
+        this->impl->from = from;
+}
+
+} // namespace peridotgrade
