Read settings files of entry and agent, checked by JSON Schema

Cause: a daemon must refuse a wrong settings file before it starts anything, and say which key to mend.

Ruled out: the validator's own messages alone; they repeat every outer object and name no fix. The deepest problem is taken and turned into file, key, problem and fix; the fix comes from the schema's description of the key.

--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -3,6 +3,7 @@
 find_package(Boost 1.81 REQUIRED COMPONENTS json url unit_test_framework)
 find_library(THRIFT_LIBRARY thrift REQUIRED)
 find_library(LOG4CPLUS_LIBRARY log4cplus REQUIRED)
+find_library(CRYPTO_LIBRARY crypto REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 
 # Boost.Asio and Boost.Beast compile once, in this library, instead of in every file.
--- /dev/null
+++ b/src/include/peridotgrade/ops/settings/entry_settings.h
@@ -0,0 +1,82 @@
+// Settings of an entry.
+#pragma once
+
+#include "peridotgrade/ops/settings/node_settings.h"
+#include "peridotgrade/ops/settings/settings_error.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace peridotgrade {
+
+/// The latency that makes an answer count.
+struct LatencyTargets {
+    std::chrono::milliseconds firstToken { 820 };
+    std::chrono::milliseconds interToken { 77 };
+};
+
+/// Bounds that protect an entry from its callers.
+struct EntryLimits {
+    std::uint64_t maxBodyBytes = 4 * 1024 * 1024;
+    std::uint32_t maxHeaderBytes = 16 * 1024;
+    std::uint32_t maxConnections = 10'000;
+    std::uint32_t maxOutputTokens = 4'096;
+    /// After this a request is given up, whatever state it is in.
+    std::chrono::milliseconds requestTimeout { 120'000 };
+    std::chrono::milliseconds readTimeout { 10'000 };
+    std::chrono::milliseconds writeTimeout { 10'000 };
+    /// How long a stopping entry lets running requests go on.
+    std::chrono::milliseconds drainTimeout { 120'000 };
+};
+
+/// An operator and the SHA-256 (hexadecimal) of the key that proves it.
+struct OperatorCredential {
+    std::string name;
+    std::string keySha256;
+};
+
+/// Everything that an entry reads from its settings file. Made by EntrySettingsBuilder.
+struct EntrySettings {
+    NodeSettings node;
+    /// Where callers connect to.
+    Endpoint listen;
+    LatencyTargets targets;
+    EntryLimits limits;
+    std::vector<OperatorCredential> operators;
+    /// How long the log keeps records; snapshots are appended well before.
+    std::chrono::milliseconds logRetention { 24 * 60 * 60 * 1'000 };
+
+    /// The operator whose key has this SHA-256, or null.
+    const OperatorCredential* operatorOfKey(std::string_view keySha256) const;
+};
+
+/// Builds entry settings; `build` checks what a schema cannot say.
+class EntrySettingsBuilder {
+public:
+    EntrySettingsBuilder& node(NodeSettings value);
+    EntrySettingsBuilder& listen(Endpoint value);
+    EntrySettingsBuilder& targets(LatencyTargets value);
+    EntrySettingsBuilder& limits(EntryLimits value);
+    EntrySettingsBuilder& logRetention(std::chrono::milliseconds value);
+    EntrySettingsBuilder& addOperator(OperatorCredential value);
+    std::variant<EntrySettings, SettingsError> build() const;
+
+private:
+    EntrySettings settings;
+};
+
+/// Reads and checks an entry's settings file.
+std::variant<EntrySettings, SettingsError> readEntrySettings(const std::string& path);
+
+/// The same for a text that was read from `file`.
+std::variant<EntrySettings, SettingsError> parseEntrySettings(
+    const std::string& text, const std::string& file);
+
+/// JSON Schema of the file.
+std::string_view entrySettingsSchema();
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/ops/settings/key_hash.h
@@ -0,0 +1,12 @@
+// Hashes of callers' and operators' keys.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace peridotgrade {
+
+/// SHA-256 of a key in hexadecimal, as settings and configuration name keys.
+std::string keySha256(std::string_view key);
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/ops/settings/settings_error.h
@@ -0,0 +1,35 @@
+// Errors of settings files, and the exit statuses that programs give for them.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace peridotgrade {
+
+/// Exit statuses of the daemons; also those of `--check-settings`.
+namespace ExitStatus {
+    constexpr int Success = 0;
+    constexpr int Failure = 1;
+    constexpr int BadSettings = 2;
+    constexpr int AddressInUse = 3;
+} // namespace ExitStatus
+
+enum class SettingsErrorKind : std::uint8_t { Unreadable, NotJson, UnknownKey, MissingKey, BadValue };
+
+std::string_view nameOf(SettingsErrorKind kind);
+
+/// What is wrong in a settings file, where, and what to write instead.
+struct SettingsError {
+    SettingsErrorKind kind = SettingsErrorKind::Unreadable;
+    std::string file;
+    /// Path of the key, for example `targets.firstTokenMs`; empty if the file as a whole is meant.
+    std::string key;
+    std::string problem;
+    std::string fix;
+
+    /// One line for the operator: file, key, problem and fix.
+    std::string message() const;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/ops/settings/key_hash.cpp
@@ -0,0 +1,23 @@
+// SHA-256 by OpenSSL's libcrypto.
+#include "peridotgrade/ops/settings/key_hash.h"
+
+#include <openssl/sha.h>
+
+#include <array>
+
+namespace peridotgrade {
+
+std::string keySha256(std::string_view key)
+{
+    constexpr std::string_view Digits = "0123456789abcdef";
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> hash;
+    SHA256(reinterpret_cast<const unsigned char*>(key.data()), key.size(), hash.data());
+    std::string text;
+    for (unsigned char byte : hash) {
+        text.push_back(Digits[byte >> 4]);
+        text.push_back(Digits[byte & 0xF]);
+    }
+    return text;
+}
+
+} // namespace peridotgrade
