Carry all messages in Thrift unions with bounded decoding

Cause: entries and agents share typed messages but had no way to put them on a connection; the agent daemon waits for it. Weighed and ruled out: unions with members by value, which construct all seventeen structs for each token frame; references (pointers) are used. Change: one struct for each message, an envelope with the sender's hybrid logical clock, codec with limits on frame, string, list and nesting; an enumerator or message that is not known is an error. Conclusion: hostile input gives WireError; round trips cover every message.

--- /dev/null
+++ b/src/include/peridotgrade/wire/wire_error.h
@@ -0,0 +1,27 @@
+// Errors of the codec.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace peridotgrade {
+
+enum class WireErrorKind : std::uint8_t {
+    /// Not a frame of ours, or cut short.
+    Malformed,
+    /// A string or list is over its limit.
+    TooLarge,
+    /// A message or enumerator that this version does not know.
+    Unknown,
+};
+
+std::string_view nameOf(WireErrorKind kind);
+
+/// Why a frame could not be decoded.
+struct WireError {
+    WireErrorKind kind = WireErrorKind::Malformed;
+    std::string detail;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/wire/convert_unions.cpp
@@ -0,0 +1,229 @@
+// One message to its member of the Thrift union and back.
+#include "convert_unions.h"
+
+#include "convert_action.h"
+#include "convert_place.h"
+#include "convert_session.h"
+#include "convert_stream.h"
+#include "convert_version.h"
+
+#include <memory>
+
+namespace peridotgrade {
+
+namespace {
+
+    template <typename Message> auto shared(const Message& message)
+    {
+        auto converted = toWire(message);
+        return std::make_shared<decltype(converted)>(std::move(converted));
+    }
+
+    /// Thrift resets the reference of a member that came without any field.
+    template <typename Wire> auto valueOf(const std::shared_ptr<Wire>& member)
+    {
+        return fromWire(member ? std::move(*member) : Wire {});
+    }
+
+    void put(wire::EntryMessage& target, const OpenSession& message)
+    {
+        target.__set_openSession(shared(message));
+    }
+    void put(wire::EntryMessage& target, const RenewSession& message)
+    {
+        target.__set_renewSession(shared(message));
+    }
+    void put(wire::EntryMessage& target, const AskPlace& message) { target.__set_askPlace(shared(message)); }
+    void put(wire::EntryMessage& target, const ReleaseAttempt& message)
+    {
+        target.__set_releaseAttempt(shared(message));
+    }
+    void put(wire::EntryMessage& target, const StartPrefill& message)
+    {
+        target.__set_startPrefill(shared(message));
+    }
+    void put(wire::EntryMessage& target, const StartDecode& message)
+    {
+        target.__set_startDecode(shared(message));
+    }
+    void put(wire::EntryMessage& target, const StartRead& message)
+    {
+        target.__set_startRead(shared(message));
+    }
+    void put(wire::EntryMessage& target, const StartAction& message)
+    {
+        target.__set_startAction(shared(message));
+    }
+    void put(wire::EntryMessage& target, const QueryAction& message)
+    {
+        target.__set_queryAction(shared(message));
+    }
+    void put(wire::EntryMessage& target, const VersionNotice& message)
+    {
+        target.__set_versionNotice(shared(message));
+    }
+    void put(wire::EntryMessage& target, const FetchConfiguration& message)
+    {
+        target.__set_fetchConfiguration(shared(message));
+    }
+    void put(wire::EntryMessage& target, const ConfigurationSnapshot& message)
+    {
+        target.__set_configurationSnapshot(shared(message));
+    }
+    void put(wire::EntryMessage& target, const QuarantineNotice& message)
+    {
+        target.__set_quarantineNotice(shared(message));
+    }
+    void put(wire::AgentMessage& target, const SessionOpened& message)
+    {
+        target.__set_sessionOpened(shared(message));
+    }
+    void put(wire::AgentMessage& target, const SessionRefused& message)
+    {
+        target.__set_sessionRefused(shared(message));
+    }
+    void put(wire::AgentMessage& target, const Draining& message) { target.__set_draining(shared(message)); }
+    void put(wire::AgentMessage& target, const PlaceGranted& message)
+    {
+        target.__set_placeGranted(shared(message));
+    }
+    void put(wire::AgentMessage& target, const PlaceRefused& message)
+    {
+        target.__set_placeRefused(shared(message));
+    }
+    void put(wire::AgentMessage& target, const PrefillFinished& message)
+    {
+        target.__set_prefillFinished(shared(message));
+    }
+    void put(wire::AgentMessage& target, const TokenFrame& message)
+    {
+        target.__set_tokenFrame(shared(message));
+    }
+    void put(wire::AgentMessage& target, const AttemptFailed& message)
+    {
+        target.__set_attemptFailed(shared(message));
+    }
+    void put(wire::AgentMessage& target, const EngineCrashed& message)
+    {
+        target.__set_engineCrashed(shared(message));
+    }
+    void put(wire::AgentMessage& target, const CacheChanged& message)
+    {
+        target.__set_cacheChanged(shared(message));
+    }
+    void put(wire::AgentMessage& target, const ReadAnswered& message)
+    {
+        target.__set_readAnswered(shared(message));
+    }
+    void put(wire::AgentMessage& target, const ReadFailed& message)
+    {
+        target.__set_readFailed(shared(message));
+    }
+    void put(wire::AgentMessage& target, const ActionReport& message)
+    {
+        target.__set_actionReport(shared(message));
+    }
+    void put(wire::AgentMessage& target, const VersionNotice& message)
+    {
+        target.__set_versionNotice(shared(message));
+    }
+    void put(wire::AgentMessage& target, const FetchConfiguration& message)
+    {
+        target.__set_fetchConfiguration(shared(message));
+    }
+    void put(wire::AgentMessage& target, const ConfigurationSnapshot& message)
+    {
+        target.__set_configurationSnapshot(shared(message));
+    }
+    void put(wire::AgentMessage& target, const QuarantineNotice& message)
+    {
+        target.__set_quarantineNotice(shared(message));
+    }
+
+} // namespace
+
+wire::EntryMessage toWire(const EntryMessage& message)
+{
+    wire::EntryMessage result;
+    std::visit([&result](const auto& alternative) { put(result, alternative); }, message);
+    return result;
+}
+
+std::optional<EntryMessage> fromWire(wire::EntryMessage&& message)
+{
+    if (message.__isset.openSession)
+        return valueOf(message.openSession);
+    if (message.__isset.renewSession)
+        return valueOf(message.renewSession);
+    if (message.__isset.askPlace)
+        return valueOf(message.askPlace);
+    if (message.__isset.releaseAttempt)
+        return valueOf(message.releaseAttempt);
+    if (message.__isset.startPrefill)
+        return valueOf(message.startPrefill);
+    if (message.__isset.startDecode)
+        return valueOf(message.startDecode);
+    if (message.__isset.startRead)
+        return valueOf(message.startRead);
+    if (message.__isset.startAction)
+        return valueOf(message.startAction);
+    if (message.__isset.queryAction)
+        return valueOf(message.queryAction);
+    if (message.__isset.versionNotice)
+        return valueOf(message.versionNotice);
+    if (message.__isset.fetchConfiguration)
+        return valueOf(message.fetchConfiguration);
+    if (message.__isset.configurationSnapshot)
+        return valueOf(message.configurationSnapshot);
+    if (message.__isset.quarantineNotice)
+        return valueOf(message.quarantineNotice);
+    return std::nullopt;
+}
+
+wire::AgentMessage toWire(const AgentMessage& message)
+{
+    wire::AgentMessage result;
+    std::visit([&result](const auto& alternative) { put(result, alternative); }, message);
+    return result;
+}
+
+std::optional<AgentMessage> fromWire(wire::AgentMessage&& message)
+{
+    if (message.__isset.sessionOpened)
+        return valueOf(message.sessionOpened);
+    if (message.__isset.sessionRefused)
+        return valueOf(message.sessionRefused);
+    if (message.__isset.draining)
+        return valueOf(message.draining);
+    if (message.__isset.placeGranted)
+        return valueOf(message.placeGranted);
+    if (message.__isset.placeRefused)
+        return valueOf(message.placeRefused);
+    if (message.__isset.prefillFinished)
+        return valueOf(message.prefillFinished);
+    if (message.__isset.tokenFrame)
+        return valueOf(message.tokenFrame);
+    if (message.__isset.attemptFailed)
+        return valueOf(message.attemptFailed);
+    if (message.__isset.engineCrashed)
+        return valueOf(message.engineCrashed);
+    if (message.__isset.cacheChanged)
+        return valueOf(message.cacheChanged);
+    if (message.__isset.readAnswered)
+        return valueOf(message.readAnswered);
+    if (message.__isset.readFailed)
+        return valueOf(message.readFailed);
+    if (message.__isset.actionReport)
+        return valueOf(message.actionReport);
+    if (message.__isset.versionNotice)
+        return valueOf(message.versionNotice);
+    if (message.__isset.fetchConfiguration)
+        return valueOf(message.fetchConfiguration);
+    if (message.__isset.configurationSnapshot)
+        return valueOf(message.configurationSnapshot);
+    if (message.__isset.quarantineNotice)
+        return valueOf(message.quarantineNotice);
+    return std::nullopt;
+}
+
+} // namespace peridotgrade
--- a/src/thrift/peridot.thrift
+++ b/src/thrift/peridot.thrift
@@ -1,6 +1,277 @@
 // Messages between peridotgrade's own processes. Compact protocol in length-prefixed frames.
+//
+// One struct for each type of core/messages, with the same names. Times are milliseconds. Unsigned numbers travel as
+// signed ones of the same width, enumerators as their position. Members of the unions are references, so that an empty
+// union is small. Fields are only ever added, with new numbers.
 namespace cpp peridotgrade.wire
 
+struct AttemptId {
+  1: i64 request
+  2: i32 number
+}
+
+struct LiveLoad {
+  1: i32 placesFree
+  2: i32 placesTotal
+  3: i32 asksQueued
+  4: i64 prefillBacklogMs
+}
+
+// Sessions
+
+struct OpenSession {
+  1: string entry
+  2: i64 incarnation
+  3: i64 version
+}
+
+struct SessionOpened {
+  1: string agent
+  2: i64 incarnation
+  3: i64 epoch
+  4: i64 leaseDurationMs
+  5: i64 version
+  6: bool draining
+}
+
+struct RenewSession {
+  1: i64 epoch
+  2: list<AttemptId> held
+  3: i64 version
+}
+
+struct SessionRefused {
+  1: i64 epoch
+}
+
+struct Draining {
+}
+
+// Places
+
+struct AskPlace {
+  1: i64 epoch
+  2: AttemptId attempt
+  3: string model
+  4: i64 fingerprint
+  5: i8 priority
+  6: i32 promptTokens
+  7: i32 maxOutputTokens
+  8: i64 maxQueueTimeMs
+  9: bool isSuspect
+  10: i64 version
+}
+
+struct PlaceGranted {
+  1: AttemptId attempt
+  2: LiveLoad load
+}
+
+struct PlaceRefused {
+  1: AttemptId attempt
+  2: i8 reason
+  3: i64 expectedWaitMs
+  4: LiveLoad load
+}
+
+struct ReleaseAttempt {
+  1: i64 epoch
+  2: AttemptId attempt
+}
+
+// Prefill, transfer, tokens
+
+struct StartPrefill {
+  1: i64 epoch
+  2: AttemptId attempt
+  3: string model
+  4: i64 fingerprint
+  5: i8 priority
+  6: binary prompt
+  7: i32 promptTokens
+  8: i64 timeLeftMs
+  9: bool isSuspect
+  10: i64 version
+}
+
+struct PrefillFinished {
+  1: AttemptId attempt
+  2: string handle
+  3: string exporter
+  4: i64 kvBytes
+  5: i32 cachedTokens
+  6: i64 keptForMs
+  7: LiveLoad load
+}
+
+struct StartDecode {
+  1: i64 epoch
+  2: AttemptId attempt
+  3: string model
+  4: binary prompt
+  5: i32 firstIndex
+  6: i32 maxOutputTokens
+  7: i8 priority
+  8: string handle
+  9: string exporter
+  10: i64 timeLeftMs
+  11: i64 version
+}
+
+struct TokenFrame {
+  1: AttemptId attempt
+  2: i32 firstIndex
+  3: list<binary> pieces
+  4: bool isLast
+  5: i8 finishReason
+}
+
+struct AttemptFailed {
+  1: AttemptId attempt
+  2: i8 reason
+  3: LiveLoad load
+}
+
+struct EngineCrashed {
+  1: list<i64> running
+}
+
+struct CacheChanged {
+  1: i64 sequence
+  2: list<i64> addedPrefixes
+  3: list<i64> evictedPrefixes
+}
+
+// Application calls
+
+struct HeaderField {
+  1: string name
+  2: binary value
+}
+
+struct ApplicationCall {
+  1: string method
+  2: binary target
+  3: string contentType
+  4: list<HeaderField> headers
+  5: binary body
+}
+
+struct ApplicationAnswer {
+  1: i16 status
+  2: string contentType
+  3: list<HeaderField> headers
+  4: binary body
+}
+
+struct StartRead {
+  1: AttemptId attempt
+  2: ApplicationCall call
+  3: i64 timeLeftMs
+  4: i64 version
+}
+
+struct ReadAnswered {
+  1: AttemptId attempt
+  2: ApplicationAnswer answer
+}
+
+struct ReadFailed {
+  1: AttemptId attempt
+  2: bool isDraining
+}
+
+struct StartAction {
+  1: AttemptId attempt
+  2: string key
+  3: i64 nonce
+  4: i64 incarnation
+  5: ApplicationCall call
+  6: i64 timeLeftMs
+  7: i64 version
+}
+
+struct QueryAction {
+  1: AttemptId attempt
+  2: string key
+  3: i64 incarnation
+  4: bool seal
+}
+
+struct ActionReport {
+  1: AttemptId attempt
+  2: string key
+  3: i64 incarnation
+  4: i8 state
+  5: ApplicationAnswer answer
+}
+
+// Versions and quarantines, between any two processes
+
 struct VersionNotice {
   1: i64 version
 }
+
+struct FetchConfiguration {
+  1: i64 have
+}
+
+struct ConfigurationSnapshot {
+  1: i64 version
+  2: binary snapshot
+}
+
+struct QuarantineNotice {
+  1: list<i64> quarantined
+}
+
+// Frames
+
+// Sent by an entry shard, to an agent or to another entry.
+union EntryMessage {
+  1: OpenSession& openSession
+  2: RenewSession& renewSession
+  3: AskPlace& askPlace
+  4: ReleaseAttempt& releaseAttempt
+  5: StartPrefill& startPrefill
+  6: StartDecode& startDecode
+  7: StartRead& startRead
+  8: StartAction& startAction
+  9: QueryAction& queryAction
+  10: VersionNotice& versionNotice
+  11: FetchConfiguration& fetchConfiguration
+  12: ConfigurationSnapshot& configurationSnapshot
+  13: QuarantineNotice& quarantineNotice
+}
+
+// Sent by an agent to an entry shard.
+union AgentMessage {
+  1: SessionOpened& sessionOpened
+  2: SessionRefused& sessionRefused
+  3: Draining& draining
+  4: PlaceGranted& placeGranted
+  5: PlaceRefused& placeRefused
+  6: PrefillFinished& prefillFinished
+  7: TokenFrame& tokenFrame
+  8: AttemptFailed& attemptFailed
+  9: EngineCrashed& engineCrashed
+  10: CacheChanged& cacheChanged
+  11: ReadAnswered& readAnswered
+  12: ReadFailed& readFailed
+  13: ActionReport& actionReport
+  14: VersionNotice& versionNotice
+  15: FetchConfiguration& fetchConfiguration
+  16: ConfigurationSnapshot& configurationSnapshot
+  17: QuarantineNotice& quarantineNotice
+}
+
+// `clock` is the sender's hybrid logical clock.
+struct EntryFrame {
+  1: i64 clock
+  2: EntryMessage message
+}
+
+struct AgentFrame {
+  1: i64 clock
+  2: AgentMessage message
+}
