Add the model host and the model router, not yet driven by a test

Ruled out: the router's code inside the template; it is compiled once behind a small chooser interface, so that a benchmark can instantiate its own policies from model_router_impl.h. Change: places, prefills, sessions and engine streams at the agent; placing, streaming, retries at the entry. Conclusion: usable for wiring, behaviour not yet shown.

--- a/src/include/peridotgrade/core/hosting/model_host.h
+++ b/src/include/peridotgrade/core/hosting/model_host.h
@@ -23,6 +23,8 @@
     std::chrono::milliseconds cancelRetry { 200 };
     /// How often the engine's streams are listed and compared with what is owned.
     std::chrono::milliseconds listInterval { 2000 };
+    /// Prefills that run at the engine at once; more only slow each other down.
+    std::uint32_t prefillsAtOnce = 1;
 };
 
 /// Gauges and totals, for metrics.
--- a/src/include/peridotgrade/core/routing/model_router.h
+++ b/src/include/peridotgrade/core/routing/model_router.h
@@ -29,6 +29,8 @@
     std::uint32_t maxRetries = 3;
     double retryBudgetShare = 0.1;
     double retryBudgetReserve = 10.0;
+    /// A stream without a token for this long is given up and resumed elsewhere.
+    std::chrono::milliseconds streamStallTimeout { 5000 };
 };
 
 /// Totals since the start, for metrics.
@@ -73,6 +75,8 @@
     void onAgentLost(const AgentId& agent);
     /// Messages of ended attempts and of foreign sessions change nothing.
     void onMessage(const AgentId& agent, const AgentMessage& message);
+    /// A load report that came by another way than an answer, possibly late: a hint for the policy.
+    void onLoadReport(const AgentId& agent, const LiveLoad& load);
 
     /// What is to be done, in order; empties the list.
     std::vector<RouterAction> takeActions();
--- /dev/null
+++ b/src/libperidotgrade/core/hosting/hold_key.h
@@ -0,0 +1,17 @@
+// Names what an attempt holds at an agent.
+#pragma once
+
+#include "peridotgrade/core/base/ids.h"
+
+namespace peridotgrade {
+
+/// An attempt under the session that brought it. Two sessions never share a key, so that a late message of an
+/// ended session finds nothing.
+struct HoldKey {
+    SessionEpoch epoch;
+    AttemptId attempt;
+
+    friend auto operator<=>(const HoldKey&, const HoldKey&) = default;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/hosting/host_sessions.cpp
@@ -0,0 +1,169 @@
+// The model host's sessions: epochs, leases, and the release of what nobody owns.
+#include "model_host_impl.h"
+
+#include "peridotgrade/core/base/invariant.h"
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+void ModelHost::Impl::onConnected(ConnectionId connection)
+{
+    HostSession session;
+    session.connection = connection;
+    this->sessions.emplace(connection, session);
+}
+
+void ModelHost::Impl::onDisconnected(ConnectionId connection)
+{
+    auto found = this->sessions.find(connection);
+    if (found == this->sessions.end())
+        return;
+    HostSession session = found->second;
+    this->sessions.erase(found);
+    if (session.isLive)
+        this->endSession(session, EventKind::SessionLapsed);
+}
+
+void ModelHost::Impl::onMessage(ConnectionId connection, const EntryMessage& message)
+{
+    auto found = this->sessions.find(connection);
+    if (found == this->sessions.end())
+        return;
+    std::visit([&](const auto& typed) { this->handle(found->second, typed); }, message);
+}
+
+void ModelHost::Impl::handle(HostSession& session, const OpenSession& message)
+{
+    // A repeated OpenSession on one connection ends what the first one opened.
+    if (session.isLive)
+        this->endSession(session, EventKind::SessionLapsed);
+    this->endOtherSessionsOf(message.entry, session.connection);
+    session.entry = message.entry;
+    session.epoch = SessionEpoch { this->random.next() };
+    session.isLive = true;
+    session.renewedAt = this->timers.now();
+    SessionOpened opened;
+    opened.agent = this->settings.agent;
+    opened.incarnation = this->settings.incarnation;
+    opened.epoch = session.epoch;
+    opened.leaseDuration = this->settings.leaseDuration;
+    opened.version = this->version;
+    opened.draining = this->isDraining;
+    this->record(EventKind::SessionOpened, AttemptId {}, message.entry.raw());
+    this->send(session.connection, std::move(opened));
+}
+
+void ModelHost::Impl::endOtherSessionsOf(const EntryId& entry, ConnectionId but)
+{
+    for (auto& [connection, session] : this->sessions) {
+        if (session.isLive && session.entry == entry && connection != but)
+            this->endSession(session, EventKind::SessionLapsed);
+    }
+}
+
+void ModelHost::Impl::handle(HostSession& session, const RenewSession& message)
+{
+    if (!this->acceptEpoch(session, message.epoch))
+        return;
+    for (const HoldKey& key : this->keysOf(session.epoch)) {
+        bool isKnown = std::find(message.held.begin(), message.held.end(), key.attempt) != message.held.end();
+        if (isKnown)
+            continue;
+        this->record(EventKind::OrphanFreed, key.attempt, session.entry.raw(), "not in renewal");
+        this->release(key);
+    }
+}
+
+void ModelHost::Impl::handle(HostSession&, const ReleaseAttempt& message)
+{
+    this->release(HoldKey { message.epoch, message.attempt });
+}
+
+bool ModelHost::Impl::acceptEpoch(HostSession& session, SessionEpoch epoch)
+{
+    if (session.isLive && session.epoch == epoch) {
+        this->renew(session);
+        return true;
+    }
+    this->record(EventKind::SessionRefused, AttemptId {}, session.entry.raw());
+    this->send(session.connection, SessionRefused { epoch });
+    return false;
+}
+
+void ModelHost::Impl::renew(HostSession& session)
+{
+    session.renewedAt = this->timers.now();
+    this->armLapseTimer(session);
+}
+
+void ModelHost::Impl::armLapseTimer(HostSession& session)
+{
+    if (session.hasLapseTimer)
+        return;
+    session.hasLapseTimer = true;
+    TimePoint due = session.renewedAt + this->settings.leaseDuration;
+    this->timers.subscribeAt(due, [this, connection = session.connection, epoch = session.epoch] {
+        this->onLapseTimer(connection, epoch);
+    });
+}
+
+void ModelHost::Impl::onLapseTimer(ConnectionId connection, SessionEpoch epoch)
+{
+    auto found = this->sessions.find(connection);
+    if (found == this->sessions.end() || !found->second.isLive || found->second.epoch != epoch)
+        return;
+    HostSession& session = found->second;
+    session.hasLapseTimer = false;
+    // Without holds nothing can lapse; the next message of the entry renews the session anyway.
+    if (this->keysOf(epoch).empty())
+        return;
+    if (this->timers.now() < session.renewedAt + this->settings.leaseDuration) {
+        this->armLapseTimer(session);
+        return;
+    }
+    ++this->totals.lapsed;
+    this->endSession(session, EventKind::SessionLapsed);
+    this->send(connection, SessionRefused { epoch });
+}
+
+void ModelHost::Impl::endSession(HostSession& session, EventKind why)
+{
+    session.isLive = false;
+    session.hasLapseTimer = false;
+    this->record(why, AttemptId {}, session.entry.raw());
+    std::vector<HoldKey> keys = this->keysOf(session.epoch);
+    // Asks go first, lest a place that becomes free be granted to the session that ends.
+    for (const HoldKey& key : keys)
+        this->places.removeAsk(key);
+    for (const HoldKey& key : keys)
+        this->release(key);
+    checkInvariant(this->keysOf(session.epoch).empty(), Invariant::NoMemoryHeldForGoneRequest,
+        "an ended session still holds something");
+}
+
+std::vector<HoldKey> ModelHost::Impl::keysOf(SessionEpoch epoch) const
+{
+    std::vector<HoldKey> keys = this->places.keysOf(epoch);
+    std::vector<HoldKey> prefillKeys = this->prefills.keysOf(epoch);
+    keys.insert(keys.end(), prefillKeys.begin(), prefillKeys.end());
+    return keys;
+}
+
+void ModelHost::Impl::release(const HoldKey& key)
+{
+    bool wasQueued = this->places.isQueued(key);
+    if (auto place = this->places.remove(key); place && !wasQueued) {
+        this->record(EventKind::PlaceReleased, key.attempt, this->settings.agent.raw());
+        if (place->isDecoding())
+            this->cancelStream(place->stream);
+        else
+            this->capacity.giveBack(place->reservation);
+    }
+    if (auto job = this->prefills.remove(key); job && job->state != PrefillState::Queued)
+        this->cancelStream(job->stream);
+    this->serveAsks();
+    this->serveSomePrefills();
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/policy/two_choice_policy.cpp
@@ -0,0 +1,69 @@
+// Implementation of the two-choice policy.
+#include "peridotgrade/core/policy/two_choice_policy.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace peridotgrade {
+
+namespace {
+
+    // Used until an engine's own speed is known.
+    constexpr double DefaultPrefillTokensPerSecond = 10000;
+
+    struct Ranked {
+        bool isElsewhere = false;
+        std::uint64_t draw = 0;
+        std::size_t index = 0;
+    };
+
+    Duration expectedPrefillEnd(const PlacementRequest& request, const EngineView& engine)
+    {
+        double speed = engine.prefillTokensPerSecond;
+        if (speed <= 0)
+            speed = DefaultPrefillTokensPerSecond;
+        std::uint32_t uncached = request.promptTokens - std::min(request.promptTokens, engine.cachedTokens);
+        double tokens = static_cast<double>(uncached) + static_cast<double>(engine.ownPrefillTokensSince);
+        std::chrono::duration<double> compute { tokens / speed };
+        return engine.load.prefillBacklog + std::chrono::duration_cast<Duration>(compute);
+    }
+
+} // namespace
+
+std::vector<std::size_t> TwoChoicePolicy::decodeChoices(const PlacementRequest& request,
+    const std::vector<EngineView>& engines, TimePoint, RandomSource& random, std::uint32_t count)
+{
+    std::vector<Ranked> ranked;
+    for (std::size_t i = 0; i < engines.size(); ++i)
+        ranked.push_back({ engines[i].dataCentre != request.entryDataCentre, random.next(), i });
+    std::sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) {
+        return std::tie(left.isElsewhere, left.draw) < std::tie(right.isElsewhere, right.draw);
+    });
+    if (ranked.size() > count)
+        ranked.resize(count);
+    std::vector<std::size_t> choices;
+    for (const Ranked& one : ranked)
+        choices.push_back(one.index);
+    return choices;
+}
+
+std::optional<std::size_t> TwoChoicePolicy::prefillChoice(const PlacementRequest& request,
+    const std::vector<EngineView>& engines, TimePoint now, RandomSource& random)
+{
+    std::optional<std::size_t> best;
+    Duration bestEnd {};
+    // The start is drawn, so that equals share the load.
+    std::size_t start = engines.empty() ? 0 : random.below(engines.size());
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        std::size_t index = (start + i) % engines.size();
+        Duration end = expectedPrefillEnd(request, engines[index]);
+        bool endsInTime = now + end <= request.firstTokenDue;
+        if (endsInTime && (!best || end < bestEnd)) {
+            best = index;
+            bestEnd = end;
+        }
+    }
+    return best;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/routing/fingerprint.cpp
@@ -0,0 +1,14 @@
+// Implementation of the content fingerprint.
+#include "peridotgrade/core/routing/fingerprint.h"
+
+#include <xxhash.h>
+
+namespace peridotgrade {
+
+Fingerprint fingerprintOf(const ModelId& model, const std::string& prompt)
+{
+    XXH64_hash_t seed = XXH3_64bits(model.raw().data(), model.raw().size());
+    return Fingerprint { XXH3_64bits_withSeed(prompt.data(), prompt.size(), seed) };
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/routing/request_state.h
@@ -0,0 +1,74 @@
+// One model request at its entry, from admission to its end.
+#pragma once
+
+#include "peridotgrade/core/base/backoff.h"
+#include "peridotgrade/core/base/timer_service.h"
+#include "peridotgrade/core/messages/session_messages.h"
+#include "peridotgrade/core/messages/stream_messages.h"
+#include "peridotgrade/core/routing/model_request.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace peridotgrade {
+
+enum class RequestPhase : std::uint8_t {
+    /// Between two attempts.
+    Waiting,
+    Placing,
+    Prefilling,
+    Decoding,
+};
+
+/// Something asked for or held for an attempt at an agent.
+struct AttemptHold {
+    AttemptId attempt;
+    AgentId agent;
+    EngineRole role = EngineRole::Mixed;
+};
+
+struct RequestState {
+    ModelRequest request;
+    Fingerprint fingerprint;
+    bool isSuspect = false;
+    RequestPhase phase = RequestPhase::Waiting;
+    /// Invariant: only grows, so that no two asks share a number.
+    std::uint32_t lastAttempt = 0;
+
+    /// Places asked for and not answered yet.
+    std::vector<AttemptHold> asks;
+    /// The place that is held. Invariant: while there is one, there are no asks.
+    std::optional<AttemptHold> place;
+    std::optional<AttemptHold> prefill;
+    /// The prefill's result, where the prefill came before the place.
+    std::optional<PrefillFinished> kvCache;
+
+    /// Agents not to be tried again for this request.
+    std::set<AgentId> avoided;
+    std::uint32_t retries = 0;
+    /// Engines that died while they ran this request.
+    std::uint32_t crashes = 0;
+    Backoff backoff;
+    /// The shortest wait that a refusing agent expected.
+    std::optional<std::chrono::milliseconds> shortestWait;
+
+    /// Index of the next token the caller gets. Invariant: only grows, by what is delivered.
+    std::uint32_t nextIndex = 0;
+    /// Text delivered so far.
+    std::string sentText;
+    std::optional<TimePoint> firstTokenAt;
+    /// Tokens of a prefill that has not led to a token yet.
+    std::uint32_t prefillTokensAtStake = 0;
+    /// An engine has worked on it in an attempt that ended.
+    bool hasRun = false;
+    /// The current attempt was handed to an engine's agent.
+    bool mayBeRunning = false;
+
+    std::optional<TimerId> deadlineTimer;
+    /// Ends the current phase if nothing else does.
+    std::optional<TimerId> phaseTimer;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/routing/router_core.h
@@ -0,0 +1,114 @@
+// The model router without its policy's type. Each group of functions below has its own source file.
+#pragma once
+
+#include "agent_directory.h"
+#include "peridotgrade/core/base/retry_budget.h"
+#include "peridotgrade/core/base/timeline_event.h"
+#include "peridotgrade/core/quarantine/quarantine.h"
+#include "peridotgrade/core/routing/model_router.h"
+#include "placement_chooser.h"
+#include "request_state.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace peridotgrade {
+
+class RouterCore {
+public:
+    RouterCore(ModelRouterSettings settings, std::unique_ptr<PlacementChooser> chooser, TimerService& timers,
+        RandomSource& random, Quarantine& quarantine, EventSink& events);
+
+    // Requests (router_core.cpp).
+    void submit(ModelRequest request);
+    void cancel(RequestId request);
+    void updateView(RoutingView view);
+    std::vector<RouterAction> takeActions();
+    const ModelRouterCounters& counters() const { return this->totals; }
+    std::size_t openRequests() const { return this->requests.size(); }
+    std::size_t holds() const { return this->agents.holds(); }
+
+    // Messages (router_messages.cpp).
+    void onAgentConnected(const AgentId& agent);
+    void onAgentLost(const AgentId& agent);
+    void onMessage(const AgentId& agent, const AgentMessage& message);
+    void onLoadReport(const AgentId& agent, const LiveLoad& load) { this->agents.onLoad(agent, load); }
+
+private:
+    // Messages.
+    void handle(const AgentId& agent, const SessionOpened& message);
+    void handle(const AgentId& agent, const SessionRefused& message);
+    void handle(const AgentId& agent, const Draining& message);
+    void handle(const AgentId& agent, const PlaceGranted& message);
+    void handle(const AgentId& agent, const PlaceRefused& message);
+    void handle(const AgentId& agent, const PrefillFinished& message);
+    void handle(const AgentId& agent, const TokenFrame& message);
+    void handle(const AgentId& agent, const AttemptFailed& message);
+    void handle(const AgentId& agent, const EngineCrashed& message);
+    void handle(const AgentId& agent, const QuarantineNotice& message);
+    /// Messages of the entry's other parts are not for the router.
+    template <typename Other> void handle(const AgentId&, const Other&) { }
+    /// The agent has ended these attempts, or nothing more can be heard of them.
+    void failAll(const AgentId& agent, const std::vector<AttemptId>& attempts, AttemptFailure reason);
+    void failHeld(const AgentId& agent, const AttemptId& attempt, AttemptFailure reason);
+    void refuseQuarantined(Fingerprint fingerprint);
+    void dropStale(const AgentId& agent, const AttemptId& attempt, const char* what);
+
+    // Places and prefills (router_placing.cpp).
+    void startAttempt(RequestState& state);
+    /// False if the request was ended or put off instead.
+    bool checkStanding(RequestState& state);
+    void askPlaces(RequestState& state);
+    void askPlace(RequestState& state, const EngineView& engine);
+    void onAsksUnanswered(RequestState& state);
+    /// All asks are answered, and none with a place.
+    void onNoPlace(RequestState& state);
+    void takePlace(RequestState& state, const AttemptHold& granted);
+    void startPrefill(RequestState& state, const AttemptId& attempt);
+    std::vector<EngineView> candidates(const RequestState& state, bool forPrefill) const;
+    bool isServed(const ModelId& model) const;
+    PlacementRequest placementRequest(const RequestState& state) const;
+
+    // Streams (router_streaming.cpp).
+    void startDecode(RequestState& state);
+    void deliver(RequestState& state, const TokenFrame& frame);
+    void onFirstTokenOfAttempt(RequestState& state);
+
+    // Failures (router_failures.cpp).
+    void failAttempt(RequestState& state, AttemptFailure reason);
+    void retryOrRefuse(RequestState& state, RefusalReason reason);
+    void releaseAll(RequestState& state);
+    void finish(RequestState& state, FinishReason reason);
+    void refuse(RequestState& state, RefusalReason reason);
+    void refuseAtOnce(const ModelRequest& request, RefusalReason reason);
+    /// Ends the request; `state` is gone afterwards.
+    void erase(RequestState& state);
+
+    RequestState* find(RequestId request);
+    /// Time left in which new work for the request is of use.
+    Duration slack(const RequestState& state) const;
+    void setPhaseTimer(RequestState& state, Duration delay, void (RouterCore::*onTimer)(RequestState&));
+    void clearPhaseTimer(RequestState& state);
+    void onDeadline(RequestState& state);
+    void onPhaseTooLong(RequestState& state);
+    void record(EventKind kind, const AttemptId& attempt, std::string subject, std::string detail = {});
+
+    ModelRouterSettings settings;
+    std::unique_ptr<PlacementChooser> chooser;
+    TimerService& timers;
+    RandomSource& random;
+    Quarantine& quarantine;
+    EventSink& events;
+    std::vector<RouterAction> actions;
+    ModelRouterCounters totals;
+    RetryBudget retryBudget;
+    AgentDirectory agents;
+    RoutingView view;
+    std::map<RequestId, RequestState> requests;
+    /// Suspects in an attempt. Invariant: at most one request for each fingerprint.
+    std::map<Fingerprint, RequestId> suspectsInFlight;
+};
+
+} // namespace peridotgrade
