Give every policy of the benchmark the same arrivals

Cause: offered counts differed between policies in one run, because the entry of a caller that came back was drawn from the arrivals' generator. Change: a generator of its own; 200 s by default, since answers of the heavy tail last two minutes.

--- a/src/bench/goodput/main.cpp
+++ b/src/bench/goodput/main.cpp
@@ -28,7 +28,7 @@
     std::uint32_t prefillEngines = 6;
     std::uint32_t decodeEngines = 14;
     std::uint32_t askQueueMs = 100;
-    std::uint32_t seconds = 60;
+    std::uint32_t seconds = 200;
     std::uint64_t seed = 1;
     unsigned threads = std::max(1u, std::thread::hardware_concurrency() / 2);
     bool isCsv = false;
--- a/src/bench/goodput/site_run.h
+++ b/src/bench/goodput/site_run.h
@@ -24,6 +24,7 @@
         , capacity(capacityOf(this->settings))
         , arrivalRandom(this->settings.seed)
         , networkRandom(this->settings.seed + 1)
+        , entryRandom(this->settings.seed + 3)
         , workload(this->settings.workload, this->settings.seed + 2)
     {
         this->result.idealShare = this->capacity.idealShare(this->settings.load);
@@ -234,7 +235,8 @@
 
     void submit(PromptShape shape, bool isComeBack)
     {
-        auto e = static_cast<std::uint32_t>(this->arrivalRandom.below(this->entries.size()));
+        // Not drawn from the arrivals' generator: callers that come back must not shift the arrivals of the others.
+        auto e = static_cast<std::uint32_t>(this->entryRandom.below(this->entries.size()));
         RequestId id { ++this->lastRequest };
         Watch watch;
         watch.shape = shape;
@@ -395,6 +397,7 @@
     EngineDirectory engineDirectory;
     RandomSource arrivalRandom;
     RandomSource networkRandom;
+    RandomSource entryRandom;
     Workload workload;
     std::vector<std::unique_ptr<Node>> nodes;
     std::vector<std::unique_ptr<EntryNode>> entries;
