Draw decode engines from all data centres

Cause: the policy asked only engines of the entry's own data centre while there were enough of them, so one entry loaded half of the engines twice over: 41 of 100 requests refused at 0.8 of capacity. Change: engines are drawn from all that are usable; a data centre's few milliseconds are small against 820 ms.

--- a/src/libperidotgrade/core/policy/two_choice_policy.cpp
+++ b/src/libperidotgrade/core/policy/two_choice_policy.cpp
@@ -30,12 +30,12 @@
 
 } // namespace
 
-std::vector<std::size_t> TwoChoicePolicy::decodeChoices(const PlacementRequest& request,
+std::vector<std::size_t> TwoChoicePolicy::decodeChoices(const PlacementRequest&,
     const std::vector<EngineView>& engines, TimePoint, RandomSource& random, std::uint32_t count)
 {
     std::vector<Ranked> ranked;
     for (std::size_t i = 0; i < engines.size(); ++i)
-        ranked.push_back({ engines[i].dataCentre != request.entryDataCentre, random.next(), i });
+        ranked.push_back({ false, random.next(), i });
     std::sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) {
         return std::tie(left.isElsewhere, left.draw) < std::tie(right.isElsewhere, right.draw);
     });
