Drive the router and the host against each other in virtual time

Cause: the two state machines had no test. Ruled out: a mock of either side; the same code as in production runs on both, with fake engines and connections.

--- /dev/null
+++ b/src/libperidotgrade/core/routing/test_support/fake_answer.h
@@ -0,0 +1,52 @@
+// The answers of fake engines: a function of the caller's prompt and the index alone.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+
+namespace peridotgrade::test {
+
+constexpr char PromptEnd = ';';
+/// Prompts that start with it crash the engine that runs them.
+constexpr char PoisonMark = 'X';
+
+/// A prompt that is told from all others by its number.
+inline std::string promptOf(std::uint64_t number, bool isPoison)
+{
+    return std::string(1, isPoison ? PoisonMark : 'p') + std::to_string(number) + PromptEnd;
+}
+
+/// The caller's part of a prompt that may be followed by pieces already sent.
+inline std::string callersPart(const std::string& prompt)
+{
+    return prompt.substr(0, prompt.find(PromptEnd) + 1);
+}
+
+inline bool isPoison(const std::string& prompt) { return !prompt.empty() && prompt.front() == PoisonMark; }
+
+inline std::string answerPiece(const std::string& callersPrompt, std::uint32_t index)
+{
+    return "<" + callersPrompt + std::to_string(index) + ">";
+}
+
+/// How many tokens the whole answer has, at most `maxTokens`.
+inline std::uint32_t answerLength(const std::string& callersPrompt, std::uint32_t maxTokens)
+{
+    auto sum = static_cast<std::uint32_t>(callersPrompt.size());
+    for (char letter : callersPrompt)
+        sum = sum * 31 + static_cast<unsigned char>(letter);
+    return std::min(maxTokens, 3 + sum % 40);
+}
+
+/// True if `prompt` is the caller's part followed by exactly `count` pieces of its answer.
+inline bool holdsPieces(const std::string& prompt, std::uint32_t count)
+{
+    std::string expected = callersPart(prompt);
+    std::string callers = expected;
+    for (std::uint32_t i = 0; i < count; ++i)
+        expected += answerPiece(callers, i);
+    return prompt == expected;
+}
+
+} // namespace peridotgrade::test
--- /dev/null
+++ b/src/libperidotgrade/core/routing/test_support/fake_process.h
@@ -0,0 +1,77 @@
+// Entry and agent processes of a run: a core with its own timers, that can be frozen and killed.
+#pragma once
+
+#include "event_log.h"
+#include "peridotgrade/core/hosting/model_host.h"
+#include "peridotgrade/core/policy/two_choice_policy.h"
+#include "peridotgrade/core/quarantine/quarantine.h"
+#include "peridotgrade/core/routing/model_router.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace peridotgrade::test {
+
+/// What is common to both kinds. Input that reaches a frozen process waits until it thaws.
+class FakeProcess {
+public:
+    FakeProcess(const std::string& name, TimePoint now, std::uint64_t seed, EventLog& log)
+        : timers(now)
+        , random(seed)
+        , events(name, log)
+    {
+    }
+
+    void input(std::function<void()> call) { this->inbox.push_back(std::move(call)); }
+    bool hasInput() const { return !this->isFrozen && !this->inbox.empty(); }
+
+    /// One turn of the process's loop: time, then one input.
+    void turn(TimePoint now)
+    {
+        this->timers.advance(now);
+        if (this->inbox.empty())
+            return;
+        auto call = std::move(this->inbox.front());
+        this->inbox.pop_front();
+        call();
+    }
+
+    /// Tells a restarted process from its predecessor.
+    std::uint64_t serial = 0;
+    bool isFrozen = false;
+    TimerService timers;
+    RandomSource random;
+    LoggingSink events;
+
+private:
+    std::deque<std::function<void()>> inbox;
+};
+
+class FakeEntry : public FakeProcess {
+public:
+    FakeEntry(const ModelRouterSettings& settings, TimePoint now, std::uint64_t seed, EventLog& log)
+        : FakeProcess(settings.entry.raw(), now, seed, log)
+        , router(settings, TwoChoicePolicy {}, this->timers, this->random, this->quarantine, this->events)
+    {
+    }
+
+    Quarantine quarantine;
+    ModelRouter<TwoChoicePolicy> router;
+};
+
+class FakeAgent : public FakeProcess {
+public:
+    FakeAgent(const ModelHostSettings& settings, TimePoint now, std::uint64_t seed, EventLog& log)
+        : FakeProcess(settings.agent.raw(), now, seed, log)
+        , host(settings, this->timers, this->random, this->events)
+    {
+    }
+
+    ModelHost host;
+    bool isToldToDrain = false;
+};
+
+} // namespace peridotgrade::test
--- /dev/null
+++ b/src/libperidotgrade/core/routing/test_support/request_ledger.h
@@ -0,0 +1,117 @@
+// What callers see of a run: every request, its tokens and its end, checked as they come.
+#pragma once
+
+#include "fake_answer.h"
+#include "peridotgrade/core/routing/router_action.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace peridotgrade::test {
+
+struct LedgerEntry {
+    std::string prompt;
+    std::uint32_t maxTokens = 0;
+    std::size_t entry = 0;
+    std::uint32_t received = 0;
+    /// Final actions of the router. Invariant: one at most, none after a cancellation.
+    std::uint32_t finals = 0;
+    /// The caller cancelled, or its entry died.
+    bool isGone = false;
+    bool isAnswered = false;
+    Refusal refusal;
+};
+
+/// Notes each broken promise as one line of `failures`.
+class RequestLedger {
+public:
+    std::vector<std::string> failures;
+
+    void open(RequestId id, LedgerEntry entry) { this->entries.emplace(id, std::move(entry)); }
+    void markGone(RequestId id) { this->entries[id].isGone = true; }
+    const std::map<RequestId, LedgerEntry>& all() const { return this->entries; }
+
+    void onTokens(const DeliverTokens& tokens)
+    {
+        LedgerEntry* entry = this->checkOpen(tokens.request, "tokens");
+        if (!entry)
+            return;
+        if (tokens.firstIndex != entry->received)
+            this->fail(
+                tokens.request, "token index " + std::to_string(tokens.firstIndex) + " is not the next");
+        for (const std::string& piece : tokens.pieces) {
+            if (piece != answerPiece(entry->prompt, entry->received++))
+                this->fail(tokens.request, "token of another answer: " + piece);
+        }
+    }
+
+    void onFinish(const FinishAnswer& answer)
+    {
+        LedgerEntry* entry = this->checkOpen(answer.request, "finish");
+        if (!entry)
+            return;
+        ++entry->finals;
+        entry->isAnswered = true;
+        if (entry->received != answerLength(entry->prompt, entry->maxTokens))
+            this->fail(answer.request, "answer is not whole: " + std::to_string(entry->received));
+    }
+
+    const LedgerEntry* onRefuse(const RefuseRequest& refusal)
+    {
+        LedgerEntry* entry = this->checkOpen(refusal.request, "refusal");
+        if (!entry)
+            return nullptr;
+        ++entry->finals;
+        entry->refusal = refusal.refusal;
+        if (refusal.refusal.outcome != Outcome::NotRun)
+            return entry;
+        if (entry->received > 0 || this->started.contains(entry->prompt))
+            this->fail(refusal.request, "told not run, but it ran");
+        this->toldNotRun.insert(entry->prompt);
+        return entry;
+    }
+
+    /// An engine starts work on a prompt.
+    void onEngineStart(const std::string& callersPrompt)
+    {
+        this->started.insert(callersPrompt);
+        // The same poison is sent again under new ids, so what is true of one id says nothing of the next.
+        if (this->toldNotRun.contains(callersPrompt) && !isPoison(callersPrompt))
+            this->failures.push_back("ran after not-run was told: " + callersPrompt);
+    }
+
+    void checkAllEnded()
+    {
+        for (const auto& [id, entry] : this->entries) {
+            if (!entry.isGone && entry.finals != 1)
+                this->fail(id, "ended " + std::to_string(entry.finals) + " times");
+        }
+    }
+
+private:
+    LedgerEntry* checkOpen(RequestId id, const char* what)
+    {
+        auto found = this->entries.find(id);
+        if (found == this->entries.end()) {
+            this->fail(id, std::string(what) + " of an unknown request");
+            return nullptr;
+        }
+        if (found->second.finals > 0 || found->second.isGone)
+            this->fail(id, std::string(what) + " after the end");
+        return &found->second;
+    }
+
+    void fail(RequestId id, const std::string& what)
+    {
+        this->failures.push_back("request " + std::to_string(id.raw() % 100000) + ": " + what);
+    }
+
+    std::map<RequestId, LedgerEntry> entries;
+    std::set<std::string> started;
+    std::set<std::string> toldNotRun;
+};
+
+} // namespace peridotgrade::test
