--- a/src/libperidotgrade/core/routing/router_failures.cpp
+++ b/src/libperidotgrade/core/routing/router_failures.cpp
@@ -13,11 +13,11 @@
     // Told where no agent gave an expected wait.
     constexpr std::chrono::milliseconds DefaultRetryAfter { 1000 };
 
-    // An agent that gives one of these has not handed the attempt to its engine.
+    // An agent that gives one of these has not handed the prefill to its engine.
     bool provesNotRun(AttemptFailure reason)
     {
         return reason == AttemptFailure::TooLate || reason == AttemptFailure::Draining
-            || reason == AttemptFailure::NoPlaceHeld || reason == AttemptFailure::SuspectPresent;
+            || reason == AttemptFailure::SuspectPresent;
     }
 } // namespace
 
@@ -139,7 +139,9 @@
 {
     this->agents.onLoad(agent, message.load);
     RequestState* state = this->find(message.attempt.request);
-    if (state && provesNotRun(message.reason))
+    bool isOfPrefill = state && state->prefill && state->prefill->attempt == message.attempt
+        && state->prefill->agent == agent && state->phase == RequestPhase::Prefilling;
+    if (isOfPrefill && provesNotRun(message.reason))
         state->mayBeRunning = false;
     this->agents.forget(agent, message.attempt);
     this->failHeld(agent, message.attempt, message.reason);
--- a/src/libperidotgrade/core/routing/test_support/fake_process.h
+++ b/src/libperidotgrade/core/routing/test_support/fake_process.h
@@ -28,10 +28,14 @@
     void input(std::function<void()> call) { this->inbox.push_back(std::move(call)); }
     bool hasInput() const { return !this->isFrozen && !this->inbox.empty(); }
 
-    /// One turn of the process's loop: time, then one input.
+    /// One turn of the process's loop: time, or else one input.
     void turn(TimePoint now)
     {
-        this->timers.advance(now);
+        auto due = this->timers.nextDue();
+        if (this->timers.now() < now || (due && *due <= now)) {
+            this->timers.advance(now);
+            return;
+        }
         if (this->inbox.empty())
             return;
         auto call = std::move(this->inbox.front());
--- a/src/libperidotgrade/core/routing/test_support/request_ledger.h
+++ b/src/libperidotgrade/core/routing/test_support/request_ledger.h
@@ -68,7 +68,9 @@
         entry->refusal = refusal.refusal;
         if (refusal.refusal.outcome != Outcome::NotRun)
             return entry;
-        if (entry->received > 0 || this->started.contains(entry->prompt))
+        // The same poison is sent again under new ids, so what ran under one says nothing of the next.
+        bool hasStarted = this->started.contains(entry->prompt) && !isPoison(entry->prompt);
+        if (entry->received > 0 || hasStarted)
             this->fail(refusal.request, "told not run, but it ran");
         this->toldNotRun.insert(entry->prompt);
         return entry;
@@ -78,7 +80,6 @@
     void onEngineStart(const std::string& callersPrompt)
     {
         this->started.insert(callersPrompt);
-        // The same poison is sent again under new ids, so what is true of one id says nothing of the next.
         if (this->toldNotRun.contains(callersPrompt) && !isPoison(callersPrompt))
             this->failures.push_back("ran after not-run was told: " + callersPrompt);
     }
--- a/src/libperidotgrade/core/routing/test_support/world.h
+++ b/src/libperidotgrade/core/routing/test_support/world.h
@@ -247,7 +247,11 @@
         engine.role = this->settings.engines[index];
         this->engines.push_back(std::make_unique<FakeEngine>(engine, this->clock, this->random));
         FakeEngine& added = *this->engines.back();
-        added.emit = [this, index](EngineEvent event) { this->toAgent(index, std::move(event)); };
+        added.emit = [this, index](EngineEvent event) {
+            if (std::holds_alternative<EngineDied>(event))
+                this->restartEngineLater(index);
+            this->toAgent(index, std::move(event));
+        };
         added.importKv = [this](const std::string& exporter, const KvHandle& handle) {
             std::size_t from = std::stoul(exporter.substr(6));
             return this->engines[from]->exportKv(handle);
@@ -255,6 +259,12 @@
         this->lastEngineEvent.emplace_back();
     }
 
+    void restartEngineLater(std::size_t index)
+    {
+        Duration delay = this->delayUpTo(std::chrono::milliseconds { 1500 });
+        this->clock.subscribeAfter(delay, [this, index] { this->engines[index]->restart(); });
+    }
+
     Duration delayUpTo(std::chrono::milliseconds longest)
     {
         return std::chrono::microseconds { this->random.below(longest.count() * 1000 + 1) };
