Add action router and action host: claims, table, reads

Cause: application calls had headers only; both daemons wait for this part.

Change: ActionHost with its started/sealed table, ActionRouter with claims batched through the log, lost append answers settled by nonce, superseding claims, sealing, and reads within the retry budget; the claims' codec and the fold that decides between claims. KeyMap forgets keys by the time inside the key up to a floor that only rises, and refuses whatever is at or below it: so neither the agent's table nor an entry's fold can take a forgotten key for a new one, and no two clocks have to agree for that.

Ruled out: forgetting keys a while after their insertion, as that needs a bound on how late a paused winner acts; a sealing round before every `not-run` of an unsent claim, as only the claim's own entry sends it and it has dropped it.

--- a/src/include/peridotgrade/core/actions/action_router.h
+++ b/src/include/peridotgrade/core/actions/action_router.h
@@ -22,7 +22,7 @@
     RequestId id;
     WorkspaceId workspace;
     ServiceId service;
-    /// Empty for reads. Scoped to the workspace and service by the router.
+    /// Empty for reads. As given by `parseIdempotencyKey`; the router adds workspace and service.
     IdempotencyKey key;
     ApplicationCall call;
     /// After this the call is given up. Never extended.
@@ -72,8 +72,12 @@
     std::chrono::milliseconds maxKeyAge { std::chrono::minutes { 30 } };
     /// A key whose time is further ahead is refused: it would outlive its claim's retention.
     std::chrono::milliseconds maxKeyAhead { std::chrono::seconds { 60 } };
+    /// The log surely keeps records this long. Longer than `maxKeyAge` and `maxKeyAhead` together.
+    std::chrono::milliseconds claimRetention { std::chrono::minutes { 60 } };
     /// Claims wait this long for others to share the append.
     std::chrono::milliseconds batchDelay { 3 };
+    /// The holder of a claim gets this long to start the action before another entry seals the key.
+    std::chrono::milliseconds sealGrace { 250 };
     std::uint32_t maxReadRetries = 2;
     double retryBudgetShare = 0.1;
     double retryBudgetReserve = 10.0;
@@ -120,7 +124,8 @@
     /// All records below `offset` have been read, at a read that began at `readBegan`; so claims whose append
     /// had ended before and that are not among them are not in the log.
     void onCaughtUp(LogOffset offset, TimePoint readBegan);
-    /// Records between the last one read and `offset` are lost to retention: what they said is not known.
+    /// Records between the last one read and `offset` are lost to retention: keys that they may have named
+    /// are refused as too old.
     void onGap(LogOffset offset);
     /// Out of reach: actions are refused as not run before anything is sent. Reads go on.
     void setLogAvailable(bool isAvailable);
--- /dev/null
+++ b/src/libperidotgrade/core/actions/claim_fold.cpp
@@ -0,0 +1,26 @@
+// The rule that decides between claims.
+#include "claim_fold.h"
+
+namespace peridotgrade {
+
+bool ClaimFold::apply(const Claim& claim)
+{
+    // Counting a claim of a forgotten key would make a late claim the first one.
+    if (this->keys.isForgotten(claim.key))
+        return false;
+    AgentRun run { claim.agent, claim.agentIncarnation };
+    KeyClaims* known = this->keys.find(claim.key);
+    if (!known) {
+        if (claim.supersedes)
+            return false;
+        this->keys.insert(claim.key, KeyClaims { claim, { run } });
+        return true;
+    }
+    if (claim.supersedes != known->current.nonce)
+        return false;
+    known->current = claim;
+    known->namedRuns.push_back(run);
+    return true;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/actions/read_flow.cpp
@@ -0,0 +1,160 @@
+// Reads with retries and hedges.
+#include "read_flow.h"
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+namespace {
+
+    constexpr std::chrono::milliseconds ReadRetryAfter { 1000 };
+
+} // namespace
+
+ReadFlow::ReadFlow(CallContext& context)
+    : context(context)
+{
+}
+
+void ReadFlow::submit(CallRequest request)
+{
+    ++this->context.counters.reads;
+    RequestId id = request.id;
+    this->context.record(EventKind::RequestArrived, { id, 0 }, request.service.raw());
+    auto [read, isNew] = this->reads.try_emplace(id);
+    read->second.request = std::move(request);
+    read->second.deadline = this->context.timers.subscribeAt(
+        read->second.request.deadline, [this, id] { this->onDeadline(id); });
+    if (!this->tryOnce(read->second))
+        this->giveUp(read, RefusalReason::NoCapacity);
+}
+
+void ReadFlow::cancel(RequestId request)
+{
+    auto read = this->reads.find(request);
+    if (read != this->reads.end())
+        this->forget(read);
+}
+
+bool ReadFlow::tryOnce(Read& read)
+{
+    const CallRequest& request = read.request;
+    auto run = this->context.agents.choose(
+        request.service, this->context.settings.dataCentre, read.tried, this->context.random);
+    auto timeLeft = this->context.timeLeft(request.deadline);
+    if (!run || timeLeft.count() <= 0)
+        return false;
+    read.tried.push_back(*run);
+    auto number = static_cast<std::uint32_t>(read.tried.size());
+    read.open.push_back({ *run, number });
+
+    StartRead start;
+    start.attempt = { request.id, number };
+    start.call = request.call;
+    start.timeLeft = timeLeft;
+    this->context.send(run->agent, std::move(start));
+
+    // Each try gets an equal share of what is left, so that the last one still has time to answer.
+    auto triesLeft = this->context.settings.maxReadRetries + 2
+        - std::min(number, this->context.settings.maxReadRetries + 1);
+    this->context.timers.cancel(read.hedge);
+    read.hedge = this->context.timers.subscribeAfter(
+        timeLeft / triesLeft, [this, id = request.id] { this->onSilence(id); });
+    return true;
+}
+
+bool ReadFlow::maySpendRetry(const Read& read)
+{
+    if (read.tried.size() > this->context.settings.maxReadRetries)
+        return false;
+    return this->budgetOf(read.request.service).trySpend();
+}
+
+void ReadFlow::tryAgain(RequestId request)
+{
+    auto read = this->reads.find(request);
+    if (read == this->reads.end())
+        return;
+    if (this->maySpendRetry(read->second) && this->tryOnce(read->second)) {
+        ++this->context.counters.retries;
+        return;
+    }
+    if (read->second.open.empty())
+        this->giveUp(read, RefusalReason::BackendLost);
+}
+
+void ReadFlow::onSilence(RequestId request) { this->tryAgain(request); }
+
+void ReadFlow::onTryFailed(RequestId request, std::uint32_t number)
+{
+    auto read = this->reads.find(request);
+    if (read == this->reads.end())
+        return;
+    auto erased = std::erase_if(read->second.open, [&](const Try& open) { return open.number == number; });
+    if (erased > 0)
+        this->tryAgain(request);
+}
+
+void ReadFlow::onAgentLost(const AgentId& agent)
+{
+    std::vector<AttemptId> failed;
+    for (const auto& [id, read] : this->reads) {
+        for (const Try& open : read.open) {
+            if (open.run.agent == agent)
+                failed.push_back({ id, open.number });
+        }
+    }
+    for (const AttemptId& attempt : failed)
+        this->onTryFailed(attempt.request, attempt.number);
+}
+
+void ReadFlow::onAnswered(const AgentId& agent, const ReadAnswered& message)
+{
+    auto read = this->reads.find(message.attempt.request);
+    if (read == this->reads.end()) {
+        this->context.record(EventKind::StaleMessageDropped, message.attempt, agent.raw());
+        return;
+    }
+    this->budgetOf(read->second.request.service).recordSuccess();
+    this->context.finish(message.attempt.request, message.answer);
+    this->forget(read);
+}
+
+void ReadFlow::onFailed(const AgentId& agent, const ReadFailed& message)
+{
+    if (message.isDraining)
+        this->context.agents.onDraining(agent);
+    this->onTryFailed(message.attempt.request, message.attempt.number);
+}
+
+void ReadFlow::onDeadline(RequestId request)
+{
+    auto read = this->reads.find(request);
+    if (read != this->reads.end())
+        this->giveUp(read, RefusalReason::DeadlineUnreachable);
+}
+
+void ReadFlow::giveUp(Reads::iterator read, RefusalReason reason)
+{
+    // A read that was sent may have been run; that it is harmless does not make `not-run` true.
+    Outcome outcome = read->second.tried.empty() ? Outcome::NotRun : Outcome::Unknown;
+    this->context.refuse(read->first, reason, outcome, ReadRetryAfter);
+    this->forget(read);
+}
+
+void ReadFlow::forget(Reads::iterator read)
+{
+    this->context.timers.cancel(read->second.deadline);
+    this->context.timers.cancel(read->second.hedge);
+    this->reads.erase(read);
+}
+
+RetryBudget& ReadFlow::budgetOf(const ServiceId& service)
+{
+    const ActionRouterSettings& settings = this->context.settings;
+    auto [budget, isNew]
+        = this->budgets.try_emplace(service, settings.retryBudgetShare, settings.retryBudgetReserve);
+    return budget->second;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/actions/read_flow.h
@@ -0,0 +1,57 @@
+// Reads at the entry: repeated elsewhere within the retry budget.
+#pragma once
+
+#include "call_context.h"
+#include "peridotgrade/core/base/retry_budget.h"
+
+#include <map>
+
+namespace peridotgrade {
+
+/// Serves the calls without a key. A read that fails, or is silent for its share of the time left, is tried
+/// at another agent while the budget allows; the first answer counts.
+class ReadFlow {
+public:
+    explicit ReadFlow(CallContext& context);
+
+    void submit(CallRequest request);
+    void cancel(RequestId request);
+    void onAgentLost(const AgentId& agent);
+    void onAnswered(const AgentId& agent, const ReadAnswered& message);
+    void onFailed(const AgentId& agent, const ReadFailed& message);
+    std::size_t openRequests() const { return this->reads.size(); }
+
+private:
+    struct Try {
+        AgentRun run;
+        std::uint32_t number = 0;
+    };
+
+    struct Read {
+        CallRequest request;
+        /// Tries whose answer may still come.
+        std::vector<Try> open;
+        /// Runs that were tried, so that a retry goes elsewhere.
+        std::vector<AgentRun> tried;
+        TimerId deadline;
+        TimerId hedge;
+    };
+
+    using Reads = std::map<RequestId, Read>;
+
+    bool tryOnce(Read& read);
+    void tryAgain(RequestId request);
+    void onSilence(RequestId request);
+    void onTryFailed(RequestId request, std::uint32_t number);
+    void onDeadline(RequestId request);
+    void giveUp(Reads::iterator read, RefusalReason reason);
+    void forget(Reads::iterator read);
+    bool maySpendRetry(const Read& read);
+    RetryBudget& budgetOf(const ServiceId& service);
+
+    CallContext& context;
+    Reads reads;
+    std::map<ServiceId, RetryBudget> budgets;
+};
+
+} // namespace peridotgrade
