--- a/src/include/peridotgrade/core/config/configuration_change.h
+++ b/src/include/peridotgrade/core/config/configuration_change.h
@@ -53,8 +53,8 @@
 using ConfigurationChange = std::variant<SetEngine, RemoveEngine, SetWorkspace, RemoveWorkspace, SetService,
     RemoveService, SetCommitment>;
 
-/// The configuration with the changes made in order.
+/// The configuration with the changes made in order, confirmed at `confirmedAt`.
 SiteConfiguration withChanges(
-    SiteConfiguration configuration, const std::vector<ConfigurationChange>& changes);
+    SiteConfiguration configuration, const std::vector<ConfigurationChange>& changes, WallTime confirmedAt);
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/core/config/configuration_fold.h
+++ b/src/include/peridotgrade/core/config/configuration_fold.h
@@ -82,6 +82,8 @@
     /// Append time of the first record that the best snapshot in the log does not cover. While the log keeps
     /// that record, a new reader finds the whole configuration there. Nothing if no snapshot was read.
     std::optional<WallTime> snapshotCoverage() const { return this->snapshotCoversFrom; }
+    /// Append time of the first record that this node read.
+    std::optional<WallTime> firstRecordAt() const { return this->firstReadAt; }
     /// When the last plan that took effect was appended.
     std::optional<WallTime> lastChangeAt() const;
 
@@ -129,6 +131,7 @@
     /// Invariant: in order of offset, without a hole.
     std::deque<RecordTime> recentTimes;
     std::optional<WallTime> snapshotCoversFrom;
+    std::optional<WallTime> firstReadAt;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/core/config/json_reader.h
+++ b/src/include/peridotgrade/core/config/json_reader.h
@@ -5,6 +5,7 @@
 
 #include <boost/json/value.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,6 +25,7 @@
     std::string textOr(std::string_view key, std::string fallback);
     std::uint64_t whole(std::string_view key);
     std::uint64_t wholeOr(std::string_view key, std::uint64_t fallback);
+    std::chrono::milliseconds millisecondsOr(std::string_view key, std::chrono::milliseconds fallback);
     double number(std::string_view key);
     double numberOr(std::string_view key, double fallback);
     std::vector<std::string> texts(std::string_view key);
--- a/src/include/peridotgrade/core/config/site_configuration.h
+++ b/src/include/peridotgrade/core/config/site_configuration.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "peridotgrade/core/base/ids.h"
+#include "peridotgrade/core/base/time.h"
 #include "peridotgrade/core/messages/place_messages.h"
 #include "peridotgrade/core/messages/session_messages.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -22,6 +24,11 @@
     std::string modelVersion;
     std::vector<std::string> adapters;
     EngineRole role = EngineRole::Mixed;
+    /// The pace of the plan: the agent begins this long after the confirmation was appended, so that not all
+    /// engines of a pool change at once and loads share the weight store's rate.
+    std::chrono::milliseconds startAfter { 0 };
+    /// Append time of the confirmation plus `startAfter`; set by the fold.
+    WallTime notBefore;
 
     friend bool operator==(const EngineAssignment&, const EngineAssignment&) = default;
 };
--- a/src/include/peridotgrade/ops/settings/settings_error.h
+++ b/src/include/peridotgrade/ops/settings/settings_error.h
@@ -8,12 +8,12 @@
 namespace peridotgrade {
 
 /// Exit statuses of the daemons; also those of `--check-settings`.
-namespace ExitStatus {
+namespace exit_status {
     constexpr int Success = 0;
     constexpr int Failure = 1;
     constexpr int BadSettings = 2;
     constexpr int AddressInUse = 3;
-} // namespace ExitStatus
+} // namespace exit_status
 
 enum class SettingsErrorKind : std::uint8_t { Unreadable, NotJson, UnknownKey, MissingKey, BadValue };
 
--- a/src/libperidotgrade/core/config/configuration_fold.cpp
+++ b/src/libperidotgrade/core/config/configuration_fold.cpp
@@ -72,7 +72,7 @@
                 + std::to_string(this->versionInForce.raw()));
     }
     ConfigVersion version { offset.raw() + 1 };
-    this->moveTo(version, withChanges(this->inForce, confirmed.changes));
+    this->moveTo(version, withChanges(this->inForce, confirmed.changes, appendedAt));
     HistoryEntry entry;
     entry.version = version;
     entry.base = confirmed.base;
@@ -180,6 +180,8 @@
 
 void ConfigurationFold::rememberTime(const LogRecord& record)
 {
+    if (!this->firstReadAt)
+        this->firstReadAt = record.appendedAt;
     this->recentTimes.push_back({ record.offset, record.appendedAt });
     if (this->recentTimes.size() > MaxRecentTimes)
         this->recentTimes.pop_front();
--- a/src/libperidotgrade/core/config/json_reader.cpp
+++ b/src/libperidotgrade/core/config/json_reader.cpp
@@ -71,6 +71,13 @@
     return this->has(key) ? this->whole(key) : fallback;
 }
 
+std::chrono::milliseconds JsonReader::millisecondsOr(std::string_view key, std::chrono::milliseconds fallback)
+{
+    if (!this->has(key))
+        return fallback;
+    return std::chrono::milliseconds { static_cast<std::int64_t>(this->whole(key)) };
+}
+
 double JsonReader::number(std::string_view key)
 {
     const json::value* value = this->child(key);
--- a/src/libperidotgrade/core/config/site_configuration.cpp
+++ b/src/libperidotgrade/core/config/site_configuration.cpp
@@ -29,11 +29,13 @@
 
     struct Changer {
         SiteConfiguration& configuration;
+        WallTime confirmedAt;
 
         void operator()(const SetEngine& change) const
         {
             EngineAssignment engine = change.engine;
             std::sort(engine.adapters.begin(), engine.adapters.end());
+            engine.notBefore = this->confirmedAt + engine.startAfter;
             this->configuration.engines[engine.agent] = std::move(engine);
         }
         void operator()(const RemoveEngine& change) const { this->configuration.engines.erase(change.agent); }
@@ -91,9 +93,9 @@
 }
 
 SiteConfiguration withChanges(
-    SiteConfiguration configuration, const std::vector<ConfigurationChange>& changes)
+    SiteConfiguration configuration, const std::vector<ConfigurationChange>& changes, WallTime confirmedAt)
 {
-    Changer changer { configuration };
+    Changer changer { configuration, confirmedAt };
     for (const ConfigurationChange& change : changes)
         std::visit(changer, change);
     return configuration;
--- /dev/null
+++ b/src/libperidotgrade/core/config/snapshot_policy.cpp
@@ -0,0 +1,39 @@
+// Implementation of the snapshot policy.
+#include "peridotgrade/core/config/snapshot_policy.h"
+
+#include <utility>
+
+namespace peridotgrade {
+
+SnapshotPolicy::SnapshotPolicy(std::chrono::milliseconds retention, RandomSource random)
+    : retention(retention)
+    , random(std::move(random))
+{
+    this->drawOffset();
+}
+
+void SnapshotPolicy::drawOffset()
+{
+    auto quarter = static_cast<std::uint64_t>(this->retention.count() / 4);
+    this->offset = std::chrono::milliseconds { static_cast<std::int64_t>(this->random.below(quarter + 1)) };
+}
+
+bool SnapshotPolicy::isDue(const ConfigurationFold& fold, LogOffset logOldest, WallTime now)
+{
+    if (fold.hasGap() || !fold.isReady() || fold.version() == ConfigVersion {})
+        return false;
+    auto coverage = fold.snapshotCoverage();
+    auto first = fold.firstRecordAt();
+    bool isUncovered = !coverage && (logOldest > LogOffset {} || !first);
+    if (isUncovered)
+        return true;
+    // Without a snapshot the first record of all is what a new reader needs.
+    WallTime neededFrom = coverage ? *coverage : *first;
+    if (this->offsetDrawnFor != neededFrom) {
+        this->offsetDrawnFor = neededFrom;
+        this->drawOffset();
+    }
+    return now - neededFrom >= this->retention / 4 + this->offset;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/config/snapshot_policy_test.cpp
@@ -0,0 +1,61 @@
+// Tests of the snapshot policy.
+#include "peridotgrade/core/config/snapshot_policy.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace peridotgrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+WallTime at(std::chrono::milliseconds since) { return WallTime { since }; }
+
+LogRecord recordAt(std::uint64_t offset, std::chrono::milliseconds time, const ConfigurationRecord& content)
+{
+    LogRecord record;
+    record.offset = LogOffset { offset };
+    record.appendedAt = at(time);
+    record.data = encodeRecord(content);
+    return record;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(snapshot_policy)
+
+BOOST_AUTO_TEST_CASE(a_snapshot_is_due_between_a_quarter_and_half_of_the_retention)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        SnapshotPolicy policy(1000s, RandomSource(seed));
+        ConfigurationFold fold;
+        Confirmed confirmed;
+        confirmed.plan = PlanId { "a" };
+        fold.onRecord(recordAt(0, 100s, confirmed));
+        BOOST_TEST(!policy.isDue(fold, LogOffset {}, at(900s)));
+        fold.onCaughtUp(LogOffset { 1 });
+        BOOST_TEST(!policy.isDue(fold, LogOffset {}, at(349s)));
+        BOOST_TEST(policy.isDue(fold, LogOffset {}, at(600s)));
+        fold.onRecord(recordAt(1, 600s, fold.snapshot()));
+        BOOST_TEST(!policy.isDue(fold, LogOffset {}, at(849s)));
+        BOOST_TEST(policy.isDue(fold, LogOffset { 1 }, at(1100s)));
+        fold.onGap(LogOffset { 9 });
+        BOOST_TEST(!policy.isDue(fold, LogOffset { 9 }, at(9000s)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_that_was_long_on_its_way_counts_from_what_it_covers)
+{
+    SnapshotPolicy policy(1000s, RandomSource(1));
+    ConfigurationFold fold;
+    Confirmed confirmed;
+    confirmed.plan = PlanId { "a" };
+    fold.onRecord(recordAt(0, 0s, confirmed));
+    fold.onCaughtUp(LogOffset { 1 });
+    Snapshot late = fold.snapshot();
+    confirmed.base = ConfigVersion { 1 };
+    fold.onRecord(recordAt(1, 10s, confirmed));
+    fold.onRecord(recordAt(2, 900s, late));
+    BOOST_TEST(policy.isDue(fold, LogOffset {}, at(901s)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/libperidotgrade/platform/configuration_follower.cpp
@@ -0,0 +1,212 @@
+// Implementation of the configuration follower.
+#include "peridotgrade/platform/configuration_follower.h"
+
+#include "peridotgrade/core/config/snapshot_policy.h"
+#include "peridotgrade/platform/log_tail.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    const std::string Stream = "configuration";
+    constexpr std::chrono::milliseconds AppendTimeout { 3'000 };
+
+} // namespace
+
+class ConfigurationFollower::Impl : public LogTailListener, public std::enable_shared_from_this<Impl> {
+public:
+    Impl(asio::any_io_executor executor, ConfigurationFollowerSettings settings)
+        : executor(executor)
+        , settings(std::move(settings))
+        , client(executor, this->settings.platform)
+        , policy(this->settings.logRetention, RandomSource(this->settings.seed))
+        , tail(executor, this->settings.platform, Stream, LogOffset {}, this->settings.seed, *this)
+        , inForce(std::make_shared<ConfigurationInForce>())
+    {
+    }
+
+    void onLogRecords(std::vector<LogRecord> records) override
+    {
+        std::vector<FoldStep> steps;
+        {
+            std::lock_guard lock(this->mutex);
+            for (const LogRecord& record : records)
+                steps.push_back(this->fold.onRecord(record));
+        }
+        if (this->stepObserver) {
+            for (const FoldStep& step : steps)
+                this->stepObserver(step);
+        }
+        this->publish();
+    }
+
+    void onLogCaughtUp(LogOffset oldest, LogOffset next) override
+    {
+        bool isSnapshotDue = false;
+        {
+            std::lock_guard lock(this->mutex);
+            this->fold.onCaughtUp(next);
+            if (this->settings.appendsSnapshots && !this->isAppending)
+                isSnapshotDue = this->policy.isDue(this->fold, oldest, this->settings.wallNow());
+        }
+        this->publish();
+        if (isSnapshotDue)
+            this->appendSnapshot();
+    }
+
+    void onLogGap(LogOffset oldest) override
+    {
+        std::lock_guard lock(this->mutex);
+        this->fold.onGap(oldest);
+    }
+
+    void onLogAvailability(bool isAvailable) override
+    {
+        std::lock_guard lock(this->mutex);
+        this->isAvailable = isAvailable;
+    }
+
+    void offer(const ConfigurationSnapshot& snapshot)
+    {
+        LogOffset next;
+        {
+            std::lock_guard lock(this->mutex);
+            this->fold.onPeerSnapshot(snapshot);
+            next = this->fold.readThrough();
+        }
+        this->tail.skipTo(next);
+        this->publish();
+    }
+
+    /// Gives subscribers the configuration if it or its readiness changed.
+    void publish()
+    {
+        std::shared_ptr<const ConfigurationInForce> fresh;
+        {
+            std::lock_guard lock(this->mutex);
+            bool isSame = this->inForce->version == this->fold.version()
+                && this->inForce->isReady == this->fold.isReady();
+            if (isSame)
+                return;
+            auto made = std::make_shared<ConfigurationInForce>();
+            made->version = this->fold.version();
+            made->digest = this->fold.digest();
+            made->isReady = this->fold.isReady();
+            made->configuration = this->fold.configuration();
+            this->inForce = made;
+            fresh = std::move(made);
+        }
+        for (const Subscriber& subscriber : this->subscribers)
+            subscriber(fresh);
+    }
+
+    const asio::any_io_executor executor;
+    const ConfigurationFollowerSettings settings;
+    LogClient client;
+    mutable std::mutex mutex;
+    /// Under `mutex`.
+    ConfigurationFold fold;
+    SnapshotPolicy policy;
+    LogTail tail;
+    /// Under `mutex`; the value itself never changes.
+    std::shared_ptr<const ConfigurationInForce> inForce;
+    bool isAvailable = false;
+    /// Used on the executor only, like the subscribers.
+    bool isAppending = false;
+    std::vector<Subscriber> subscribers;
+    StepObserver stepObserver;
+
+private:
+    void appendSnapshot()
+    {
+        this->isAppending = true;
+        asio::co_spawn(
+            this->executor, [self = this->shared_from_this()] { return self->appendOnce(); }, asio::detached);
+    }
+
+    asio::awaitable<void> appendOnce()
+    {
+        std::vector<std::string> records;
+        {
+            std::lock_guard lock(this->mutex);
+            records.push_back(encodeRecord(this->fold.snapshot()));
+        }
+        // A failed or doubled append is made up for by the policy, which looks at what is in the log.
+        co_await this->client.append(Stream, std::move(records), AppendTimeout);
+        this->isAppending = false;
+    }
+};
+
+ConfigurationFollower::ConfigurationFollower(
+    asio::any_io_executor executor, ConfigurationFollowerSettings settings)
+    : impl(std::make_shared<Impl>(std::move(executor), std::move(settings)))
+{
+}
+
+ConfigurationFollower::~ConfigurationFollower() { this->stop(); }
+
+void ConfigurationFollower::subscribe(Subscriber subscriber)
+{
+    this->impl->subscribers.push_back(std::move(subscriber));
+}
+
+void ConfigurationFollower::observeSteps(StepObserver observer)
+{
+    this->impl->stepObserver = std::move(observer);
+}
+
+void ConfigurationFollower::start() { this->impl->tail.start(); }
+
+void ConfigurationFollower::stop()
+{
+    asio::post(this->impl->executor, [impl = this->impl] { impl->tail.stop(); });
+}
+
+std::shared_ptr<const ConfigurationInForce> ConfigurationFollower::current() const
+{
+    std::lock_guard lock(this->impl->mutex);
+    return this->impl->inForce;
+}
+
+bool ConfigurationFollower::isLogAvailable() const
+{
+    std::lock_guard lock(this->impl->mutex);
+    return this->impl->isAvailable;
+}
+
+bool ConfigurationFollower::isBehind(ConfigVersion version) const
+{
+    std::lock_guard lock(this->impl->mutex);
+    return version > this->impl->fold.version();
+}
+
+ConfigurationSnapshot ConfigurationFollower::peerSnapshot() const
+{
+    std::lock_guard lock(this->impl->mutex);
+    return this->impl->fold.peerSnapshot();
+}
+
+void ConfigurationFollower::offer(ConfigurationSnapshot snapshot)
+{
+    asio::post(
+        this->impl->executor, [impl = this->impl, snapshot = std::move(snapshot)] { impl->offer(snapshot); });
+}
+
+void ConfigurationFollower::withFold(const std::function<void(const ConfigurationFold&)>& reader) const
+{
+    std::lock_guard lock(this->impl->mutex);
+    reader(this->impl->fold);
+}
+
+} // namespace peridotgrade
