Tell log listeners when the read that caught up began

Cause: the claims' side must know that everything appended before a point in time has been read. Ruled out: the time at which the answer came; a record appended while a long poll waits may be missing from it. Change: onLogCaughtUp carries the time taken before the read was sent.

--- a/src/include/peridotgrade/platform/log_tail.h
+++ b/src/include/peridotgrade/platform/log_tail.h
@@ -1,6 +1,7 @@
 // Follows one stream of the log.
 #pragma once
 
+#include "peridotgrade/core/base/time.h"
 #include "peridotgrade/platform/log_client.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -19,8 +20,8 @@
 
     /// Records in order of offset, without a hole since the last batch or gap.
     virtual void onLogRecords(std::vector<LogRecord> records) = 0;
-    /// Everything up to `next` has been handed over.
-    virtual void onLogCaughtUp(LogOffset oldest, LogOffset next) = 0;
+    /// Everything up to `next` has been handed over; all that was appended before `readBegan` is in it.
+    virtual void onLogCaughtUp(LogOffset oldest, LogOffset next, TimePoint readBegan) = 0;
     /// Records from the last one handed over up to `oldest` are not kept any more and were not seen.
     virtual void onLogGap(LogOffset oldest) = 0;
     /// False when reads begin to fail, true when one succeeds again, and on the first success.
--- a/src/libperidotgrade/platform/configuration_follower.cpp
+++ b/src/libperidotgrade/platform/configuration_follower.cpp
@@ -51,7 +51,7 @@
         this->publish();
     }
 
-    void onLogCaughtUp(LogOffset oldest, LogOffset next) override
+    void onLogCaughtUp(LogOffset oldest, LogOffset next, TimePoint) override
     {
         bool isSnapshotDue = false;
         {
--- a/src/libperidotgrade/platform/log_client_test.cpp
+++ b/src/libperidotgrade/platform/log_client_test.cpp
@@ -34,7 +34,7 @@
         for (const LogRecord& record : records)
             this->seen.push_back("record " + record.data);
     }
-    void onLogCaughtUp(LogOffset, LogOffset next) override
+    void onLogCaughtUp(LogOffset, LogOffset next, TimePoint) override
     {
         this->seen.push_back("caught up " + std::to_string(next.raw()));
     }
--- a/src/libperidotgrade/platform/log_tail.cpp
+++ b/src/libperidotgrade/platform/log_tail.cpp
@@ -3,6 +3,7 @@
 
 #include "peridotgrade/core/base/backoff.h"
 #include "peridotgrade/core/base/random_source.h"
+#include "peridotgrade/net/timer_driver.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -45,11 +46,12 @@
         auto self = this->shared_from_this();
         std::chrono::milliseconds wait { 0 };
         while (this->listener != nullptr) {
+            TimePoint readBegan = TimerDriver::now();
             auto result = co_await this->client.read(this->stream, this->from, RecordsPerRead, wait);
             if (this->listener == nullptr)
                 co_return;
             if (auto* page = std::get_if<LogPage>(&result)) {
-                this->takePage(std::move(*page));
+                this->takePage(std::move(*page), readBegan);
                 wait = LongPoll;
                 continue;
             }
@@ -77,7 +79,7 @@
     LogOffset from;
 
 private:
-    void takePage(LogPage page)
+    void takePage(LogPage page, TimePoint readBegan)
     {
         this->backoff.reset();
         this->reportAvailability(true);
@@ -93,7 +95,7 @@
             this->listener->onLogRecords(std::move(fresh));
         bool isCaughtUp = this->from >= page.next;
         if (isCaughtUp && this->listener != nullptr)
-            this->listener->onLogCaughtUp(page.oldest, page.next);
+            this->listener->onLogCaughtUp(page.oldest, page.next, readBegan);
     }
 
     void takeGap(LogOffset oldest)
