Plan intents: allocation of engines, waves, forecasts, refusals

Cause: operators must see what a wish does before anything changes.

Ruled out: absolute times in a plan, since it would not be the same for the same input; steps carry a time after the confirmation and the log's time of the confirmation makes it absolute. Guessing at contradicting intents was ruled out too: each is named and there is no plan.

--- a/src/include/peridotgrade/core/config/site_configuration.h
+++ b/src/include/peridotgrade/core/config/site_configuration.h
@@ -24,6 +24,8 @@
     std::string modelVersion;
     std::vector<std::string> adapters;
     EngineRole role = EngineRole::Mixed;
+    /// Size of the model's weights; 0 if not known. Used for the time that a load takes.
+    std::uint64_t weightBytes = 0;
     /// The pace of the plan: the agent begins this long after the confirmation was appended, so that not all
     /// engines of a pool change at once and loads share the weight store's rate.
     std::chrono::milliseconds startAfter { 0 };
--- /dev/null
+++ b/src/libperidotgrade/core/config/plan_schedule.h
@@ -0,0 +1,25 @@
+// Orders a plan's steps into waves and forecasts capacity.
+#pragma once
+
+#include "implied_intents.h"
+#include "peridotgrade/core/config/plan.h"
+#include "peridotgrade/core/config/planner.h"
+
+#include <map>
+#include <vector>
+
+namespace peridotgrade {
+
+struct PlanSchedule {
+    std::vector<PlanStep> steps;
+    std::vector<ServiceForecast> services;
+    std::chrono::milliseconds duration { 0 };
+};
+
+/// Steps from `before` to `after`. Engines that join come first, since they cost no capacity; those that
+/// serve now and change follow in waves of at most the model's share of its pool; released ones come last. A
+/// wave begins when the weight store has had the time for all loads before it.
+PlanSchedule scheduleOf(const SiteConfiguration& before, const SiteConfiguration& after,
+    const std::vector<ServeModel>& models, const PlanningView& view);
+
+} // namespace peridotgrade
--- a/src/libperidotgrade/core/config/value_json.cpp
+++ b/src/libperidotgrade/core/config/value_json.cpp
@@ -30,6 +30,7 @@
     object["modelVersion"] = engine.modelVersion;
     object["adapters"] = arrayOf(engine.adapters);
     object["role"] = nameOf(engine.role);
+    object["weightBytes"] = engine.weightBytes;
     object["startAfterMs"] = engine.startAfter.count();
     object["notBeforeMs"] = engine.notBefore.time_since_epoch().count();
     return object;
@@ -76,6 +77,7 @@
     engine.adapters = reader.texts("adapters");
     std::sort(engine.adapters.begin(), engine.adapters.end());
     engine.role = reader.choice("role", engineRoleFrom);
+    engine.weightBytes = reader.wholeOr("weightBytes", 0);
     engine.startAfter = reader.millisecondsOr("startAfterMs", std::chrono::milliseconds { 0 });
     engine.notBefore = WallTime { reader.millisecondsOr("notBeforeMs", std::chrono::milliseconds { 0 }) };
     return readResult(reader, std::move(engine));
