--- /dev/null
+++ b/src/include/peridotgrade/ops/logger.h
@@ -0,0 +1,52 @@
+// Logs of a process: one line of key=value pairs for each event.
+#pragma once
+
+#include "peridotgrade/core/base/ids.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace peridotgrade {
+
+enum class LogLevel : std::uint8_t { Trace, Debug, Info, Warn, Error };
+
+/// `trace`, `debug`, `info`, `warn` or `error`.
+std::string_view nameOf(LogLevel level);
+std::optional<LogLevel> logLevelFrom(std::string_view name);
+
+/// One pair of a log line. Values with blanks, quotes or line ends are quoted when written.
+struct LogField {
+    std::string_view key;
+    std::string value;
+};
+
+/// Writes events to standard error through log4cplus. Every line carries time, level, node and event; those
+/// that belong to a request carry its id. The level can be changed while the process runs. One logger for a
+/// process; thread safe.
+class Logger {
+public:
+    Logger(const std::string& node, LogLevel level);
+    ~Logger();
+    Logger(const Logger&) = delete;
+    Logger& operator=(const Logger&) = delete;
+
+    bool isEnabled(LogLevel level) const;
+    void setLevel(LogLevel level);
+    LogLevel level() const;
+
+    /// An event of the process.
+    void write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+    /// An event of a request.
+    void write(LogLevel level, std::string_view event, RequestId request,
+        std::initializer_list<LogField> fields = {});
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace peridotgrade
