--- a/src/thrift/peridot.thrift
+++ b/src/thrift/peridot.thrift
@@ -225,7 +225,7 @@
   1: list<i64> quarantined
 }
 
-// Frames
+// Frames. Members that both unions have carry the same numbers, so that a process can read them from either.
 
 // Sent by an entry shard, to an agent or to another entry.
 union EntryMessage {
@@ -238,10 +238,10 @@
   7: StartRead& startRead
   8: StartAction& startAction
   9: QueryAction& queryAction
-  10: VersionNotice& versionNotice
-  11: FetchConfiguration& fetchConfiguration
-  12: ConfigurationSnapshot& configurationSnapshot
-  13: QuarantineNotice& quarantineNotice
+  30: VersionNotice& versionNotice
+  31: FetchConfiguration& fetchConfiguration
+  32: ConfigurationSnapshot& configurationSnapshot
+  33: QuarantineNotice& quarantineNotice
 }
 
 // Sent by an agent to an entry shard.
@@ -259,10 +259,10 @@
   11: ReadAnswered& readAnswered
   12: ReadFailed& readFailed
   13: ActionReport& actionReport
-  14: VersionNotice& versionNotice
-  15: FetchConfiguration& fetchConfiguration
-  16: ConfigurationSnapshot& configurationSnapshot
-  17: QuarantineNotice& quarantineNotice
+  30: VersionNotice& versionNotice
+  31: FetchConfiguration& fetchConfiguration
+  32: ConfigurationSnapshot& configurationSnapshot
+  33: QuarantineNotice& quarantineNotice
 }
 
 // `clock` is the sender's hybrid logical clock.
