--- /dev/null
+++ b/src/libperidotgrade/entry/agent_links.cpp
@@ -0,0 +1,184 @@
+// The connections of one entry shard to agents.
+#include "agent_links.h"
+
+namespace peridotgrade {
+
+namespace {
+
+    constexpr std::chrono::milliseconds FirstReconnect { 50 };
+    constexpr std::chrono::milliseconds LongestReconnect { 2000 };
+
+    void add(FrameTraffic& sum, const FrameTraffic& traffic)
+    {
+        sum.bytesSent += traffic.bytesSent;
+        sum.bytesReceived += traffic.bytesReceived;
+        sum.framesSent += traffic.framesSent;
+        sum.framesReceived += traffic.framesReceived;
+    }
+
+} // namespace
+
+AgentLinks::AgentLinks(
+    boost::asio::any_io_executor executor, FrameSettings settings, TimerService& timers, RandomSource& random)
+    : executor(std::move(executor))
+    , settings(settings)
+    , timers(timers)
+    , random(random)
+{
+}
+
+void AgentLinks::setListener(std::weak_ptr<AgentLinkListener> value) { this->listener = std::move(value); }
+
+void AgentLinks::want(const std::vector<VmRecord>& agents)
+{
+    for (auto& [agent, link] : this->links)
+        link.isWanted = false;
+    for (const VmRecord& vm : agents) {
+        AgentId agent { vm.name };
+        auto found = this->links.find(agent);
+        if (found == this->links.end())
+            found = this->links.emplace(agent, Link { .backoff = Backoff(FirstReconnect, LongestReconnect) })
+                        .first;
+        Link& link = found->second;
+        link.vm = vm;
+        link.isWanted = true;
+        bool isIdle = !link.connection && !link.isConnecting;
+        if (isIdle)
+            this->connect(agent, link);
+    }
+    std::erase_if(this->links, [](const auto& entry) {
+        const Link& link = entry.second;
+        return !link.isWanted && !link.connection && !link.isConnecting;
+    });
+}
+
+void AgentLinks::connect(const AgentId& agent, Link& link)
+{
+    auto endpoint = parseEndpoint(link.vm.address);
+    if (!endpoint || this->isStopped)
+        return;
+    link.isConnecting = true;
+    link.current = LinkId { ++this->lastLink };
+    auto report = [weak = this->listener, agent, id = link.current](ConnectResult result) {
+        if (auto target = weak.lock())
+            target->onConnectEnded(agent, id, std::move(result));
+    };
+    connectFrames(this->executor, *endpoint, this->settings, std::move(report));
+}
+
+bool AgentLinks::onConnectEnded(const AgentId& agent, LinkId id, ConnectResult result)
+{
+    auto* connection = std::get_if<std::shared_ptr<FrameConnection>>(&result);
+    if (!this->isCurrent(agent, id) || this->isStopped) {
+        if (connection != nullptr)
+            (*connection)->close();
+        return false;
+    }
+    Link& link = this->links.at(agent);
+    link.isConnecting = false;
+    if (connection == nullptr) {
+        this->retryLater(agent, link);
+        return false;
+    }
+    link.connection = std::move(*connection);
+    link.backoff.reset();
+    FrameHandlers handlers;
+    handlers.onFrame = [weak = this->listener, agent, id](std::string_view frame) {
+        if (auto target = weak.lock())
+            target->onFrame(agent, id, frame);
+    };
+    handlers.onClosed = [weak = this->listener, agent, id](const NetError&) {
+        if (auto target = weak.lock())
+            target->onClosed(agent, id);
+    };
+    link.connection->start(std::move(handlers));
+    return true;
+}
+
+void AgentLinks::retryLater(const AgentId& agent, Link& link)
+{
+    // Counts as connecting, so that a new VM list does not start a second try beside the planned one.
+    link.isConnecting = true;
+    LinkId failed = link.current;
+    this->timers.subscribeAfter(link.backoff.next(this->random), [this, agent, failed] {
+        auto found = this->links.find(agent);
+        if (found == this->links.end() || found->second.current != failed)
+            return;
+        found->second.isConnecting = false;
+        if (found->second.isWanted)
+            this->connect(agent, found->second);
+        else
+            this->links.erase(found);
+    });
+}
+
+bool AgentLinks::onClosed(const AgentId& agent, LinkId id)
+{
+    if (!this->isCurrent(agent, id))
+        return false;
+    Link& link = this->links.at(agent);
+    if (!link.connection)
+        return false;
+    add(this->endedTraffic, link.connection->traffic());
+    link.connection.reset();
+    if (!this->isStopped)
+        this->retryLater(agent, link);
+    return true;
+}
+
+bool AgentLinks::isCurrent(const AgentId& agent, LinkId id) const
+{
+    auto found = this->links.find(agent);
+    return found != this->links.end() && found->second.current == id;
+}
+
+void AgentLinks::send(const AgentId& agent, std::string_view frame)
+{
+    auto found = this->links.find(agent);
+    if (found != this->links.end() && found->second.connection)
+        found->second.connection->send(frame);
+}
+
+void AgentLinks::sendToAll(std::string_view frame)
+{
+    for (auto& [agent, link] : this->links) {
+        if (link.connection)
+            link.connection->send(frame);
+    }
+}
+
+void AgentLinks::close(const AgentId& agent)
+{
+    auto found = this->links.find(agent);
+    if (found != this->links.end() && found->second.connection)
+        found->second.connection->close();
+}
+
+void AgentLinks::closeAll()
+{
+    this->isStopped = true;
+    for (auto& [agent, link] : this->links) {
+        if (link.connection)
+            link.connection->close();
+    }
+}
+
+std::size_t AgentLinks::connected() const
+{
+    std::size_t count = 0;
+    for (const auto& [agent, link] : this->links)
+        count += link.connection ? 1 : 0;
+    return count;
+}
+
+FrameTraffic AgentLinks::traffic() const
+{
+    FrameTraffic sum = this->endedTraffic;
+    for (const auto& [agent, link] : this->links) {
+        if (link.connection)
+            add(sum, link.connection->traffic());
+    }
+    return sum;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/candidates.cpp
@@ -0,0 +1,112 @@
+// Which backend servers a shard connects to and which may get new work.
+#include "candidates.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace peridotgrade {
+
+namespace {
+
+    /// Servers that can stand in for each other.
+    struct Pool {
+        ModelId model;
+        EngineRole role = EngineRole::Mixed;
+        ServiceId service;
+        std::vector<VmRecord> members;
+    };
+
+    using PoolKey = std::string;
+
+    PoolKey keyOf(const EngineAssignment& assignment)
+    {
+        return "model/" + assignment.model.raw() + "/" + std::string { nameOf(assignment.role) };
+    }
+
+    /// From the contacts, not from the usable ones: a subset that followed every lost connection would move.
+    std::map<PoolKey, Pool> enginePools(
+        const SiteConfiguration& configuration, const std::vector<VmRecord>& contacts)
+    {
+        std::map<PoolKey, Pool> pools;
+        for (const VmRecord& vm : contacts) {
+            auto assigned = configuration.engines.find(AgentId { vm.name });
+            if (vm.kind != VmKind::Engine || assigned == configuration.engines.end())
+                continue;
+            const EngineAssignment& assignment = assigned->second;
+            Pool& pool = pools[keyOf(assignment)];
+            pool.model = assignment.model;
+            pool.role = assignment.role;
+            pool.members.push_back(vm);
+        }
+        return pools;
+    }
+
+    std::map<PoolKey, Pool> applicationPools(const std::vector<VmRecord>& contacts)
+    {
+        std::map<PoolKey, Pool> pools;
+        for (const VmRecord& vm : contacts) {
+            if (vm.kind != VmKind::Application)
+                continue;
+            Pool& pool = pools["application/" + vm.service.raw()];
+            pool.service = vm.service;
+            pool.members.push_back(vm);
+        }
+        return pools;
+    }
+
+    void reduce(std::map<PoolKey, Pool>& pools, const CandidateChooser& chooser)
+    {
+        for (auto& [key, pool] : pools)
+            pool.members
+                = stableSubset(pool.members, chooser.entry.raw(), key, chooser.dataCentre, chooser.size);
+    }
+
+} // namespace
+
+std::vector<VmRecord> wantedAgents(
+    const CandidateChooser& chooser, const SiteConfiguration& configuration, const Membership& membership)
+{
+    std::vector<VmRecord> contacts = membership.contacts();
+    auto pools = enginePools(configuration, contacts);
+    pools.merge(applicationPools(contacts));
+    reduce(pools, chooser);
+    std::vector<VmRecord> wanted;
+    for (const auto& [key, pool] : pools)
+        wanted.insert(wanted.end(), pool.members.begin(), pool.members.end());
+    return wanted;
+}
+
+RoutingView routingView(const CandidateChooser& chooser, const SiteConfiguration& configuration,
+    ConfigVersion version, const Membership& membership)
+{
+    auto pools = enginePools(configuration, membership.contacts());
+    reduce(pools, chooser);
+    RoutingView view;
+    view.version = version;
+    for (const auto& [key, pool] : pools) {
+        for (const VmRecord& vm : pool.members) {
+            AgentId agent { vm.name };
+            if (membership.isUsable(agent))
+                view.engines.push_back(EngineCandidate { agent, vm.dataCentre, pool.model, pool.role });
+        }
+    }
+    return view;
+}
+
+std::vector<CallCandidate> callCandidates(const CandidateChooser& chooser, const Membership& membership)
+{
+    auto pools = applicationPools(membership.contacts());
+    reduce(pools, chooser);
+    std::vector<CallCandidate> candidates;
+    for (const auto& [key, pool] : pools) {
+        for (const VmRecord& vm : pool.members) {
+            AgentId agent { vm.name };
+            if (membership.isUsable(agent))
+                candidates.push_back(CallCandidate { agent, pool.service, vm.dataCentre });
+        }
+    }
+    return candidates;
+}
+
+} // namespace peridotgrade
