Add stand-ins of engine, application server and platform

Ruled out: freeing a stream whose client is gone at the engine, which would hide every leak that an agent has to prevent; idle polling of the engine's loops, which would cost processor time for each engine of a large site. Change: three programs under src/standins with a control port each; the engine batches, keeps memory in pieces, caches prefixes, exports at a link's rate and evicts; the platform has log, VM list and weight store; the application server counts runs by key. HttpExchange gains abandon() for answers lost on purpose. Conclusion: the outside interfaces of docs/OUTSIDE.md are there to build on.

--- a/src/include/peridotgrade/net/http_server.h
+++ b/src/include/peridotgrade/net/http_server.h
@@ -32,6 +32,9 @@
     virtual boost::asio::awaitable<bool> writeChunk(std::string chunk) = 0;
     virtual boost::asio::awaitable<bool> endStream() = 0;
 
+    /// Closes the connection at once, without an answer or in the middle of one.
+    virtual void abandon() { }
+
     /// Calls `callback` once, on the strand, when the client closes its connection before the answer is
     /// complete.
     virtual void onClientGone(std::function<void()> callback) = 0;
--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -138,6 +138,15 @@
             co_return this->noteWrite(error);
         }
 
+        void abandon() override
+        {
+            this->keepAlive = false;
+            this->isAnswered = true;
+            this->isGone = true;
+            boost::system::error_code ignored;
+            this->stream.socket().close(ignored);
+        }
+
         void onClientGone(std::function<void()> callback) override
         {
             this->goneCallback = std::move(callback);
--- /dev/null
+++ b/src/standins/engine/engine.h
@@ -0,0 +1,113 @@
+// The engine stand-in: memory, prefill queue, running batch, exports and the streams that use them.
+#pragma once
+
+#include "cache_event_log.h"
+#include "decode_batch.h"
+#include "engine_settings.h"
+#include "kv_exports.h"
+#include "model_shelf.h"
+#include "piece_store.h"
+#include "prefill_queue.h"
+#include "prefix_cache.h"
+#include "work.h"
+
+#include "../common/control_port.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+
+namespace peridotgrade::standins {
+
+/// What of a request to start a stream went wrong.
+enum class StartRefusal : std::uint8_t { None, UnknownModel, StreamInUse, Full };
+
+/// State of the engine. A stream whose client is gone goes on, and holds its memory until it ends or is
+/// cancelled. Not thread safe.
+class Engine {
+public:
+    Engine(boost::asio::any_io_executor executor, EngineSettings settings, std::uint64_t seed,
+        std::uint64_t incarnation);
+
+    /// Starts the engine's loops.
+    void start();
+    void addSwitches(ControlPort& control);
+
+    boost::json::object state() const;
+    boost::json::object laggingLoad() const;
+    boost::json::object streams() const;
+    boost::json::object counts() const;
+
+    /// Takes memory for the work; a prefill is queued at once.
+    StartRefusal startPrefill(const WorkPointer& work);
+    StartRefusal startDecode(const WorkPointer& work);
+    /// Puts a decode with its KV cache imported into the batch.
+    void joinBatch(const WorkPointer& work);
+    /// Queues a decode's prompt to be computed here.
+    void computePrompt(const WorkPointer& work);
+    /// Frees everything that the stream holds.
+    void cancel(const std::string& stream);
+    /// Gives up a decode that could not start.
+    void fail(const WorkPointer& work);
+
+    KvExports::Export* beginExport(const std::string& handle);
+    void endExport(const std::string& handle, bool isWhole);
+    /// When the outgoing link will have sent `bytes` more.
+    StandinClock::time_point sendOverLink(std::uint64_t bytes);
+
+    /// All that the engine holds is lost, as in a new run.
+    void restart();
+
+    EngineSettings& settings() { return this->currentSettings; }
+    ModelShelf& models() { return this->shelf; }
+    CacheEventLog& cacheEvents() { return this->eventLog; }
+    std::uint64_t incarnation() const { return this->currentIncarnation; }
+    boost::asio::any_io_executor executor() const { return this->ioExecutor; }
+
+private:
+    struct LoadSample {
+        StandinClock::time_point at;
+        std::uint64_t placesFree = 0;
+        long long backlogMs = 0;
+    };
+
+    StartRefusal admit(const WorkPointer& work, HoldKind kind, std::uint64_t tokens);
+    void onComputed(const WorkPointer& work);
+    void onFinished(const WorkPointer& work);
+    void keep(const WorkPointer& work);
+    boost::asio::awaitable<void> evictLater(std::string handle);
+    void removeExport(const std::string& handle);
+    boost::asio::awaitable<void> sampleLoad();
+    std::uint64_t placesFree() const;
+    void endWork(const WorkPointer& work, WorkState state);
+
+    boost::asio::any_io_executor ioExecutor;
+    EngineSettings currentSettings;
+    std::mt19937_64 random;
+    std::uint64_t currentIncarnation;
+    std::uint64_t lastHandle = 0;
+    PieceStore memory;
+    PrefixCache cache;
+    CacheEventLog eventLog;
+    ModelShelf shelf;
+    KvExports exports;
+    PrefillQueue prefills;
+    DecodeBatch batch;
+    /// Invariant: holds exactly the works that have not ended, by stream.
+    std::map<std::string, WorkPointer> works;
+    std::deque<LoadSample> loadSamples;
+    StandinClock::time_point linkFreeAt;
+
+    std::uint64_t prefillsDone = 0;
+    std::uint64_t tokensComputed = 0;
+    std::uint64_t decodesDone = 0;
+    std::uint64_t resultsEvicted = 0;
+    std::uint64_t cancels = 0;
+};
+
+} // namespace peridotgrade::standins
--- /dev/null
+++ b/src/standins/engine/kv_import.cpp
@@ -0,0 +1,60 @@
+// Pulling a KV cache over HTTP.
+#include "kv_import.h"
+
+#include "../common/now.h"
+
+#include "peridotgrade/net/http_client.h"
+
+namespace peridotgrade::standins {
+
+namespace {
+
+    std::chrono::milliseconds timeLeft(StandinClock::time_point until)
+    {
+        auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - StandinClock::now());
+        return std::max(left, std::chrono::milliseconds { 1 });
+    }
+
+    ImportResult resultOf(const NetError& error)
+    {
+        return error.kind == NetErrorKind::TimedOut ? ImportResult::Stalled : ImportResult::Gone;
+    }
+
+    boost::asio::awaitable<ImportResult> readWhole(HttpStream& stream, StandinClock::time_point until)
+    {
+        while (true) {
+            auto part = co_await stream.read(timeLeft(until));
+            if (const auto* error = std::get_if<NetError>(&part))
+                co_return resultOf(*error);
+            if (std::get<std::string>(part).empty())
+                co_return ImportResult::Imported;
+            if (StandinClock::now() >= until)
+                co_return ImportResult::Stalled;
+        }
+    }
+
+} // namespace
+
+boost::asio::awaitable<ImportResult> importKv(
+    WorkPointer work, std::string exporter, std::string handle, std::chrono::milliseconds timeout)
+{
+    auto server = parseEndpoint(exporter);
+    if (!server)
+        co_return ImportResult::Gone;
+    auto until = StandinClock::now() + timeout;
+    HttpClient client(work->changed.get_executor(), *server);
+    HttpRequest request;
+    request.target = "/v1/kv/" + handle;
+    auto opened = co_await client.open(std::move(request), timeout);
+    if (const auto* error = std::get_if<NetError>(&opened))
+        co_return resultOf(*error);
+    auto stream = std::move(std::get<std::unique_ptr<HttpStream>>(opened));
+    if (stream->head().status != 200)
+        co_return ImportResult::Gone;
+    work->abortImport = [&stream] { stream->close(); };
+    ImportResult result = co_await readWhole(*stream, until);
+    work->abortImport = nullptr;
+    co_return result;
+}
+
+} // namespace peridotgrade::standins
--- /dev/null
+++ b/src/standins/engine/kv_import.h
@@ -0,0 +1,19 @@
+// Import of a KV cache from another engine.
+#pragma once
+
+#include "work.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <string>
+
+namespace peridotgrade::standins {
+
+enum class ImportResult : std::uint8_t { Imported, Gone, Stalled };
+
+/// Pulls the KV cache `handle` from `exporter` within `timeout`; ends early when the work is cancelled.
+boost::asio::awaitable<ImportResult> importKv(
+    WorkPointer work, std::string exporter, std::string handle, std::chrono::milliseconds timeout);
+
+} // namespace peridotgrade::standins
--- /dev/null
+++ b/src/standins/engine/piece_store.h
@@ -0,0 +1,79 @@
+// The engine's memory: KV cache handed out in fixed pieces.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace peridotgrade::standins {
+
+enum class HoldKind : std::uint8_t { Prefill, Kept, Decode };
+
+/// `prefill`, `kept` or `decode`.
+constexpr const char* nameOf(HoldKind kind)
+{
+    if (kind == HoldKind::Prefill)
+        return "prefill";
+    return kind == HoldKind::Kept ? "kept" : "decode";
+}
+
+/// Who holds how many pieces. Not thread safe.
+class PieceStore {
+public:
+    struct Hold {
+        HoldKind kind = HoldKind::Prefill;
+        std::uint32_t pieces = 0;
+    };
+
+    PieceStore(std::uint64_t tokens, std::uint32_t tokensPerPiece)
+        : tokensPerPiece(tokensPerPiece)
+        , piecesTotal(tokens / tokensPerPiece)
+    {
+    }
+
+    /// False, and nothing taken, if there are too few pieces left.
+    bool take(const std::string& stream, HoldKind kind, std::uint64_t tokens)
+    {
+        std::uint64_t pieces = (tokens + this->tokensPerPiece - 1) / this->tokensPerPiece;
+        if (this->piecesHeld + pieces > this->piecesTotal)
+            return false;
+        this->piecesHeld += pieces;
+        this->byStream[stream] = Hold { kind, static_cast<std::uint32_t>(pieces) };
+        return true;
+    }
+
+    void setKind(const std::string& stream, HoldKind kind)
+    {
+        auto found = this->byStream.find(stream);
+        if (found != this->byStream.end())
+            found->second.kind = kind;
+    }
+
+    void release(const std::string& stream)
+    {
+        auto found = this->byStream.find(stream);
+        if (found == this->byStream.end())
+            return;
+        this->piecesHeld -= found->second.pieces;
+        this->byStream.erase(found);
+    }
+
+    bool holds(const std::string& stream) const { return this->byStream.count(stream) > 0; }
+    const std::map<std::string, Hold>& holds() const { return this->byStream; }
+    std::uint64_t held() const { return this->piecesHeld; }
+
+    void clear()
+    {
+        this->byStream.clear();
+        this->piecesHeld = 0;
+    }
+
+private:
+    std::uint32_t tokensPerPiece;
+    std::uint64_t piecesTotal;
+    /// Invariant: the sum over `byStream`, never more than `piecesTotal`.
+    std::uint64_t piecesHeld = 0;
+    std::map<std::string, Hold> byStream;
+};
+
+} // namespace peridotgrade::standins
--- /dev/null
+++ b/src/standins/engine/work.h
@@ -0,0 +1,66 @@
+// One stream's work at the engine, shared by its HTTP handler and the engine's loops.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace peridotgrade::standins {
+
+enum class WorkState : std::uint8_t { Waiting, Running, Done, Cancelled, Dropped };
+
+/// A prefill or decode in progress. `changed` is cancelled to wake the handler.
+struct Work {
+    explicit Work(const boost::asio::any_io_executor& executor)
+        : changed(executor, boost::asio::steady_timer::time_point::max())
+    {
+    }
+
+    /// Wakes whoever waits for a change.
+    void notify() { this->changed.cancel(); }
+
+    /// Comes back at the next `notify`.
+    boost::asio::awaitable<void> waitForChange()
+    {
+        boost::system::error_code woken;
+        co_await this->changed.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, woken));
+    }
+
+    bool hasEnded() const { return this->state != WorkState::Waiting && this->state != WorkState::Running; }
+
+    std::string stream;
+    std::string model;
+    std::string prompt;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint32_t priority = 1;
+    WorkState state = WorkState::Waiting;
+    bool isDecode = false;
+    /// Ends an import in progress; empty while there is none.
+    std::function<void()> abortImport;
+
+    // Result of a prefill.
+    std::string kvHandle;
+    std::uint64_t kvBytes = 0;
+
+    // Decoding.
+    std::uint32_t nextIndex = 0;
+    std::uint32_t maxTokens = 0;
+    std::string ownPrompt;
+    std::uint32_t answerLength = 0;
+    /// Server-sent events not yet written.
+    std::string pending;
+
+    boost::asio::steady_timer changed;
+};
+
+using WorkPointer = std::shared_ptr<Work>;
+
+} // namespace peridotgrade::standins
--- /dev/null
+++ b/src/standins/platform/log_service.h
@@ -0,0 +1,60 @@
+// The platform's log over HTTP, with its limits and faults.
+#pragma once
+
+#include "log_stream.h"
+
+#include "../common/control_port.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+
+namespace peridotgrade::standins {
+
+/// Limits and faults; all may be changed while it runs.
+struct LogSettings {
+    std::uint32_t appendsPerSecond = 300;
+    std::uint64_t retentionMs = 60 * 60 * 1000;
+    /// Each call waits this long before it has any effect.
+    std::uint64_t slowMs = 0;
+    /// Calls get 503.
+    bool isDown = false;
+    /// Connections end without an answer or an effect.
+    bool isUnreachable = false;
+    /// That many appends to come take effect, and their answer is lost.
+    std::uint64_t loseAnswers = 0;
+    /// Share of all appends whose answer is lost after the effect.
+    double lostAnswerShare = 0;
+};
+
+/// Serves `/log/STREAM/records`. Not thread safe.
+class LogService {
+public:
+    LogService(std::uint64_t seed, LogSettings settings);
+
+    void addSwitches(ControlPort& control);
+    void addCounts(boost::json::object& counts) const;
+
+    boost::asio::awaitable<void> serve(HttpExchange& exchange, std::string stream);
+
+private:
+    boost::asio::awaitable<void> append(HttpExchange& exchange, std::string stream);
+    boost::asio::awaitable<void> read(HttpExchange& exchange, std::string stream);
+    bool takeAppendPermit();
+    bool losesAnswer();
+    HttpResponse page(const LogStream& stream, std::uint64_t from, std::uint64_t limit) const;
+
+    LogSettings settings;
+    std::mt19937_64 random;
+    std::map<std::string, LogStream> streams;
+    double permits = 0;
+    StandinClock::time_point permitsAt;
+    std::uint64_t appends = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t answersLost = 0;
+};
+
+} // namespace peridotgrade::standins
--- /dev/null
+++ b/src/standins/platform/vm_list.cpp
@@ -0,0 +1,88 @@
+// Editions of the VM list.
+#include "vm_list.h"
+
+#include <stdexcept>
+
+namespace peridotgrade::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+    bool hasName(const json::value& vm, const json::value& name) { return vm.as_object().at("name") == name; }
+
+    void checkVm(const json::value& vm)
+    {
+        for (const char* key : { "name", "address", "data_centre", "service", "kind", "state" }) {
+            if (!vm.as_object().at(key).is_string())
+                throw std::invalid_argument(std::string { key } + " has to be a text");
+        }
+    }
+
+} // namespace
+
+VmList::VmList(std::uint64_t lagMs)
+    : lagMs(lagMs)
+{
+    this->publish({});
+}
+
+void VmList::addSwitches(ControlPort& control)
+{
+    control.addVariable("vm_lag_ms", this->lagMs);
+    control.addSwitch("vms", [this](const json::value& vms) {
+        for (const json::value& vm : vms.as_array())
+            checkVm(vm);
+        this->publish(vms.as_array());
+    });
+    control.addSwitch("add_vm", [this](const json::value& vm) { this->add(vm); });
+    control.addSwitch("remove_vm", [this](const json::value& name) { this->remove(name); });
+    control.addSwitch("leave_vm", [this](const json::value& name) { this->leave(name); });
+}
+
+json::array VmList::visible()
+{
+    auto shown = StandinClock::now() - std::chrono::milliseconds { this->lagMs };
+    while (this->editions.size() > 1 && this->editions[1].since <= shown)
+        this->editions.pop_front();
+    return this->editions.front().vms;
+}
+
+void VmList::add(const json::value& vm)
+{
+    checkVm(vm);
+    this->remove(vm.as_object().at("name"));
+    json::array vms = this->editions.back().vms;
+    vms.push_back(vm);
+    this->publish(std::move(vms));
+}
+
+void VmList::remove(const json::value& name)
+{
+    json::array kept;
+    for (const json::value& vm : this->editions.back().vms) {
+        if (!hasName(vm, name))
+            kept.push_back(vm);
+    }
+    this->publish(std::move(kept));
+}
+
+void VmList::leave(const json::value& name)
+{
+    json::array vms = this->editions.back().vms;
+    for (json::value& vm : vms) {
+        if (hasName(vm, name))
+            vm.as_object()["state"] = "leaving";
+    }
+    this->publish(std::move(vms));
+}
+
+void VmList::publish(json::array vms)
+{
+    Edition edition;
+    edition.since = StandinClock::now();
+    edition.vms = std::move(vms);
+    this->editions.push_back(std::move(edition));
+}
+
+} // namespace peridotgrade::standins
--- /dev/null
+++ b/src/standins/platform/vm_list.h
@@ -0,0 +1,40 @@
+// The platform's list of VMs, which lags behind what tests set.
+#pragma once
+
+#include "../common/control_port.h"
+#include "../common/now.h"
+
+#include <boost/json/array.hpp>
+
+#include <cstdint>
+#include <deque>
+
+namespace peridotgrade::standins {
+
+/// Keeps the lists of the recent past and shows the one that was right `lagMs` ago. Not thread safe.
+class VmList {
+public:
+    explicit VmList(std::uint64_t lagMs);
+
+    /// Switches `vms` (the whole list), `add_vm`, `remove_vm` (name), `leave_vm` (name), `vm_lag_ms`.
+    void addSwitches(ControlPort& control);
+
+    boost::json::array visible();
+
+private:
+    struct Edition {
+        StandinClock::time_point since;
+        boost::json::array vms;
+    };
+
+    void add(const boost::json::value& vm);
+    void remove(const boost::json::value& name);
+    void leave(const boost::json::value& name);
+    void publish(boost::json::array vms);
+
+    std::uint64_t lagMs;
+    /// Invariant: never empty, in order of time.
+    std::deque<Edition> editions;
+};
+
+} // namespace peridotgrade::standins
--- /dev/null
+++ b/testsuite/support/__init__.py
@@ -0,0 +1,1 @@
+"""Support of the test suite: processes, ports, HTTP calls and waiting."""
