Tell crash reports apart by engine run and prefill speed with the load

Cause: an entry that lost its connection at a crash never heard of it, and a repeated report counted as a second crash, which would quarantine innocent requests; policies saw no prefill speed. Ruled out: numbering crashes at the entry (two reports of one crash look like two). Change: EngineCrashed carries the engine's incarnation, hosts repeat reports of the last 10 s to new sessions; LiveLoad carries the prefill speed; a request whose prefill alone misses its first token is refused without Retry-After.

--- a/src/include/peridotgrade/core/messages/place_messages.h
+++ b/src/include/peridotgrade/core/messages/place_messages.h
@@ -19,6 +19,8 @@
     std::uint32_t asksQueued = 0;
     /// Prefill work waiting or running, as the time it takes to finish it.
     std::chrono::milliseconds prefillBacklog { 0 };
+    /// How fast the engine computes prompts; 0 if that is not known.
+    double prefillTokensPerSecond = 0;
 };
 
 /// Entry to agent: reserve a place. The agent grants, queues for at most `maxQueueTime`, or refuses.
--- a/src/include/peridotgrade/core/messages/stream_messages.h
+++ b/src/include/peridotgrade/core/messages/stream_messages.h
@@ -95,9 +95,12 @@
     LiveLoad load;
 };
 
-/// Agent to entry: the engine died while these requests were on it; each is suspected of it.
+/// Agent to entry: the engine died while these requests were on it; each is suspected of it. Repeated for a
+/// short time to sessions that are opened after the crash.
 struct EngineCrashed {
     std::vector<Fingerprint> running;
+    /// The run of the engine that ended: one crash however often it is reported.
+    Incarnation engine;
 };
 
 /// Agent to entry, late and with gaps: prefixes that entered or left the engine's prefix cache. A hint.
--- /dev/null
+++ b/src/libperidotgrade/core/hosting/crash_reports.cpp
@@ -0,0 +1,31 @@
+// Implementation of the recent crash reports.
+#include "crash_reports.h"
+
+#include <utility>
+
+namespace peridotgrade {
+
+namespace {
+    // Long enough for an entry to connect again.
+    constexpr std::chrono::seconds LongestKept { 10 };
+    constexpr std::size_t MostKept = 8;
+} // namespace
+
+void CrashReports::add(EngineCrashed report, TimePoint now)
+{
+    this->reports.push_back({ now, std::move(report) });
+    if (this->reports.size() > MostKept)
+        this->reports.pop_front();
+}
+
+std::vector<EngineCrashed> CrashReports::recent(TimePoint now)
+{
+    while (!this->reports.empty() && this->reports.front().at + LongestKept < now)
+        this->reports.pop_front();
+    std::vector<EngineCrashed> messages;
+    for (const Report& report : this->reports)
+        messages.push_back(report.message);
+    return messages;
+}
+
+} // namespace peridotgrade
--- a/src/libperidotgrade/core/hosting/host_engine.cpp
+++ b/src/libperidotgrade/core/hosting/host_engine.cpp
@@ -183,6 +183,7 @@
     ++this->totals.engineCrashes;
     this->record(EventKind::EngineCrashed, AttemptId {}, this->settings.agent.raw());
     EngineCrashed crashed;
+    crashed.engine = this->engine.incarnation;
     for (const EngineStream& stream : this->streams.removeAll()) {
         if (stream.isRunning)
             crashed.running.push_back(stream.fingerprint);
@@ -192,6 +193,8 @@
         if (session.isLive)
             this->send(connection, crashed);
     }
+    if (!crashed.running.empty())
+        this->crashReports.add(crashed, this->timers.now());
     this->refuseAllAsks(PlaceRefusalReason::EngineDown);
     for (const HoldKey& key : this->places.grantedKeys()) {
         if (auto place = this->places.remove(key))
--- a/src/libperidotgrade/core/hosting/host_sessions.cpp
+++ b/src/libperidotgrade/core/hosting/host_sessions.cpp
@@ -52,6 +52,8 @@
     opened.draining = this->isDraining;
     this->record(EventKind::SessionOpened, AttemptId {}, message.entry.raw());
     this->send(session.connection, std::move(opened));
+    for (EngineCrashed& report : this->crashReports.recent(this->timers.now()))
+        this->send(session.connection, std::move(report));
 }
 
 void ModelHost::Impl::endOtherSessionsOf(const EntryId& entry, ConnectionId but)
--- a/src/libperidotgrade/core/hosting/model_host.cpp
+++ b/src/libperidotgrade/core/hosting/model_host.cpp
@@ -101,6 +101,7 @@
     load.placesFree = this->isReady() && !this->isDraining ? this->capacity.placesFree() : 0;
     load.asksQueued = static_cast<std::uint32_t>(this->places.queued());
     Duration backlog = this->prefills.backlog(this->timers.now());
+    load.prefillTokensPerSecond = this->engine.prefillTokensPerSecond;
     load.prefillBacklog = std::chrono::duration_cast<std::chrono::milliseconds>(backlog);
     return load;
 }
--- a/src/libperidotgrade/core/hosting/model_host_impl.h
+++ b/src/libperidotgrade/core/hosting/model_host_impl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "capacity.h"
+#include "crash_reports.h"
 #include "drain_rate.h"
 #include "engine_streams.h"
 #include "host_session.h"
@@ -134,6 +135,7 @@
     bool isListingAwaited = false;
     bool hasCancelTimer = false;
 
+    CrashReports crashReports;
     Capacity capacity;
     DrainRate drainRate;
     EngineStreams streams;
--- a/src/libperidotgrade/core/routing/agent_directory.cpp
+++ b/src/libperidotgrade/core/routing/agent_directory.cpp
@@ -83,11 +83,8 @@
     AgentSession* session = this->find(agent);
     if (!session || session->link != AgentLink::Opening)
         return;
-    if (session->incarnation != message.incarnation)
-        session->crashesSeen = 0;
     session->link = AgentLink::Open;
     session->epoch = message.epoch;
-    session->incarnation = message.incarnation;
     session->leaseDuration = message.leaseDuration;
     session->isDraining = message.draining;
     session->hasRenewTimer = false;
@@ -109,15 +106,6 @@
     session->ownPrefillTokensSince = 0;
 }
 
-Incarnation AgentDirectory::onCrash(const AgentId& agent)
-{
-    AgentSession* session = this->find(agent);
-    if (!session)
-        return Incarnation {};
-    ++session->crashesSeen;
-    return Incarnation { session->incarnation.raw() + session->crashesSeen };
-}
-
 bool AgentDirectory::isUsable(const AgentId& agent) const
 {
     const AgentSession* session = this->find(agent);
@@ -172,6 +160,7 @@
     view.loadSeenAt = session->loadSeenAt;
     view.ownInFlight = static_cast<std::uint32_t>(session->held.size());
     view.ownPrefillTokensSince = session->ownPrefillTokensSince;
+    view.prefillTokensPerSecond = session->load.prefillTokensPerSecond;
     return view;
 }
 
--- a/src/libperidotgrade/core/routing/agent_directory.h
+++ b/src/libperidotgrade/core/routing/agent_directory.h
@@ -29,8 +29,6 @@
     void onOpened(const AgentId& agent, const SessionOpened& message);
     void onDraining(const AgentId& agent);
     void onLoad(const AgentId& agent, const LiveLoad& load);
-    /// The crash's own number at this agent, for those who count crashes once.
-    Incarnation onCrash(const AgentId& agent);
 
     bool isUsable(const AgentId& agent) const;
     SessionEpoch epochOf(const AgentId& agent) const;
--- a/src/libperidotgrade/core/routing/agent_session.h
+++ b/src/libperidotgrade/core/routing/agent_session.h
@@ -17,14 +17,11 @@
     AgentId agent;
     AgentLink link = AgentLink::Down;
     SessionEpoch epoch;
-    Incarnation incarnation;
     std::chrono::milliseconds leaseDuration { 0 };
     bool isDraining = false;
     LiveLoad load;
     TimePoint loadSeenAt;
     std::uint64_t ownPrefillTokensSince = 0;
-    /// Reports of a crashed engine under this session's agent; tells apart two crashes of one server.
-    std::uint64_t crashesSeen = 0;
     /// Attempts that ask, hold or use something there. Invariant: empty unless the link is open.
     std::set<AttemptId> held;
     bool hasRenewTimer = false;
--- a/src/libperidotgrade/core/routing/router_core.h
+++ b/src/libperidotgrade/core/routing/router_core.h
@@ -60,6 +60,8 @@
     void startAttempt(RequestState& state);
     /// False if the request was ended or put off instead.
     bool checkStanding(RequestState& state);
+    /// True if even an idle engine would not end the prefill in time: coming back never helps.
+    bool isPrefillTooLong(const RequestState& state) const;
     void askPlaces(RequestState& state);
     void askPlace(RequestState& state, const EngineView& engine);
     void onAsksUnanswered(RequestState& state);
@@ -81,7 +83,7 @@
     void retryOrRefuse(RequestState& state, RefusalReason reason);
     void releaseAll(RequestState& state);
     void finish(RequestState& state, FinishReason reason);
-    void refuse(RequestState& state, RefusalReason reason);
+    void refuse(RequestState& state, RefusalReason reason, bool isWorthRetrying = true);
     void refuseAtOnce(const ModelRequest& request, RefusalReason reason);
     /// Ends the request; `state` is gone afterwards.
     void erase(RequestState& state);
--- a/src/libperidotgrade/core/routing/router_failures.cpp
+++ b/src/libperidotgrade/core/routing/router_failures.cpp
@@ -96,7 +96,7 @@
     this->actions.emplace_back(answer);
 }
 
-void RouterCore::refuse(RequestState& state, RefusalReason reason)
+void RouterCore::refuse(RequestState& state, RefusalReason reason, bool isWorthRetrying)
 {
     this->releaseAll(state);
     ++this->totals.refused;
@@ -105,7 +105,7 @@
     refusal.outcome = state.hasRun ? Outcome::Unknown : Outcome::NotRun;
     checkInvariant(state.nextIndex == 0 || state.hasRun, Invariant::NotRunMeansNotRun,
         "a request with delivered tokens counts as not run");
-    if (reason != RefusalReason::Quarantined)
+    if (isWorthRetrying && reason != RefusalReason::Quarantined)
         refusal.retryAfter = state.shortestWait.value_or(DefaultRetryAfter);
     AttemptId attempt { state.request.id, state.lastAttempt };
     this->record(EventKind::RequestRefused, attempt, {}, std::string(nameOf(reason)));
--- a/src/libperidotgrade/core/routing/router_messages.cpp
+++ b/src/libperidotgrade/core/routing/router_messages.cpp
@@ -118,8 +118,7 @@
 void RouterCore::handle(const AgentId& agent, const EngineCrashed& message)
 {
     this->record(EventKind::EngineCrashed, AttemptId {}, agent.raw());
-    Incarnation crash = this->agents.onCrash(agent);
-    for (Fingerprint fingerprint : this->quarantine.recordCrash(agent, crash, message.running)) {
+    for (Fingerprint fingerprint : this->quarantine.recordCrash(agent, message.engine, message.running)) {
         this->record(EventKind::RequestQuarantined, AttemptId {}, agent.raw());
         this->actions.emplace_back(PublishQuarantine { fingerprint });
         this->refuseQuarantined(fingerprint);
--- a/src/libperidotgrade/core/routing/router_placing.cpp
+++ b/src/libperidotgrade/core/routing/router_placing.cpp
@@ -28,6 +28,10 @@
         this->refuse(state, RefusalReason::DeadlineUnreachable);
         return;
     }
+    if (this->isPrefillTooLong(state)) {
+        this->refuse(state, RefusalReason::DeadlineUnreachable, false);
+        return;
+    }
     if (!this->checkStanding(state))
         return;
     ++this->totals.attempts;
@@ -39,6 +43,21 @@
     this->startPrefill(state, AttemptId { state.request.id, ++state.lastAttempt });
 }
 
+bool RouterCore::isPrefillTooLong(const RequestState& state) const
+{
+    // Later attempts have less time left: a new request would still have it all.
+    if (state.retries > 0)
+        return false;
+    std::vector<EngineView> engines = this->candidates(state, true);
+    std::chrono::duration<double> timeLeft = this->slack(state);
+    return !engines.empty() && std::all_of(engines.begin(), engines.end(), [&](const EngineView& engine) {
+        std::uint32_t uncached
+            = state.request.promptTokens - std::min(state.request.promptTokens, engine.cachedTokens);
+        return uncached > timeLeft.count() * engine.prefillTokensPerSecond
+            && engine.prefillTokensPerSecond > 0;
+    });
+}
+
 bool RouterCore::checkStanding(RequestState& state)
 {
     Standing standing = this->quarantine.standingOf(state.fingerprint);
--- a/src/libperidotgrade/core/routing/test_support/world.h
+++ b/src/libperidotgrade/core/routing/test_support/world.h
@@ -324,11 +324,11 @@
     }
 
     /// Delivers once, twice or not at all, in order.
-    template <typename Deliver> void transmit(TimePoint& last, bool mayRepeat, Deliver deliver)
+    template <typename Deliver> void transmit(TimePoint& last, Deliver deliver)
     {
         if (this->random.unit() < this->faults.lost)
             return;
-        int copies = mayRepeat && this->random.unit() < this->faults.repeated ? 2 : 1;
+        int copies = this->random.unit() < this->faults.repeated ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
             last = std::max(last, this->clock.now() + this->delayUpTo(this->faults.longestDelay));
             this->clock.subscribeAt(last, deliver);
@@ -342,7 +342,7 @@
         if (found == this->connections.end())
             return;
         std::shared_ptr<Connection> connection = found->second;
-        this->transmit(connection->lastToAgent, true, [this, connection, message = action.message] {
+        this->transmit(connection->lastToAgent, [this, connection, message = action.message] {
             FakeAgent* process = this->agents[connection->agent].get();
             if (connection->isCut || !process || process->serial != connection->agentSerial)
                 return;
@@ -379,10 +379,8 @@
         for (const auto& [pair, connection] : this->connections) {
             if (connection->id != action.connection || pair.second != agent)
                 continue;
-            // A crash is told once: a second report counts as a second crash of that server.
-            bool mayRepeat = !std::holds_alternative<EngineCrashed>(action.message);
             auto kept = connection;
-            this->transmit(kept->lastToEntry, mayRepeat, [this, kept, message = action.message] {
+            this->transmit(kept->lastToEntry, [this, kept, message = action.message] {
                 FakeEntry* process = this->entries[kept->entry].get();
                 if (kept->isCut || !process || process->serial != kept->entrySerial)
                     return;
--- a/src/libperidotgrade/wire/codec_test.cpp
+++ b/src/libperidotgrade/wire/codec_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 const AttemptId Attempt { RequestId { 0xfedcba9876543210 }, 7 };
-const LiveLoad Load { 3, 20, 0xffffffff, std::chrono::milliseconds { 41 } };
+const LiveLoad Load { 3, 20, 0xffffffff, std::chrono::milliseconds { 41 }, 10000.5 };
 const ApplicationCall Call { "POST", "/a/b?c=d", "text/plain", { { "X-A", "b" } },
     std::string { "\0\xff", 2 } };
 const ApplicationAnswer Answer { 503, "text/plain", { { "X-A", "b" } }, "body" };
@@ -45,8 +45,9 @@
         PrefillFinished { Attempt, KvHandle { "h" }, "127.0.0.1:1", ~0ULL, 64, Time, Load },
         TokenFrame { Attempt, 17, { " a", "", "\xc4" }, true, FinishReason::Length },
         AttemptFailed { Attempt, AttemptFailure::SuspectPresent, Load },
-        EngineCrashed { { Fingerprint { 1 } } }, CacheChanged { 6, { 1, ~0ULL }, { 3 } },
-        ReadAnswered { Attempt, Answer }, ReadFailed { Attempt, true },
+        EngineCrashed { { Fingerprint { 1 } }, Incarnation { ~0ULL } },
+        CacheChanged { 6, { 1, ~0ULL }, { 3 } }, ReadAnswered { Attempt, Answer },
+        ReadFailed { Attempt, true },
         ActionReport {
             Attempt, IdempotencyKey { "k" }, Incarnation { 4 }, ActionState::RefusedUnstarted, Answer },
         VersionNotice { ConfigVersion { 5 } }, FetchConfiguration { ConfigVersion { 5 } },
--- a/src/libperidotgrade/wire/convert_stream.cpp
+++ b/src/libperidotgrade/wire/convert_stream.cpp
@@ -139,6 +139,7 @@
 {
     wire::EngineCrashed result;
     result.running = rawOf(value.running);
+    result.engine = static_cast<std::int64_t>(value.engine.raw());
     return result;
 }
 
@@ -146,6 +147,7 @@
 {
     EngineCrashed result;
     result.running = idsFrom<Fingerprint>(value.running);
+    result.engine = Incarnation { static_cast<std::uint64_t>(value.engine) };
     return result;
 }
 
--- a/src/libperidotgrade/wire/convert_values.cpp
+++ b/src/libperidotgrade/wire/convert_values.cpp
@@ -1,6 +1,8 @@
 // Conversions of the values that several messages share.
 #include "convert_values.h"
 
+#include <cmath>
+
 namespace peridotgrade {
 
 namespace {
@@ -48,6 +50,7 @@
     result.placesTotal = static_cast<std::int32_t>(value.placesTotal);
     result.asksQueued = static_cast<std::int32_t>(value.asksQueued);
     result.prefillBacklogMs = value.prefillBacklog.count();
+    result.prefillTokensPerSecond = value.prefillTokensPerSecond;
     return result;
 }
 
@@ -58,6 +61,9 @@
     result.placesTotal = static_cast<std::uint32_t>(value.placesTotal);
     result.asksQueued = static_cast<std::uint32_t>(value.asksQueued);
     result.prefillBacklog = millisecondsFrom(value.prefillBacklogMs);
+    // What is no speed counts as not known: not-a-number and infinity would spoil every comparison.
+    if (std::isfinite(value.prefillTokensPerSecond) && value.prefillTokensPerSecond > 0)
+        result.prefillTokensPerSecond = value.prefillTokensPerSecond;
     return result;
 }
 
--- a/src/thrift/peridot.thrift
+++ b/src/thrift/peridot.thrift
@@ -15,6 +15,7 @@
   2: i32 placesTotal
   3: i32 asksQueued
   4: i64 prefillBacklogMs
+  5: double prefillTokensPerSecond
 }
 
 // Sessions
@@ -134,6 +135,7 @@
 
 struct EngineCrashed {
   1: list<i64> running
+  2: i64 engine
 }
 
 struct CacheChanged {
