Add randomised run of actions; tie agents' reports to their target

Ruled out: a fault of the harness; the time line shows the superseding claim naming a nonce that was never sealed.

--- a/src/libperidotgrade/core/actions/action_conversation.h
+++ b/src/libperidotgrade/core/actions/action_conversation.h
@@ -69,6 +69,10 @@
     TimerId pause;
 
     AttemptId attempt() const { return { this->id, this->exchange }; }
+    const AgentId& askedAgent() const
+    {
+        return this->stage == ActionStage::Sent ? this->claim.agent : this->target.agent;
+    }
     bool awaitsOwnClaim() const { return this->stage < ActionStage::Inquiring; }
 };
 
--- a/src/libperidotgrade/core/actions/action_flow_agents.cpp
+++ b/src/libperidotgrade/core/actions/action_flow_agents.cpp
@@ -37,6 +37,8 @@
     }
     conversation.stage = ActionStage::Inquiring;
     conversation.target = target;
+    // What an earlier target's agent still has to say must not be taken for the new one's word.
+    ++conversation.exchange;
     this->context.timers.cancel(conversation.pause);
     if (this->context.agents.runOf(conversation.target.agent))
         this->ask(conversation, conversation.target, false);
--- a/src/libperidotgrade/core/actions/action_router_test.cpp
+++ b/src/libperidotgrade/core/actions/action_router_test.cpp
@@ -120,6 +120,20 @@
     BOOST_TEST(std::holds_alternative<QueryAction>(sent.back().message));
 }
 
+BOOST_AUTO_TEST_CASE(the_word_of_a_replaced_claims_agent_says_nothing_of_the_new_claim)
+{
+    submitAndBatch(1);
+    readForeignClaim(77, lastClaim(), First);
+    settleAppend();
+    const SendToAgent question = sent.back();
+    readForeignClaim(78, lastClaim(), Second, ClaimNonce { 77 });
+    auto& query = std::get<QueryAction>(question.message);
+    router.onMessage(First, ActionReport { query.attempt, query.key, Run, ActionState::Sealed, {} });
+    advance(milliseconds { 5 });
+    BOOST_TEST(appends.size() == 1u);
+    BOOST_TEST(refused.empty());
+}
+
 BOOST_AUTO_TEST_CASE(another_run_of_the_agent_makes_the_outcome_unknown)
 {
     submitAndBatch(1);
--- /dev/null
+++ b/src/libperidotgrade/core/actions/run_journal.h
@@ -0,0 +1,179 @@
+// What callers were told and what application servers did in a randomised run, and whether both agree.
+#pragma once
+
+#include "peridotgrade/core/actions/action_router.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <sstream>
+
+namespace peridotgrade::testing {
+
+/// One request of a caller at one entry.
+struct Submission {
+    RequestId id;
+    IdempotencyKey key;
+    /// The run of the entry that took it.
+    std::string entryRun;
+    TimePoint submittedAt;
+    TimePoint deadline;
+    std::optional<TimePoint> toldAt;
+    Outcome outcome = Outcome::Unknown;
+    RefusalReason reason = RefusalReason::NoCapacity;
+    std::string answer;
+    /// The caller went away or its entry died: it is told nothing.
+    bool isDeaf = false;
+};
+
+/// One effect at an application server.
+struct Effect {
+    IdempotencyKey key;
+    /// The request in whose name the action was started.
+    RequestId origin;
+    TimePoint startedAt;
+    std::string answer;
+};
+
+/// Takes notes during a run, and judges at its end. The time line is bounded: its oldest lines go first.
+class RunJournal {
+public:
+    void note(TimePoint at, const std::string& who, const std::string& what)
+    {
+        std::ostringstream line;
+        line << std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count() << "us "
+             << who << ' ' << what;
+        this->lines.push_back(line.str());
+        if (this->lines.size() > MaxLines)
+            this->lines.pop_front();
+    }
+
+    void submitted(Submission submission) { this->submissions.emplace(submission.id, std::move(submission)); }
+
+    void told(RequestId id, TimePoint at, Outcome outcome, RefusalReason reason, const std::string& answer)
+    {
+        Submission& submission = this->submissions.at(id);
+        if (submission.toldAt)
+            this->fail("answered twice", submission.key);
+        if (submission.isDeaf)
+            return;
+        submission.toldAt = at;
+        submission.outcome = outcome;
+        submission.reason = reason;
+        submission.answer = answer;
+    }
+
+    void deafen(RequestId id) { this->submissions.at(id).isDeaf = true; }
+
+    void ran(Effect effect) { this->effects[effect.key].push_back(std::move(effect)); }
+
+    void judge()
+    {
+        for (const auto& [key, effects] : this->effects) {
+            if (effects.size() > 1)
+                this->fail("ran " + std::to_string(effects.size()) + " times", key);
+        }
+        std::map<IdempotencyKey, bool> isDisowned;
+        for (const auto& [id, submission] : this->submissions) {
+            this->judge(submission);
+            bool isNotRun = submission.toldAt && submission.outcome == Outcome::NotRun;
+            auto [disowned, isNew] = isDisowned.try_emplace(submission.key, true);
+            disowned->second = disowned->second && isNotRun;
+        }
+        for (const auto& [key, disowned] : isDisowned) {
+            if (disowned && this->effects.contains(key))
+                this->fail("every caller was told not-run, but it ran", key);
+        }
+    }
+
+    std::size_t count(Outcome outcome) const
+    {
+        std::size_t count = 0;
+        for (const auto& [id, submission] : this->submissions)
+            count += submission.toldAt && submission.outcome == outcome;
+        return count;
+    }
+
+    const std::vector<std::string>& failures() const { return this->found; }
+
+    /// The last lines, oldest first.
+    std::string timeline() const
+    {
+        std::string text;
+        for (const std::string& line : this->lines)
+            text += line + '\n';
+        return text;
+    }
+
+private:
+    static constexpr std::size_t MaxLines = 4000;
+
+    void fail(const std::string& what, const IdempotencyKey& key)
+    {
+        this->found.push_back(what + ": " + key.raw());
+    }
+
+    void judge(const Submission& submission)
+    {
+        if (submission.isDeaf)
+            return;
+        if (!submission.toldAt) {
+            this->fail("never told", submission.key);
+            return;
+        }
+        auto effects = this->effects.find(submission.key);
+        bool hasRun = effects != this->effects.end();
+        if (submission.outcome == Outcome::Answered) {
+            if (!hasRun || effects->second.front().answer != submission.answer)
+                this->fail("answered with what was not its answer", submission.key);
+        }
+        if (submission.outcome == Outcome::NotRun && hasRun) {
+            for (const Effect& effect : effects->second) {
+                if (this->wasFor(effect, submission))
+                    this->fail("told not-run, but it ran", submission.key);
+            }
+        }
+    }
+
+    /// Requests with one key that are open at one run of an entry at the same time share their fate.
+    bool wasFor(const Effect& effect, const Submission& submission) const
+    {
+        if (effect.origin == submission.id)
+            return true;
+        const Submission& origin = this->submissions.at(effect.origin);
+        bool wasRefusedAtOnce = submission.toldAt == submission.submittedAt;
+        if (origin.entryRun != submission.entryRun || wasRefusedAtOnce)
+            return false;
+        bool originWasOpen = !origin.toldAt || *origin.toldAt >= submission.submittedAt;
+        return originWasOpen && effect.startedAt <= *submission.toldAt;
+    }
+
+    std::map<RequestId, Submission> submissions;
+    std::map<IdempotencyKey, std::vector<Effect>> effects;
+    std::vector<std::string> found;
+    std::deque<std::string> lines;
+};
+
+/// Writes a node's events into the journal.
+class JournalSink final : public EventSink {
+public:
+    JournalSink(RunJournal& journal, std::string node)
+        : journal(journal)
+        , node(std::move(node))
+    {
+    }
+
+    void record(TimelineEvent event) override
+    {
+        std::ostringstream text;
+        text << nameOf(event.kind) << " request=" << event.attempt.request << " subject=" << event.subject
+             << " detail=" << event.detail;
+        this->journal.note(event.at, this->node, text.str());
+    }
+
+private:
+    RunJournal& journal;
+    std::string node;
+};
+
+} // namespace peridotgrade::testing
