Reconcile an engine to its assignment, level-triggered

Cause: a confirmed plan has to take effect on engines that die, lose answers, ignore fencing numbers, or get orders from strangers.

Ruled out: remembering orders as done; only the state that was read back counts. A read that began before an order was answered is dropped, since the engine may have served it first: without that guard the test a_state_read_before_the_answer_says_nothing_of_the_order fails (one failure counted, an order would be doubled), seen by replacing the condition with false in a build.

Change: Reconciler with one order in flight, drain before unloads, version and role changes, pace, backoff, undoing; settlement of confirmations whose answers were lost.

--- /dev/null
+++ b/src/libperidotgrade/core/config/reconciler.cpp
@@ -0,0 +1,334 @@
+// Implementation of the reconciler.
+#include "peridotgrade/core/config/reconciler.h"
+
+#include "peridotgrade/core/base/invariant.h"
+#include "peridotgrade/core/base/name_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotgrade {
+
+namespace {
+
+    constexpr auto OrderNames = std::to_array<std::string_view>({ "load", "unload", "change_role" });
+
+    bool contains(const std::vector<std::string>& texts, const std::string& text)
+    {
+        return std::find(texts.begin(), texts.end(), text) != texts.end();
+    }
+
+    std::string describe(const EngineOrder& order)
+    {
+        std::string text { nameOf(order.kind) };
+        if (order.kind == EngineOrderKind::ChangeRole)
+            return text + " " + std::string { nameOf(order.role) };
+        text += " " + order.model.raw() + " " + order.modelVersion;
+        return order.adapter.empty() ? text : text + " adapter " + order.adapter;
+    }
+
+} // namespace
+
+std::string_view nameOf(EngineOrderKind kind) { return nameAt(OrderNames, kind); }
+
+const LoadedModel* EngineState::modelNamed(const ModelId& model) const
+{
+    auto found = std::find_if(this->models.begin(), this->models.end(),
+        [&](const LoadedModel& loaded) { return loaded.model == model; });
+    return found == this->models.end() ? nullptr : &*found;
+}
+
+bool EngineState::isLoading(const ModelId& model) const
+{
+    return std::find(this->loading.begin(), this->loading.end(), model) != this->loading.end();
+}
+
+Reconciler::Reconciler(
+    ReconcilerSettings settings, TimerService& timers, RandomSource& random, EventSink& events)
+    : settings(settings)
+    , timers(timers)
+    , random(random)
+    , events(events)
+    , backoff(settings.firstRetry, settings.longestRetry)
+{
+}
+
+void Reconciler::start() { this->requestState(); }
+
+void Reconciler::requestState()
+{
+    ++this->lastRead;
+    this->actions.push_back(ReadEngineState { this->lastRead });
+}
+
+void Reconciler::scheduleRead()
+{
+    this->timers.subscribeAfter(this->settings.stateInterval, [this] { this->requestState(); });
+}
+
+void Reconciler::onTarget(ConfigVersion version, std::optional<EngineAssignment> target, Duration startIn)
+{
+    if (version <= this->wanted)
+        return;
+    this->wanted = version;
+    bool isSame = this->assignment == target;
+    this->assignment = std::move(target);
+    if (!isSame) {
+        this->isInForce = false;
+        this->startAt = this->timers.now() + startIn;
+        this->retryAt = TimePoint {};
+        this->backoff.reset();
+    }
+    this->step();
+}
+
+void Reconciler::onState(std::uint64_t read, EngineState fresh)
+{
+    if (read != this->lastRead)
+        return;
+    this->scheduleRead();
+    if (read <= this->staleThrough)
+        return;
+    this->state = std::move(fresh);
+    this->step();
+}
+
+void Reconciler::onStateFailed(std::uint64_t read)
+{
+    if (read != this->lastRead)
+        return;
+    this->scheduleRead();
+    this->state.reset();
+    this->isInForce = false;
+    this->waitingFor = "the engine's state cannot be read";
+}
+
+void Reconciler::onOrderAnswer(OrderAnswer answer)
+{
+    if (!this->inFlight || this->inFlight->answer)
+        return;
+    this->inFlight->answer = answer;
+    // A read that is on its way may have been served before the order was.
+    this->staleThrough = this->lastRead;
+    this->state.reset();
+}
+
+void Reconciler::onDrained()
+{
+    if (!this->isDraining)
+        return;
+    this->isDrained = true;
+    this->step();
+}
+
+void Reconciler::step()
+{
+    if (!this->state || !this->settleInFlight())
+        return;
+    if (!this->assignment) {
+        this->endDrain();
+        this->isInForce = this->wanted != ConfigVersion {};
+        this->waitingFor = this->isInForce ? "" : "no configuration is known";
+        return;
+    }
+    std::optional<EngineOrder> order = this->nextOrder();
+    if (!order) {
+        this->markInForce();
+        return;
+    }
+    if (this->isInForce) {
+        ++this->undone;
+        this->isInForce = false;
+        this->recordEvent(
+            EventKind::EngineOrderUndone, "the engine left what is assigned; " + describe(*order));
+    }
+    TimePoint earliest = std::max(this->startAt, this->retryAt);
+    if (this->timers.now() < earliest) {
+        this->waitingFor = this->failures > 0 ? "the next try after a failure" : "its turn in the plan";
+        return;
+    }
+    if (this->needsDrain(*order) && !this->isDrained) {
+        this->beginDrain();
+        this->waitingFor = "running requests to finish before " + describe(*order);
+        return;
+    }
+    this->send(std::move(*order));
+}
+
+bool Reconciler::settleInFlight()
+{
+    if (!this->inFlight)
+        return true;
+    if (!this->inFlight->answer)
+        return false;
+    bool isRestarted = this->inFlight->engine != this->state->incarnation;
+    if (isRestarted) {
+        this->inFlight.reset();
+        return true;
+    }
+    const EngineOrder& order = this->inFlight->order;
+    if (this->hasEffect(order)) {
+        this->recordEvent(EventKind::EngineOrderDone, describe(order));
+        this->inFlight.reset();
+        return true;
+    }
+    if (*this->inFlight->answer == OrderAnswer::StaleFence) {
+        this->failOrder("the engine has seen fencing number " + std::to_string(this->state->fence.raw()));
+        return true;
+    }
+    if (*this->inFlight->answer == OrderAnswer::Refused) {
+        this->failOrder("the engine refused " + describe(order));
+        return true;
+    }
+    if (order.kind == EngineOrderKind::Load && this->state->isLoading(order.model)) {
+        this->waitingFor = "the load of " + order.model.raw() + " " + order.modelVersion;
+        return false;
+    }
+    bool mayStillArrive = *this->inFlight->answer == OrderAnswer::Lost
+        && this->timers.now() - this->inFlight->sentAt < this->settings.lostOrderGrace;
+    if (mayStillArrive) {
+        this->waitingFor = "an order whose answer was lost";
+        return false;
+    }
+    this->failOrder("no effect of " + describe(order));
+    return true;
+}
+
+bool Reconciler::hasEffect(const EngineOrder& order) const
+{
+    if (order.kind == EngineOrderKind::ChangeRole)
+        return this->state->role == order.role;
+    const LoadedModel* loaded = this->state->modelNamed(order.model);
+    if (order.kind == EngineOrderKind::Unload)
+        return loaded == nullptr;
+    bool isLoaded = loaded != nullptr && loaded->version == order.modelVersion;
+    return isLoaded && (order.adapter.empty() || contains(loaded->adapters, order.adapter));
+}
+
+void Reconciler::failOrder(const std::string& why)
+{
+    this->inFlight.reset();
+    ++this->failures;
+    this->retryAt = this->timers.now() + this->backoff.next(this->random);
+    this->waitingFor = why;
+    this->recordEvent(EventKind::EngineOrderFailed, why);
+}
+
+EngineOrder Reconciler::orderOf(EngineOrderKind kind) const
+{
+    EngineOrder order;
+    order.fence = this->wanted;
+    order.kind = kind;
+    order.model = this->assignment->model;
+    order.modelVersion = this->assignment->modelVersion;
+    order.role = this->assignment->role;
+    return order;
+}
+
+std::optional<EngineOrder> Reconciler::nextOrder() const
+{
+    if (this->state->role != this->assignment->role)
+        return this->orderOf(EngineOrderKind::ChangeRole);
+    if (auto order = this->nextModelOrder())
+        return order;
+    for (const LoadedModel& loaded : this->state->models) {
+        if (loaded.model == this->assignment->model)
+            continue;
+        EngineOrder order = this->orderOf(EngineOrderKind::Unload);
+        order.model = loaded.model;
+        order.modelVersion = loaded.version;
+        return order;
+    }
+    return std::nullopt;
+}
+
+std::optional<EngineOrder> Reconciler::nextModelOrder() const
+{
+    const EngineAssignment& wish = *this->assignment;
+    const LoadedModel* loaded = this->state->modelNamed(wish.model);
+    if (loaded == nullptr || loaded->version != wish.modelVersion)
+        return this->orderOf(EngineOrderKind::Load);
+    for (const std::string& adapter : wish.adapters) {
+        if (contains(loaded->adapters, adapter))
+            continue;
+        EngineOrder order = this->orderOf(EngineOrderKind::Load);
+        order.adapter = adapter;
+        return order;
+    }
+    bool hasForeignAdapter = std::any_of(loaded->adapters.begin(), loaded->adapters.end(),
+        [&](const std::string& adapter) { return !contains(wish.adapters, adapter); });
+    // There is no order that takes an adapter away, so the model is loaded afresh.
+    if (hasForeignAdapter)
+        return this->orderOf(EngineOrderKind::Unload);
+    return std::nullopt;
+}
+
+bool Reconciler::needsDrain(const EngineOrder& order) const
+{
+    if (order.kind != EngineOrderKind::Load)
+        return true;
+    const LoadedModel* loaded = this->state->modelNamed(order.model);
+    return loaded != nullptr && loaded->version != order.modelVersion;
+}
+
+void Reconciler::send(EngineOrder order)
+{
+    bool isOfPlan = order.fence == this->wanted && this->wanted != ConfigVersion {} && this->assignment;
+    checkInvariant(isOfPlan, Invariant::OnlyConfirmedPlansOrdered, describe(order));
+    checkInvariant(!this->inFlight, Invariant::InternalConsistency, "two orders in flight");
+    this->waitingFor = "the effect of " + describe(order);
+    this->recordEvent(EventKind::EngineOrderSent, describe(order));
+    this->inFlight = InFlight { order, std::nullopt, this->timers.now(), this->state->incarnation };
+    this->actions.push_back(SendEngineOrder { std::move(order) });
+}
+
+void Reconciler::markInForce()
+{
+    this->endDrain();
+    this->isInForce = true;
+    this->waitingFor.clear();
+    this->failures = 0;
+    this->backoff.reset();
+}
+
+void Reconciler::beginDrain()
+{
+    if (this->isDraining)
+        return;
+    this->isDraining = true;
+    this->actions.push_back(StartDrain {});
+}
+
+void Reconciler::endDrain()
+{
+    if (!this->isDraining)
+        return;
+    this->isDraining = false;
+    this->isDrained = false;
+    this->actions.push_back(StopDrain {});
+}
+
+void Reconciler::recordEvent(EventKind kind, const std::string& detail)
+{
+    TimelineEvent event;
+    event.kind = kind;
+    event.at = this->timers.now();
+    event.subject = "version " + std::to_string(this->wanted.raw());
+    event.detail = detail;
+    this->events.record(std::move(event));
+}
+
+std::vector<ReconcilerAction> Reconciler::takeActions() { return std::exchange(this->actions, {}); }
+
+ReconcilerStatus Reconciler::status() const
+{
+    ReconcilerStatus status;
+    status.wanted = this->wanted;
+    status.isInForce = this->isInForce;
+    status.waitingFor = this->waitingFor;
+    status.failures = this->failures;
+    status.undone = this->undone;
+    return status;
+}
+
+} // namespace peridotgrade
