--- a/src/include/peridotgrade/core/config/engine_state.h
+++ b/src/include/peridotgrade/core/config/engine_state.h
@@ -1,4 +1,4 @@
-// What an engine says about itself, and what it is ordered to do.
+// The state of an engine as it reports it.
 #pragma once
 
 #include "peridotgrade/core/base/ids.h"
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace peridotgrade {
@@ -20,45 +19,22 @@
     friend bool operator==(const LoadedModel&, const LoadedModel&) = default;
 };
 
-/// An engine's state as read from it.
+/// What an engine says about itself.
 struct EngineState {
+    /// Changes with each run of the engine.
     Incarnation incarnation;
     EngineRole role = EngineRole::Mixed;
     std::vector<LoadedModel> models;
     std::vector<ModelId> loading;
-    /// The highest fencing number seen by an engine that checks them.
-    ConfigVersion fence;
+    /// Highest fencing number seen.
+    std::uint64_t fence = 0;
     bool checksFence = false;
+    std::uint32_t placesTotal = 0;
+    std::uint64_t kvTokensTotal = 0;
+    std::uint32_t kvTokensPerPiece = 0;
+    double prefillTokensPerSecond = 0;
 
-    const LoadedModel* modelNamed(const ModelId& model) const;
-    bool isLoading(const ModelId& model) const;
-};
-
-enum class EngineOrderKind : std::uint8_t { Load, Unload, ChangeRole };
-
-std::string_view nameOf(EngineOrderKind kind);
-
-/// One order to an engine.
-struct EngineOrder {
-    /// The fencing number: the version of the configuration that asks for it.
-    ConfigVersion fence;
-    EngineOrderKind kind = EngineOrderKind::Load;
-    ModelId model;
-    std::string modelVersion;
-    /// Empty for a load of the model itself.
-    std::string adapter;
-    EngineRole role = EngineRole::Mixed;
-};
-
-/// How an engine answered an order.
-enum class OrderAnswer : std::uint8_t {
-    Taken,
-    /// The engine has seen a higher fencing number.
-    StaleFence,
-    /// Not taken, for another reason.
-    Refused,
-    /// No answer: the order may have been taken, or may still arrive.
-    Lost,
+    friend bool operator==(const EngineState&, const EngineState&) = default;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/core/config/reconciler.h
+++ b/src/include/peridotgrade/core/config/reconciler.h
@@ -5,6 +5,7 @@
 #include "peridotgrade/core/base/random_source.h"
 #include "peridotgrade/core/base/timeline_event.h"
 #include "peridotgrade/core/base/timer_service.h"
+#include "peridotgrade/core/config/assigned_order.h"
 #include "peridotgrade/core/config/engine_state.h"
 #include "peridotgrade/core/config/site_configuration.h"
 
@@ -21,8 +22,8 @@
     std::uint64_t read = 0;
 };
 
-struct SendEngineOrder {
-    EngineOrder order;
+struct SendOrder {
+    AssignedOrder order;
 };
 
 /// Grant nothing new; call `onDrained` when nothing runs any more.
@@ -31,7 +32,7 @@
 /// Grant again.
 struct StopDrain { };
 
-using ReconcilerAction = std::variant<ReadEngineState, SendEngineOrder, StartDrain, StopDrain>;
+using ReconcilerAction = std::variant<ReadEngineState, SendOrder, StartDrain, StopDrain>;
 
 struct ReconcilerSettings {
     Duration stateInterval = std::chrono::seconds { 1 };
@@ -81,7 +82,7 @@
 
 private:
     struct InFlight {
-        EngineOrder order;
+        AssignedOrder order;
         std::optional<OrderAnswer> answer;
         TimePoint sentAt;
         Incarnation engine;
@@ -92,17 +93,17 @@
     void step();
     /// True if no order is in flight any more.
     bool settleInFlight();
-    bool hasEffect(const EngineOrder& order) const;
+    bool hasEffect(const AssignedOrder& order) const;
     void failOrder(const std::string& why);
-    std::optional<EngineOrder> nextOrder() const;
-    std::optional<EngineOrder> nextModelOrder() const;
-    bool needsDrain(const EngineOrder& order) const;
-    void send(EngineOrder order);
+    std::optional<AssignedOrder> nextOrder() const;
+    std::optional<AssignedOrder> nextModelOrder() const;
+    bool needsDrain(const AssignedOrder& order) const;
+    void send(AssignedOrder order);
     void markInForce();
     void beginDrain();
     void endDrain();
     void recordEvent(EventKind kind, const std::string& detail);
-    EngineOrder orderOf(EngineOrderKind kind) const;
+    AssignedOrder orderOf(AssignedOrderKind kind) const;
 
     ReconcilerSettings settings;
     TimerService& timers;
--- a/src/libperidotgrade/core/config/reconciler.cpp
+++ b/src/libperidotgrade/core/config/reconciler.cpp
@@ -18,10 +18,22 @@
         return std::find(texts.begin(), texts.end(), text) != texts.end();
     }
 
-    std::string describe(const EngineOrder& order)
+    const LoadedModel* modelNamed(const EngineState& state, const ModelId& model)
+    {
+        auto found = std::find_if(state.models.begin(), state.models.end(),
+            [&](const LoadedModel& loaded) { return loaded.model == model; });
+        return found == state.models.end() ? nullptr : &*found;
+    }
+
+    bool isLoading(const EngineState& state, const ModelId& model)
+    {
+        return std::find(state.loading.begin(), state.loading.end(), model) != state.loading.end();
+    }
+
+    std::string describe(const AssignedOrder& order)
     {
         std::string text { nameOf(order.kind) };
-        if (order.kind == EngineOrderKind::ChangeRole)
+        if (order.kind == AssignedOrderKind::ChangeRole)
             return text + " " + std::string { nameOf(order.role) };
         text += " " + order.model.raw() + " " + order.modelVersion;
         return order.adapter.empty() ? text : text + " adapter " + order.adapter;
@@ -29,19 +41,7 @@
 
 } // namespace
 
-std::string_view nameOf(EngineOrderKind kind) { return nameAt(OrderNames, kind); }
-
-const LoadedModel* EngineState::modelNamed(const ModelId& model) const
-{
-    auto found = std::find_if(this->models.begin(), this->models.end(),
-        [&](const LoadedModel& loaded) { return loaded.model == model; });
-    return found == this->models.end() ? nullptr : &*found;
-}
-
-bool EngineState::isLoading(const ModelId& model) const
-{
-    return std::find(this->loading.begin(), this->loading.end(), model) != this->loading.end();
-}
+std::string_view nameOf(AssignedOrderKind kind) { return nameAt(OrderNames, kind); }
 
 Reconciler::Reconciler(
     ReconcilerSettings settings, TimerService& timers, RandomSource& random, EventSink& events)
@@ -131,7 +131,7 @@
         this->waitingFor = this->isInForce ? "" : "no configuration is known";
         return;
     }
-    std::optional<EngineOrder> order = this->nextOrder();
+    std::optional<AssignedOrder> order = this->nextOrder();
     if (!order) {
         this->markInForce();
         return;
@@ -166,21 +166,21 @@
         this->inFlight.reset();
         return true;
     }
-    const EngineOrder& order = this->inFlight->order;
+    const AssignedOrder& order = this->inFlight->order;
     if (this->hasEffect(order)) {
         this->recordEvent(EventKind::EngineOrderDone, describe(order));
         this->inFlight.reset();
         return true;
     }
     if (*this->inFlight->answer == OrderAnswer::StaleFence) {
-        this->failOrder("the engine has seen fencing number " + std::to_string(this->state->fence.raw()));
+        this->failOrder("the engine has seen fencing number " + std::to_string(this->state->fence));
         return true;
     }
     if (*this->inFlight->answer == OrderAnswer::Refused) {
         this->failOrder("the engine refused " + describe(order));
         return true;
     }
-    if (order.kind == EngineOrderKind::Load && this->state->isLoading(order.model)) {
+    if (order.kind == AssignedOrderKind::Load && isLoading(*this->state, order.model)) {
         this->waitingFor = "the load of " + order.model.raw() + " " + order.modelVersion;
         return false;
     }
@@ -194,12 +194,12 @@
     return true;
 }
 
-bool Reconciler::hasEffect(const EngineOrder& order) const
+bool Reconciler::hasEffect(const AssignedOrder& order) const
 {
-    if (order.kind == EngineOrderKind::ChangeRole)
+    if (order.kind == AssignedOrderKind::ChangeRole)
         return this->state->role == order.role;
-    const LoadedModel* loaded = this->state->modelNamed(order.model);
-    if (order.kind == EngineOrderKind::Unload)
+    const LoadedModel* loaded = modelNamed(*this->state, order.model);
+    if (order.kind == AssignedOrderKind::Unload)
         return loaded == nullptr;
     bool isLoaded = loaded != nullptr && loaded->version == order.modelVersion;
     return isLoaded && (order.adapter.empty() || contains(loaded->adapters, order.adapter));
@@ -214,9 +214,9 @@
     this->recordEvent(EventKind::EngineOrderFailed, why);
 }
 
-EngineOrder Reconciler::orderOf(EngineOrderKind kind) const
+AssignedOrder Reconciler::orderOf(AssignedOrderKind kind) const
 {
-    EngineOrder order;
+    AssignedOrder order;
     order.fence = this->wanted;
     order.kind = kind;
     order.model = this->assignment->model;
@@ -225,16 +225,16 @@
     return order;
 }
 
-std::optional<EngineOrder> Reconciler::nextOrder() const
+std::optional<AssignedOrder> Reconciler::nextOrder() const
 {
     if (this->state->role != this->assignment->role)
-        return this->orderOf(EngineOrderKind::ChangeRole);
+        return this->orderOf(AssignedOrderKind::ChangeRole);
     if (auto order = this->nextModelOrder())
         return order;
     for (const LoadedModel& loaded : this->state->models) {
         if (loaded.model == this->assignment->model)
             continue;
-        EngineOrder order = this->orderOf(EngineOrderKind::Unload);
+        AssignedOrder order = this->orderOf(AssignedOrderKind::Unload);
         order.model = loaded.model;
         order.modelVersion = loaded.version;
         return order;
@@ -242,16 +242,16 @@
     return std::nullopt;
 }
 
-std::optional<EngineOrder> Reconciler::nextModelOrder() const
+std::optional<AssignedOrder> Reconciler::nextModelOrder() const
 {
     const EngineAssignment& wish = *this->assignment;
-    const LoadedModel* loaded = this->state->modelNamed(wish.model);
+    const LoadedModel* loaded = modelNamed(*this->state, wish.model);
     if (loaded == nullptr || loaded->version != wish.modelVersion)
-        return this->orderOf(EngineOrderKind::Load);
+        return this->orderOf(AssignedOrderKind::Load);
     for (const std::string& adapter : wish.adapters) {
         if (contains(loaded->adapters, adapter))
             continue;
-        EngineOrder order = this->orderOf(EngineOrderKind::Load);
+        AssignedOrder order = this->orderOf(AssignedOrderKind::Load);
         order.adapter = adapter;
         return order;
     }
@@ -259,19 +259,19 @@
         [&](const std::string& adapter) { return !contains(wish.adapters, adapter); });
     // There is no order that takes an adapter away, so the model is loaded afresh.
     if (hasForeignAdapter)
-        return this->orderOf(EngineOrderKind::Unload);
+        return this->orderOf(AssignedOrderKind::Unload);
     return std::nullopt;
 }
 
-bool Reconciler::needsDrain(const EngineOrder& order) const
+bool Reconciler::needsDrain(const AssignedOrder& order) const
 {
-    if (order.kind != EngineOrderKind::Load)
+    if (order.kind != AssignedOrderKind::Load)
         return true;
-    const LoadedModel* loaded = this->state->modelNamed(order.model);
+    const LoadedModel* loaded = modelNamed(*this->state, order.model);
     return loaded != nullptr && loaded->version != order.modelVersion;
 }
 
-void Reconciler::send(EngineOrder order)
+void Reconciler::send(AssignedOrder order)
 {
     bool isOfPlan = order.fence == this->wanted && this->wanted != ConfigVersion {} && this->assignment;
     checkInvariant(isOfPlan, Invariant::OnlyConfirmedPlansOrdered, describe(order));
@@ -279,7 +279,7 @@
     this->waitingFor = "the effect of " + describe(order);
     this->recordEvent(EventKind::EngineOrderSent, describe(order));
     this->inFlight = InFlight { order, std::nullopt, this->timers.now(), this->state->incarnation };
-    this->actions.push_back(SendEngineOrder { std::move(order) });
+    this->actions.push_back(SendOrder { std::move(order) });
 }
 
 void Reconciler::markInForce()
--- a/src/libperidotgrade/core/config/reconciler_test.cpp
+++ b/src/libperidotgrade/core/config/reconciler_test.cpp
@@ -28,15 +28,15 @@
         return assignment;
     }
 
-    void obey(const EngineOrder& order)
+    void obey(const AssignedOrder& order)
     {
-        if (order.kind == EngineOrderKind::ChangeRole)
+        if (order.kind == AssignedOrderKind::ChangeRole)
             this->engine.role = order.role;
-        if (order.kind == EngineOrderKind::ChangeRole)
+        if (order.kind == AssignedOrderKind::ChangeRole)
             return;
         std::erase_if(
             this->engine.models, [&](const LoadedModel& each) { return each.model == order.model; });
-        if (order.kind == EngineOrderKind::Load)
+        if (order.kind == AssignedOrderKind::Load)
             this->engine.models.push_back({ order.model, order.modelVersion, {} });
     }
 
@@ -67,7 +67,7 @@
             this->isDraining = true;
         if (std::holds_alternative<StopDrain>(action))
             this->isDraining = false;
-        const auto* sent = std::get_if<SendEngineOrder>(&action);
+        const auto* sent = std::get_if<SendOrder>(&action);
         if (sent == nullptr)
             return;
         this->orders.push_back(sent->order);
@@ -82,7 +82,7 @@
     NullEventSink events;
     Reconciler reconciler;
     EngineState engine;
-    std::vector<EngineOrder> orders;
+    std::vector<AssignedOrder> orders;
     OrderAnswer answer = OrderAnswer::Taken;
     bool obeys = true;
     bool isDraining = false;
@@ -178,11 +178,11 @@
     this->reconciler.onTarget(ConfigVersion { 3 }, wish("v1"), 0s);
     auto sent = this->reconciler.takeActions();
     BOOST_REQUIRE(sent.size() == 1u);
-    BOOST_REQUIRE(std::holds_alternative<SendEngineOrder>(sent[0]));
+    BOOST_REQUIRE(std::holds_alternative<SendOrder>(sent[0]));
     this->timers.advance(TimePoint { 1s });
     auto reading = this->reconciler.takeActions();
     BOOST_REQUIRE(reading.size() == 1u);
-    this->obey(std::get<SendEngineOrder>(sent[0]).order);
+    this->obey(std::get<SendOrder>(sent[0]).order);
     this->reconciler.onOrderAnswer(OrderAnswer::Taken);
     this->reconciler.onState(std::get<ReadEngineState>(reading[0]).read, before);
     BOOST_TEST(this->reconciler.status().failures == 0u);
@@ -194,7 +194,7 @@
 
 BOOST_AUTO_TEST_CASE(a_higher_fence_in_the_engine_is_shown_and_never_obeyed)
 {
-    this->engine.fence = ConfigVersion { 99 };
+    this->engine.fence = 99;
     this->answer = OrderAnswer::StaleFence;
     this->obeys = false;
     this->reconciler.onTarget(ConfigVersion { 3 }, wish("v1"), 0s);
