--- /dev/null
+++ b/src/libperidotgrade/entry/answer_channel.cpp
@@ -0,0 +1,88 @@
+// Carries a model's answer from the shard to the coroutine that serves the caller.
+#include "answer_channel.h"
+
+#include "peridotgrade/core/base/invariant.h"
+
+namespace peridotgrade {
+
+AnswerChannel::AnswerChannel(boost::asio::any_io_executor strand, std::size_t maxQueuedBytes)
+    : maxQueuedBytes(maxQueuedBytes)
+    , signal(std::make_shared<AsyncSignal>(std::move(strand)))
+{
+}
+
+bool AnswerChannel::onTokens(DeliverTokens tokens, TimePoint at)
+{
+    std::lock_guard lock(this->mutex);
+    if (this->pending.isGone)
+        return false;
+    checkInvariant(!this->hasEnded, Invariant::NoRequestAnsweredTwice, "tokens after the end of an answer");
+    checkInvariant(tokens.firstIndex == this->nextIndex, Invariant::AnswerIsWholeAndOwn,
+        "a token is missing or repeated");
+    this->nextIndex += static_cast<std::uint32_t>(tokens.pieces.size());
+    for (const std::string& piece : tokens.pieces)
+        this->queuedBytes += piece.size();
+    if (this->queuedBytes > this->maxQueuedBytes) {
+        this->pending.isGone = true;
+        this->signal->set();
+        return false;
+    }
+    this->pending.batches.push_back(TokenBatch { std::move(tokens.pieces), at });
+    this->signal->set();
+    return true;
+}
+
+void AnswerChannel::onFinished(const FinishAnswer& answer)
+{
+    std::lock_guard lock(this->mutex);
+    checkInvariant(!this->hasEnded, Invariant::NoRequestAnsweredTwice, "a second end of an answer");
+    checkInvariant(answer.outputTokens == this->nextIndex, Invariant::AnswerIsWholeAndOwn,
+        "the answer ended with another number of tokens than were delivered");
+    this->hasEnded = true;
+    this->pending.finish = answer;
+    this->signal->set();
+}
+
+void AnswerChannel::onRefused(const Refusal& refusal)
+{
+    std::lock_guard lock(this->mutex);
+    checkInvariant(
+        !this->hasEnded, Invariant::NoRequestAnsweredTwice, "a refusal after the end of an answer");
+    bool isPromiseKept = refusal.outcome != Outcome::NotRun || this->nextIndex == 0;
+    checkInvariant(isPromiseKept, Invariant::NotRunMeansNotRun, "not-run after tokens were delivered");
+    this->hasEnded = true;
+    this->pending.refusal = refusal;
+    this->signal->set();
+}
+
+void AnswerChannel::markGone()
+{
+    std::lock_guard lock(this->mutex);
+    this->pending.isGone = true;
+    this->signal->set();
+}
+
+bool AnswerChannel::hasProgress() const
+{
+    const AnswerProgress& seen = this->pending;
+    return seen.isGone || !seen.batches.empty() || seen.finish || seen.refusal;
+}
+
+boost::asio::awaitable<AnswerProgress> AnswerChannel::next()
+{
+    for (;;) {
+        {
+            std::lock_guard lock(this->mutex);
+            if (this->hasProgress()) {
+                AnswerProgress taken = std::move(this->pending);
+                this->pending = AnswerProgress {};
+                this->pending.isGone = taken.isGone;
+                this->queuedBytes = 0;
+                co_return taken;
+            }
+        }
+        co_await this->signal->wait();
+    }
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/answer_channel.h
@@ -0,0 +1,59 @@
+// Carries a model's answer from the shard to the coroutine that serves the caller.
+#pragma once
+
+#include "async_signal.h"
+
+#include "peridotgrade/entry/answer_listener.h"
+
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace peridotgrade {
+
+/// Tokens that came together.
+struct TokenBatch {
+    std::vector<std::string> pieces;
+    TimePoint at;
+};
+
+/// Everything that has come since the coroutine looked last. At most one of the ends is set.
+struct AnswerProgress {
+    std::vector<TokenBatch> batches;
+    std::optional<FinishAnswer> finish;
+    std::optional<Refusal> refusal;
+    /// The caller closed its connection or does not read.
+    bool isGone = false;
+};
+
+/// The queue is bounded in bytes: a caller that does not read loses its answer, not the entry its memory.
+class AnswerChannel final : public ModelAnswerListener {
+public:
+    AnswerChannel(boost::asio::any_io_executor strand, std::size_t maxQueuedBytes);
+
+    bool onTokens(DeliverTokens tokens, TimePoint at) override;
+    void onFinished(const FinishAnswer& answer) override;
+    void onRefused(const Refusal& refusal) override;
+
+    /// The caller is gone. Thread safe.
+    void markGone();
+
+    /// Waits until there is something, and takes it. On the strand.
+    boost::asio::awaitable<AnswerProgress> next();
+
+private:
+    bool hasProgress() const;
+
+    const std::size_t maxQueuedBytes;
+    std::shared_ptr<AsyncSignal> signal;
+    std::mutex mutex;
+    AnswerProgress pending;
+    /// Invariant: bytes of the pieces in `pending`, at most `maxQueuedBytes` while the caller is not gone.
+    std::size_t queuedBytes = 0;
+    /// Invariant: index of the next token; tokens come without gap or repeat, and none after the end.
+    std::uint32_t nextIndex = 0;
+    bool hasEnded = false;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/caller_api.h
@@ -0,0 +1,30 @@
+// The callers' port: which service a request goes to.
+#pragma once
+
+#include "call_service.h"
+#include "completion_service.h"
+#include "entry_metrics.h"
+
+#include "peridotgrade/entry/entry_context.h"
+#include "peridotgrade/net/http_server.h"
+
+namespace peridotgrade {
+
+/// Refuses what comes from nobody known or while the entry cannot serve, and hands on the rest.
+class CallerApi {
+public:
+    CallerApi(EntryContext& context, EntryMetrics& metrics);
+
+    boost::asio::awaitable<void> handle(HttpExchange& exchange);
+
+private:
+    boost::asio::awaitable<void> dispatch(HttpExchange& exchange, CallerRequest caller);
+    boost::asio::awaitable<void> refuse(HttpExchange& exchange, ApiError error);
+
+    EntryContext& context;
+    EntryMetrics& metrics;
+    CompletionService completions;
+    CallService calls;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/caller_request.cpp
@@ -0,0 +1,76 @@
+// What is known of a caller's request before it is understood.
+#include "caller_request.h"
+
+#include "peridotgrade/ops/id_text.h"
+#include "peridotgrade/ops/settings/key_hash.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace peridotgrade {
+
+namespace {
+
+    constexpr std::string_view BearerPrefix = "Bearer ";
+    constexpr std::size_t MaxOwnIdBytes = 64;
+
+    ApiError unauthorized()
+    {
+        ApiError error;
+        error.status = 401;
+        error.type = "authentication_error";
+        error.code = "invalid_api_key";
+        error.message = "the field Authorization must hold 'Bearer ' and the key of a workspace";
+        return error;
+    }
+
+    std::variant<std::chrono::milliseconds, ApiError> timeoutFrom(
+        std::string_view text, const EntryLimits& limits)
+    {
+        if (text.empty())
+            return limits.requestTimeout;
+        std::uint32_t value = 0;
+        auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (status != std::errc {} || end != text.data() + text.size() || value == 0)
+            return invalidRequest(
+                "X-Request-Timeout-Ms must be a whole number above 0", "X-Request-Timeout-Ms");
+        return std::min(std::chrono::milliseconds { value }, limits.requestTimeout);
+    }
+
+    /// Ids go into logs and time lines, so only short plain ones are taken over.
+    std::string ownIdFrom(std::string_view text)
+    {
+        bool isPlain = std::all_of(text.begin(), text.end(),
+            [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.'; });
+        return isPlain && text.size() <= MaxOwnIdBytes ? std::string { text } : std::string {};
+    }
+
+} // namespace
+
+std::string CallerRequest::shownId(RequestId id) const
+{
+    return this->ownId.empty() ? textOf(id) : this->ownId;
+}
+
+std::variant<CallerRequest, ApiError> readCaller(const HttpRequest& request,
+    const SiteConfiguration& configuration, const EntryLimits& limits, TimePoint now)
+{
+    std::string_view credential = request.field("Authorization");
+    if (!credential.starts_with(BearerPrefix))
+        return unauthorized();
+    const Workspace* workspace
+        = configuration.workspaceOfKey(keySha256(credential.substr(BearerPrefix.size())));
+    if (workspace == nullptr)
+        return unauthorized();
+    auto timeout = timeoutFrom(request.field("X-Request-Timeout-Ms"), limits);
+    if (auto* error = std::get_if<ApiError>(&timeout))
+        return std::move(*error);
+    CallerRequest caller;
+    caller.workspace = *workspace;
+    caller.arrivedAt = now;
+    caller.deadline = now + std::get<std::chrono::milliseconds>(timeout);
+    caller.ownId = ownIdFrom(request.field(RequestIdFieldName));
+    return caller;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/completion_answer.cpp
@@ -0,0 +1,128 @@
+// Sends one answer of a model to its caller.
+#include "completion_answer.h"
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+    AnswerEnd callerGone() { return AnswerEnd { std::nullopt, "caller_gone", 0 }; }
+} // namespace
+
+CompletionAnswer::CompletionAnswer(HttpExchange& exchange, AnswerChannel& channel,
+    const CompletionWriter& writer, AnswerTiming& timing, EntryMetrics& metrics, std::string shownId)
+    : exchange(exchange)
+    , channel(channel)
+    , writer(writer)
+    , timing(timing)
+    , metrics(metrics)
+    , shownId(std::move(shownId))
+{
+}
+
+HttpResponse CompletionAnswer::streamHead() const
+{
+    HttpResponse head;
+    head.contentType = "text/event-stream";
+    head.fields.push_back({ "Cache-Control", "no-cache" });
+    head.fields.push_back({ std::string { RequestIdFieldName }, this->shownId });
+    return head;
+}
+
+asio::awaitable<bool> CompletionAnswer::write(std::string events)
+{
+    if (this->hasBegun)
+        co_return co_await this->exchange.writeChunk(std::move(events));
+    this->hasBegun = true;
+    HttpResponse head = this->streamHead();
+    head.body = std::move(events);
+    co_return co_await this->exchange.beginStream(std::move(head));
+}
+
+AnswerSummary CompletionAnswer::summaryOf(const FinishAnswer& finish) const
+{
+    return AnswerSummary { finish.finishReason, finish.promptTokens, finish.outputTokens };
+}
+
+void CompletionAnswer::countFinish()
+{
+    this->metrics.countOutcome(Outcome::Answered);
+    if (this->timing.isWithinTargets())
+        this->metrics.withinTargets.add();
+}
+
+asio::awaitable<AnswerEnd> CompletionAnswer::stream()
+{
+    for (;;) {
+        AnswerProgress progress = co_await this->channel.next();
+        if (progress.isGone)
+            co_return callerGone();
+        std::string events;
+        for (const TokenBatch& batch : progress.batches) {
+            this->timing.onBatch(batch);
+            for (const std::string& piece : batch.pieces)
+                this->writer.appendEvent(events, piece);
+        }
+        if (progress.finish)
+            events += this->writer.lastEvents(this->summaryOf(*progress.finish));
+        bool isOk = true;
+        if (!events.empty())
+            isOk = co_await this->write(std::move(events));
+        if (!isOk && !progress.finish)
+            co_return callerGone();
+        if (progress.refusal)
+            co_return co_await this->refuse(*progress.refusal);
+        if (progress.finish) {
+            this->countFinish();
+            co_await this->exchange.endStream();
+            co_return AnswerEnd { Outcome::Answered, isOk ? "" : "caller_gone",
+                progress.finish->outputTokens };
+        }
+    }
+}
+
+asio::awaitable<AnswerEnd> CompletionAnswer::whole()
+{
+    std::string text;
+    for (;;) {
+        AnswerProgress progress = co_await this->channel.next();
+        if (progress.isGone)
+            co_return callerGone();
+        for (const TokenBatch& batch : progress.batches) {
+            this->timing.onBatch(batch);
+            for (const std::string& piece : batch.pieces)
+                text += piece;
+        }
+        if (progress.refusal)
+            co_return co_await this->refuse(*progress.refusal);
+        if (!progress.finish)
+            continue;
+        this->countFinish();
+        HttpResponse response;
+        response.fields.push_back(
+            { std::string { OutcomeFieldName }, std::string { nameOf(Outcome::Answered) } });
+        response.fields.push_back({ std::string { RequestIdFieldName }, this->shownId });
+        response.body = this->writer.whole(text, this->summaryOf(*progress.finish));
+        bool isOk = co_await this->exchange.respond(std::move(response));
+        co_return AnswerEnd { Outcome::Answered, isOk ? "" : "caller_gone", progress.finish->outputTokens };
+    }
+}
+
+asio::awaitable<AnswerEnd> CompletionAnswer::refuse(Refusal refusal)
+{
+    this->metrics.countOutcome(refusal.outcome);
+    this->metrics.countRefusal(refusal.reason);
+    ApiError error = apiErrorFrom(refusal);
+    AnswerEnd end { refusal.outcome, error.code, 0 };
+    if (this->hasBegun) {
+        std::string events = "data: " + errorBody(error) + "\n\n" + std::string { StreamEnd };
+        co_await this->exchange.writeChunk(std::move(events));
+        co_await this->exchange.endStream();
+        co_return end;
+    }
+    HttpResponse response = errorResponse(error, this->shownId);
+    co_await this->exchange.respond(std::move(response));
+    co_return end;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/completion_answer.h
@@ -0,0 +1,51 @@
+// Sends one answer of a model to its caller.
+#pragma once
+
+#include "answer_channel.h"
+#include "answer_timing.h"
+#include "caller_request.h"
+#include "entry_metrics.h"
+
+#include "peridotgrade/callers/completion_writer.h"
+#include "peridotgrade/entry/entry_context.h"
+#include "peridotgrade/net/http_server.h"
+
+#include <optional>
+#include <string>
+
+namespace peridotgrade {
+
+/// How sending ended, for the log line.
+struct AnswerEnd {
+    std::optional<Outcome> outcome;
+    std::string detail;
+    std::uint32_t outputTokens = 0;
+};
+
+/// Reads a channel to its end and writes to the exchange, as a stream or at the end as a whole.
+class CompletionAnswer {
+public:
+    CompletionAnswer(HttpExchange& exchange, AnswerChannel& channel, const CompletionWriter& writer,
+        AnswerTiming& timing, EntryMetrics& metrics, std::string shownId);
+
+    /// No outcome in the end means that the caller is gone: the request is to be cancelled.
+    boost::asio::awaitable<AnswerEnd> stream();
+    boost::asio::awaitable<AnswerEnd> whole();
+
+private:
+    HttpResponse streamHead() const;
+    boost::asio::awaitable<bool> write(std::string events);
+    boost::asio::awaitable<AnswerEnd> refuse(Refusal refusal);
+    AnswerSummary summaryOf(const FinishAnswer& finish) const;
+    void countFinish();
+
+    HttpExchange& exchange;
+    AnswerChannel& channel;
+    const CompletionWriter& writer;
+    AnswerTiming& timing;
+    EntryMetrics& metrics;
+    const std::string shownId;
+    bool hasBegun = false;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/completion_service.cpp
@@ -0,0 +1,158 @@
+// Serves completions to callers.
+#include "completion_service.h"
+
+#include "completion_answer.h"
+
+#include "peridotgrade/net/timer_driver.h"
+#include "peridotgrade/ops/id_text.h"
+
+#include <boost/json.hpp>
+
+#include <set>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+    // Text that may wait for a caller that reads slowly.
+    constexpr std::size_t MaxQueuedBytes = 256 * 1024;
+
+    bool isServed(const SiteConfiguration& configuration, const ModelId& model)
+    {
+        for (const auto& [agent, assignment] : configuration.engines) {
+            if (assignment.model == model)
+                return true;
+        }
+        return false;
+    }
+
+    std::string millisecondsText(std::optional<Duration> value)
+    {
+        if (!value)
+            return "-";
+        return std::to_string(std::chrono::floor<std::chrono::milliseconds>(*value).count());
+    }
+
+} // namespace
+
+CompletionService::CompletionService(EntryContext& context, EntryMetrics& metrics)
+    : context(context)
+    , metrics(metrics)
+{
+}
+
+EntryShard& CompletionService::nextShard()
+{
+    std::size_t number = this->turn.fetch_add(1, std::memory_order_relaxed);
+    return *this->context.shards[number % this->context.shards.size()];
+}
+
+ModelRequest CompletionService::modelRequest(
+    const CompletionRequest& request, const CallerRequest& caller, RequestId id) const
+{
+    ModelRequest result;
+    result.id = id;
+    result.workspace = caller.workspace.id;
+    result.model = request.model;
+    result.prompt = request.prompt;
+    result.promptTokens = promptTokensOf(request.prompt);
+    result.maxOutputTokens = request.maxTokens;
+    result.priority = caller.workspace.priority;
+    result.deadline = caller.deadline;
+    // A patient workspace would rather wait than be refused; its answers count as late all the same.
+    bool isPatient = result.priority == Priority::Patient;
+    TimePoint firstTokenTarget = caller.arrivedAt + this->context.settings.targets.firstToken;
+    result.firstTokenDue = isPatient ? caller.deadline : std::min(firstTokenTarget, caller.deadline);
+    return result;
+}
+
+asio::awaitable<void> CompletionService::serve(
+    HttpExchange& exchange, CompletionShape shape, CallerRequest caller)
+{
+    EntryShard& shard = this->nextShard();
+    RequestId id = shard.newRequestId();
+    std::string shownId = caller.shownId(id);
+    auto parsed
+        = parseCompletion(shape, exchange.request().body, this->context.settings.limits.maxOutputTokens);
+    if (auto* error = std::get_if<ApiError>(&parsed)) {
+        this->metrics.malformedRequests.add();
+        HttpResponse response = errorResponse(*error, shownId);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    CompletionRequest& request = std::get<CompletionRequest>(parsed);
+    auto configuration = this->context.follower.current();
+    if (!isServed(configuration->configuration, request.model)) {
+        Refusal refusal;
+        refusal.reason = RefusalReason::ModelNotServed;
+        this->metrics.countRefusal(refusal.reason);
+        this->metrics.countOutcome(refusal.outcome);
+        ApiError error = apiErrorFrom(refusal);
+        error.param = "model";
+        HttpResponse response = errorResponse(error, shownId);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+
+    this->metrics.modelRequests.add();
+    TimelineEvent arrived;
+    arrived.kind = EventKind::RequestArrived;
+    arrived.at = caller.arrivedAt;
+    arrived.attempt.request = id;
+    arrived.detail = caller.ownId;
+    this->context.timeline.record(std::move(arrived));
+
+    CompletionWriter writer(request, id, TimerDriver::wallNow());
+    AnswerTiming timing(caller.arrivedAt, this->context.settings.targets, this->metrics);
+    auto channel = std::make_shared<AnswerChannel>(exchange.executor(), MaxQueuedBytes);
+    exchange.onClientGone([channel] { channel->markGone(); });
+    bool isStreaming = request.isStreaming;
+    ModelRequest submitted = this->modelRequest(request, caller, id);
+    shard.submit(std::move(submitted), channel);
+
+    CompletionAnswer answer(exchange, *channel, writer, timing, this->metrics, shownId);
+    AnswerEnd end;
+    if (isStreaming)
+        end = co_await answer.stream();
+    else
+        end = co_await answer.whole();
+    if (!end.outcome) {
+        shard.cancel(id);
+        this->metrics.cancelled.add();
+    }
+    std::string_view outcome = end.outcome ? nameOf(*end.outcome) : std::string_view { "cancelled" };
+    auto took = TimerDriver::now() - caller.arrivedAt;
+    this->context.logger.write(LogLevel::Info, "request_ended", id,
+        { { "caller_request", caller.ownId }, { "workspace", caller.workspace.id.raw() },
+            { "model", request.model.raw() }, { "outcome", std::string { outcome } },
+            { "reason", end.detail }, { "tokens", std::to_string(end.outputTokens) },
+            { "first_token_ms", millisecondsText(timing.firstTokenAfter()) },
+            { "took_ms", millisecondsText(took) } });
+}
+
+asio::awaitable<void> CompletionService::listModels(HttpExchange& exchange)
+{
+    auto configuration = this->context.follower.current();
+    std::set<ModelId> models;
+    for (const auto& [agent, assignment] : configuration->configuration.engines)
+        models.insert(assignment.model);
+    json::array list;
+    for (const ModelId& model : models) {
+        json::object entry;
+        entry["id"] = model.raw();
+        entry["object"] = "model";
+        entry["owned_by"] = "peridotgrade";
+        list.push_back(std::move(entry));
+    }
+    json::object body;
+    body["object"] = "list";
+    body["data"] = std::move(list);
+    HttpResponse response;
+    response.body = json::serialize(body);
+    co_await exchange.respond(std::move(response));
+}
+
+} // namespace peridotgrade
