Add clients of the engine and of the application server

Ruled out: confirming a cancellation as soon as the engine answers DELETE. The call to be cancelled may still be on its way on another connection and start afterwards; so it is confirmed only when that call has ended or its head is there. Also ruled out: failing streams on a broken connection before the state was read, which would hide from the host that its engine died. Change: EngineClient, ApplicationClient, the engine's protocol and errors.

--- /dev/null
+++ b/src/include/peridotgrade/platform/application_client.h
@@ -0,0 +1,33 @@
+// The agent's client of its application server.
+#pragma once
+
+#include "peridotgrade/core/actions/action_host.h"
+#include "peridotgrade/net/endpoint.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace peridotgrade {
+
+/// Passes calls through to one application server. An action is sent once, on a connection of its own; if its
+/// answer does not come whole it counts as lost. Thread safe.
+class ApplicationClient {
+public:
+    /// Called once for each call, on the client's strand.
+    using EndHandler = std::function<void(CallNumber number, CallResult result, ApplicationAnswer answer)>;
+
+    ApplicationClient(boost::asio::any_io_executor executor, Endpoint server, EndHandler onEnded);
+    ~ApplicationClient();
+    ApplicationClient(const ApplicationClient&) = delete;
+    ApplicationClient& operator=(const ApplicationClient&) = delete;
+
+    void call(CallApplication call);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/platform/engine_client.h
@@ -0,0 +1,84 @@
+// The agent's client of its engine: commands become HTTP calls, answers become events.
+#pragma once
+
+#include "peridotgrade/core/hosting/engine_command.h"
+#include "peridotgrade/core/hosting/engine_event.h"
+#include "peridotgrade/core/messages/stream_messages.h"
+#include "peridotgrade/net/endpoint.h"
+#include "peridotgrade/platform/engine_error.h"
+#include "peridotgrade/platform/engine_state.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace peridotgrade {
+
+/// Where the engine is and how long is waited for it.
+struct EngineClientSettings {
+    Endpoint engine;
+    /// Address at which other engines fetch exported KV caches.
+    Endpoint exportAddress;
+    std::chrono::milliseconds stateInterval { 1000 };
+    /// An engine that has not told its state for this long counts as dead.
+    std::chrono::milliseconds stateTimeout { 2000 };
+    /// For a whole prefill, its time in the engine's queue included.
+    std::chrono::milliseconds prefillTimeout { 30'000 };
+    /// Between two tokens of a stream.
+    std::chrono::milliseconds tokenTimeout { 10'000 };
+};
+
+/// An order that changes what the engine serves, under a fencing number.
+struct EngineOrder {
+    enum class Kind : std::uint8_t { Load, Unload, SetRole };
+
+    std::uint64_t fence = 0;
+    Kind kind = Kind::Load;
+    ModelId model;
+    std::string version;
+    std::string adapter;
+    EngineRole role = EngineRole::Mixed;
+    Endpoint weightStore;
+};
+
+/// Whom the client tells. Called on the client's strand, one at a time.
+struct EngineHandlers {
+    std::function<void(const EngineEvent&)> onEvent;
+    /// Each state read, changed or not, for whoever reconciles the engine with the configuration.
+    std::function<void(const EngineState&)> onState;
+    std::function<void(const CacheChanged&)> onCacheChanged;
+};
+
+/// Talks to one engine. It notices the engine's death and restart by reading its state, at intervals and at
+/// once when a call fails; EngineDied comes before anything else is told of the streams that were lost.
+/// EngineCancelled is told only after the engine has confirmed it and no call of the stream can still arrive
+/// there. `command`, `order` and `stop` are thread safe.
+class EngineClient {
+public:
+    EngineClient(
+        boost::asio::any_io_executor executor, EngineClientSettings settings, EngineHandlers handlers);
+    ~EngineClient();
+    EngineClient(const EngineClient&) = delete;
+    EngineClient& operator=(const EngineClient&) = delete;
+
+    void start();
+    /// Ends all calls; no handler is called afterwards, but for one in progress.
+    void stop();
+
+    void command(EngineCommand command);
+
+    using OrderResult = std::variant<std::monostate, EngineError>;
+    /// Gives an order; `onResult` is called on the strand. Taken is not done: the state tells.
+    void order(EngineOrder order, std::function<void(OrderResult)> onResult);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl;
+};
+
+} // namespace peridotgrade
--- a/src/libperidotgrade/net/http_client.cpp
+++ b/src/libperidotgrade/net/http_client.cpp
@@ -193,6 +193,8 @@
         beast::flat_buffer buffer;
         http::response_parser<http::string_body> parser;
         parser.body_limit(MaxResponseBytes);
+        // The response to HEAD names the length of a body that does not come.
+        parser.skip(message.method() == http::verb::head);
         co_await http::async_read(
             connection, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error)
--- /dev/null
+++ b/src/libperidotgrade/platform/engine_client.cpp
@@ -0,0 +1,191 @@
+// The engine client: the engine's life and death.
+#include "engine_client_impl.h"
+
+#include "peridotgrade/net/timer_driver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+    constexpr std::chrono::milliseconds CachePollWait { 1000 };
+    constexpr std::chrono::milliseconds CacheRetryDelay { 1000 };
+    constexpr std::chrono::milliseconds OrderTimeout { 2000 };
+} // namespace
+
+EngineClient::Impl::Impl(
+    asio::any_io_executor executor, EngineClientSettings settings, EngineHandlers handlers)
+    : strand(asio::make_strand(std::move(executor)))
+    , settings(std::move(settings))
+    , handlers(std::move(handlers))
+    , http(this->strand, this->settings.engine)
+{
+}
+
+void EngineClient::Impl::start()
+{
+    auto self = this->shared_from_this();
+    asio::co_spawn(this->strand, this->watchState(self), asio::detached);
+    if (this->handlers.onCacheChanged)
+        asio::co_spawn(this->strand, this->watchCache(self), asio::detached);
+}
+
+void EngineClient::Impl::stop()
+{
+    asio::post(this->strand, [self = this->shared_from_this()] {
+        self->isStopped = true;
+        self->declareDead();
+    });
+}
+
+void EngineClient::Impl::emit(EngineEvent event)
+{
+    if (!this->isStopped && this->handlers.onEvent)
+        this->handlers.onEvent(event);
+}
+
+asio::awaitable<void> EngineClient::Impl::pause(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(this->strand, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> EngineClient::Impl::watchState(Self)
+{
+    while (!this->isStopped) {
+        co_await this->checkState();
+        co_await this->pause(this->settings.stateInterval);
+    }
+}
+
+asio::awaitable<void> EngineClient::Impl::checkState()
+{
+    HttpRequest request = stateRequest();
+    auto result = co_await this->http.send(std::move(request), this->settings.stateTimeout);
+    if (const auto* error = std::get_if<NetError>(&result)) {
+        this->onSilence(*error);
+        co_return;
+    }
+    auto state = readState(std::get<HttpResponse>(result));
+    if (const auto* read = std::get_if<EngineState>(&state))
+        this->onState(*read);
+}
+
+void EngineClient::Impl::onState(const EngineState& state)
+{
+    this->lastAnswerAt = TimerDriver::now();
+    if (this->isStopped)
+        return;
+    if (this->isUp && state.incarnation != this->lastState.incarnation)
+        this->declareDead();
+    bool isNews = !this->isUp || state != this->lastState;
+    this->isUp = true;
+    this->lastState = state;
+    if (isNews)
+        this->emit(engineUpFrom(state));
+    if (this->handlers.onState)
+        this->handlers.onState(state);
+}
+
+void EngineClient::Impl::onSilence(const NetError& error)
+{
+    bool isRefused = error.kind == NetErrorKind::ConnectFailed;
+    bool isOverdue = TimerDriver::now() - this->lastAnswerAt >= this->settings.stateTimeout;
+    if (isRefused || isOverdue)
+        this->declareDead();
+}
+
+void EngineClient::Impl::declareDead()
+{
+    if (!this->isUp)
+        return;
+    this->isUp = false;
+    ++this->run;
+    this->nextCacheEvent = 0;
+    auto lost = std::move(this->calls);
+    this->calls.clear();
+    for (const auto& [stream, call] : lost) {
+        call->isLost = true;
+        if (call->body)
+            call->body->close();
+    }
+    this->emit(EngineDied {});
+}
+
+asio::awaitable<void> EngineClient::Impl::watchCache(Self)
+{
+    HttpClient client(this->strand, this->settings.engine);
+    while (!this->isStopped) {
+        std::uint64_t askedIn = this->run;
+        HttpRequest request = cacheEventsRequest(this->nextCacheEvent, CachePollWait);
+        auto result = co_await client.send(std::move(request), CachePollWait + this->settings.stateTimeout);
+        auto* response = std::get_if<HttpResponse>(&result);
+        auto page = response ? readCacheEvents(*response) : EngineError {};
+        auto* read = std::get_if<CachePage>(&page);
+        if (!read) {
+            co_await this->pause(CacheRetryDelay);
+            continue;
+        }
+        if (askedIn != this->run || this->isStopped)
+            continue;
+        this->nextCacheEvent = read->next;
+        for (const CacheChanged& change : read->changes)
+            this->handlers.onCacheChanged(change);
+    }
+}
+
+void EngineClient::Impl::order(EngineOrder order, std::function<void(OrderResult)> onResult)
+{
+    asio::post(this->strand,
+        [self = this->shared_from_this(), order = std::move(order),
+            onResult = std::move(onResult)]() mutable {
+            asio::co_spawn(
+                self->strand, self->giveOrder(self, std::move(order), std::move(onResult)), asio::detached);
+        });
+}
+
+asio::awaitable<void> EngineClient::Impl::giveOrder(
+    Self, EngineOrder order, std::function<void(OrderResult)> onResult)
+{
+    constexpr std::uint16_t Taken = 202;
+    HttpRequest request = orderRequest(order);
+    auto result = co_await this->http.send(std::move(request), OrderTimeout, false);
+    if (const auto* error = std::get_if<NetError>(&result)) {
+        onResult(engineErrorFrom(*error));
+        co_return;
+    }
+    const auto& response = std::get<HttpResponse>(result);
+    if (response.status != Taken) {
+        onResult(engineErrorFrom(response));
+        co_return;
+    }
+    onResult(std::monostate {});
+}
+
+EngineClient::EngineClient(
+    asio::any_io_executor executor, EngineClientSettings settings, EngineHandlers handlers)
+    : impl(std::make_shared<Impl>(std::move(executor), std::move(settings), std::move(handlers)))
+{
+}
+
+EngineClient::~EngineClient() { this->impl->stop(); }
+
+void EngineClient::start() { this->impl->start(); }
+
+void EngineClient::stop() { this->impl->stop(); }
+
+void EngineClient::command(EngineCommand command) { this->impl->command(std::move(command)); }
+
+void EngineClient::order(EngineOrder order, std::function<void(OrderResult)> onResult)
+{
+    this->impl->order(std::move(order), std::move(onResult));
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/platform/engine_client_impl.h
@@ -0,0 +1,77 @@
+// State of the engine client. All of it lives on one strand.
+#pragma once
+
+#include "engine_call.h"
+#include "engine_protocol.h"
+
+#include "peridotgrade/core/base/time.h"
+#include "peridotgrade/net/http_client.h"
+#include "peridotgrade/platform/engine_client.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <map>
+
+namespace peridotgrade {
+
+class EngineClient::Impl : public std::enable_shared_from_this<EngineClient::Impl> {
+public:
+    Impl(boost::asio::any_io_executor executor, EngineClientSettings settings, EngineHandlers handlers);
+
+    void start();
+    void stop();
+    void command(EngineCommand command);
+    void order(EngineOrder order, std::function<void(OrderResult)> onResult);
+
+private:
+    using Self = std::shared_ptr<Impl>;
+    template <typename Value> using Awaitable = boost::asio::awaitable<Value>;
+
+    // The engine's life.
+    Awaitable<void> watchState(Self self);
+    Awaitable<void> watchCache(Self self);
+    Awaitable<void> checkState();
+    void onState(const EngineState& state);
+    void onSilence(const NetError& error);
+    void declareDead();
+
+    // Calls.
+    void handle(EnginePrefill command);
+    void handle(EngineDecode command);
+    void handle(const EngineCancel& command);
+    void handle(const EngineList& command);
+    EngineCallPointer addCall(const EngineStreamId& stream);
+    void removeCall(const EngineCallPointer& call);
+    Awaitable<void> runPrefill(Self self, EnginePrefill command, EngineCallPointer call);
+    Awaitable<void> runDecode(Self self, EngineDecode command, EngineCallPointer call);
+    /// Nothing once the stream has ended as it should.
+    Awaitable<std::optional<EngineError>> readTokens(HttpStream& body, const EngineCallPointer& call);
+    /// Tells the tokens of one part of the body; true at the end of the stream.
+    std::variant<bool, EngineError> tellTokens(
+        const std::vector<StreamEvent>& events, const EngineCallPointer& call);
+    Awaitable<void> failCall(EngineCallPointer call, EngineError error);
+    Awaitable<bool> freeAtEngine(EngineStreamId stream);
+    Awaitable<void> cancel(Self self, EngineStreamId stream);
+    Awaitable<void> list(Self self);
+    Awaitable<void> giveOrder(Self self, EngineOrder order, std::function<void(OrderResult)> onResult);
+
+    void emit(EngineEvent event);
+    Awaitable<void> pause(std::chrono::milliseconds duration);
+
+    boost::asio::strand<boost::asio::any_io_executor> strand;
+    const EngineClientSettings settings;
+    const EngineHandlers handlers;
+    HttpClient http;
+    bool isStopped = false;
+    bool isUp = false;
+    /// Counts the engine's runs, so that an answer from an earlier one is told apart.
+    std::uint64_t run = 0;
+    EngineState lastState;
+    TimePoint lastAnswerAt;
+    std::uint64_t nextCacheEvent = 0;
+    /// Invariant: holds no call that is lost.
+    std::map<EngineStreamId, EngineCallPointer> calls;
+};
+
+} // namespace peridotgrade
