Fit slopes of state, messages and work of each role

Cause: docs/CAPACITY.md needs figures from this machine for the size to design for. Change: bench-slopes fits memory, messages, bytes and thread time of router, host, membership, quarantine and configuration; heap memory is counted by replaced allocation functions.

--- a/src/bench/slopes/main.cpp
+++ b/src/bench/slopes/main.cpp
@@ -1,10 +1,11 @@
 // Entry point of the slopes benchmark: state, messages and work of each role against its size.
+#include "configuration_bench.h"
 #include "fit.h"
 #include "host_bench.h"
 #include "live_bytes.h"
+#include "measure.h"
 #include "router_bench.h"
 
-#include "peridotgrade/core/config/configuration_fold.h"
 #include "peridotgrade/core/membership/membership.h"
 #include "peridotgrade/core/quarantine/quarantine.h"
 
@@ -12,8 +13,6 @@
 
 #include <chrono>
 #include <cstdio>
-#include <ctime>
-#include <functional>
 #include <optional>
 
 using namespace peridotgrade;
@@ -23,27 +22,6 @@
 
 constexpr std::uint32_t PromptBytes = 4'000;
 
-double threadSeconds()
-{
-    timespec now {};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
-    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
-}
-
-double secondsOf(const std::function<void()>& work)
-{
-    double began = threadSeconds();
-    work();
-    return threadSeconds() - began;
-}
-
-double bytesOf(const std::function<void()>& work)
-{
-    auto before = liveBytes();
-    work();
-    return static_cast<double>(liveBytes()) - static_cast<double>(before);
-}
-
 void routerMemoryPerRequest()
 {
     RouterBench router(64);
@@ -90,7 +68,8 @@
     for (std::uint32_t tokens : { 100u, 400u, 1'000u, 4'000u }) {
         RouterBench router(64);
         router.openRequest(PromptBytes);
-        points.push_back({ static_cast<double>(tokens), secondsOf([&] { router.finishOldest(tokens); }) * 1e6 });
+        points.push_back(
+            { static_cast<double>(tokens), secondsOf([&] { router.finishOldest(tokens); }) * 1e6 });
     }
     printFit("router and codec work per token", "us/token", points);
 }
@@ -105,9 +84,11 @@
         router.finishOldest(1);
     }
     Traffic after = router.traffic();
-    std::printf("%-34s out=%.2f messages %.1f B, in=%.2f messages %.1f B (prompt %u B, sent twice; 2 tokens)\n",
+    std::printf(
+        "%-34s out=%.2f messages %.1f B, in=%.2f messages %.1f B (prompt %u B, sent twice; 2 tokens)\n",
         "traffic per request", double(after.messagesOut - before.messagesOut) / Requests,
-        double(after.bytesOut - before.bytesOut) / Requests, double(after.messagesIn - before.messagesIn) / Requests,
+        double(after.bytesOut - before.bytesOut) / Requests,
+        double(after.messagesIn - before.messagesIn) / Requests,
         double(after.bytesIn - before.bytesIn) / Requests, PromptBytes);
 }
 
@@ -187,9 +168,9 @@
     for (std::uint32_t count : { 500u, 1'000u, 2'000u, 4'000u }) {
         Quarantine quarantine;
         points.push_back({ double(count), bytesOf([&] {
-            for (std::uint32_t i = 0; i < count; ++i)
-                quarantine.quarantine(Fingerprint { i * 7919ull });
-        }) });
+                              for (std::uint32_t i = 0; i < count; ++i)
+                                  quarantine.quarantine(Fingerprint { i * 7919ull });
+                          }) });
     }
     printFit("quarantine memory per fingerprint", "B/fingerprint", points);
 }
@@ -202,7 +183,8 @@
     app.set_version_flag("--version", PERIDOT_VERSION);
     std::uint32_t engines = 0;
     std::uint32_t requests = 0;
-    app.add_option("--decisions-engines", engines, "only run decisions with this many engines (for instruction counts)");
+    app.add_option(
+        "--decisions-engines", engines, "only run decisions with this many engines (for instruction counts)");
     app.add_option("--decisions", requests, "number of decisions with --decisions-engines");
     CLI11_PARSE(app, argc, argv);
     if (engines > 0) {
@@ -222,5 +204,6 @@
     hostMemory();
     membershipCost();
     quarantineMemory();
+    measureConfiguration();
     return 0;
 }
