--- a/src/libperidotgrade/core/actions/run_journal.h
+++ b/src/libperidotgrade/core/actions/run_journal.h
@@ -144,7 +144,7 @@
         bool wasRefusedAtOnce = submission.toldAt == submission.submittedAt;
         if (origin.entryRun != submission.entryRun || wasRefusedAtOnce)
             return false;
-        bool originWasOpen = !origin.toldAt || *origin.toldAt >= submission.submittedAt;
+        bool originWasOpen = origin.toldAt.value_or(origin.deadline) >= submission.submittedAt;
         return originWasOpen && effect.startedAt <= *submission.toldAt;
     }
 
