--- a/src/libperidotgrade/core/actions/action_flow_agents.cpp
+++ b/src/libperidotgrade/core/actions/action_flow_agents.cpp
@@ -93,8 +93,8 @@
 void ActionFlow::onReport(const AgentId& agent, const ActionReport& report)
 {
     Conversation* conversation = this->find(report.key);
-    bool isAwaited
-        = conversation && !conversation->awaitsOwnClaim() && conversation->attempt() == report.attempt;
+    bool isAwaited = conversation && !conversation->awaitsOwnClaim()
+        && conversation->attempt() == report.attempt && conversation->askedAgent() == agent;
     if (!isAwaited) {
         this->context.record(EventKind::StaleMessageDropped, report.attempt, agent.raw());
         return;
