--- a/src/bench/slopes/main.cpp
+++ b/src/bench/slopes/main.cpp
@@ -1,10 +1,11 @@
 // Entry point of the slopes benchmark: state, messages and work of each role against its size.
+#include "configuration_bench.h"
 #include "fit.h"
 #include "host_bench.h"
 #include "live_bytes.h"
+#include "measure.h"
 #include "router_bench.h"
 
-#include "peridotgrade/core/config/configuration_fold.h"
 #include "peridotgrade/core/membership/membership.h"
 #include "peridotgrade/core/quarantine/quarantine.h"
 
@@ -12,8 +13,6 @@
 
 #include <chrono>
 #include <cstdio>
-#include <ctime>
-#include <functional>
 #include <optional>
 
 using namespace peridotgrade;
@@ -23,27 +22,6 @@
 
 constexpr std::uint32_t PromptBytes = 4'000;
 
-double threadSeconds()
-{
-    timespec now {};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
-    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
-}
-
-double secondsOf(const std::function<void()>& work)
-{
-    double began = threadSeconds();
-    work();
-    return threadSeconds() - began;
-}
-
-double bytesOf(const std::function<void()>& work)
-{
-    auto before = liveBytes();
-    work();
-    return static_cast<double>(liveBytes()) - static_cast<double>(before);
-}
-
 void routerMemoryPerRequest()
 {
     RouterBench router(64);
@@ -226,5 +204,6 @@
     hostMemory();
     membershipCost();
     quarantineMemory();
+    measureConfiguration();
     return 0;
 }
--- /dev/null
+++ b/src/bench/slopes/measure.h
@@ -0,0 +1,14 @@
+// What a piece of work costs this thread.
+#pragma once
+
+#include <functional>
+
+namespace peridotgrade::bench {
+
+/// Processor time of the calling thread, in seconds.
+double secondsOf(const std::function<void()>& work);
+
+/// Heap memory that is still in use after the work and was not before, in bytes.
+double bytesOf(const std::function<void()>& work);
+
+} // namespace peridotgrade::bench
