--- /dev/null
+++ b/src/fuzz/call_fields_fuzz.cpp
@@ -0,0 +1,32 @@
+// Fuzzes the HTTP edge's own parsing: calls, their keys, and completions. Lines are method, target, key,
+// body.
+#include "fuzz_input.h"
+#include "peridotgrade/callers/call_path.h"
+#include "peridotgrade/callers/completion_request.h"
+#include "peridotgrade/core/actions/idempotency_key.h"
+
+using namespace peridotgrade;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    constexpr std::uint32_t MaxTokens = 4096;
+    std::string rest = fuzzing::textOf(data, size);
+    HttpRequest request;
+    request.method = fuzzing::takeLine(rest);
+    request.target = fuzzing::takeLine(rest);
+    std::string key = fuzzing::takeLine(rest);
+    request.fields.push_back({ "Idempotency-Key", key });
+    request.body = rest;
+    parseCall(request);
+    request.query("wait_ms");
+    parseCompletion(CompletionShape::Text, rest, MaxTokens);
+    parseCompletion(CompletionShape::Chat, rest, MaxTokens);
+
+    auto parsed = parseIdempotencyKey(key);
+    if (!parsed)
+        return 0;
+    IdempotencyKey scoped = scopedKey(WorkspaceId { request.method }, ServiceId { request.target }, *parsed);
+    fuzzing::require(callersKey(scoped) == *parsed);
+    fuzzing::require(timeOf(scoped).has_value() && timeOf(scoped) == timeOf(*parsed));
+    return 0;
+}
--- /dev/null
+++ b/src/fuzz/settings_fuzz.cpp
@@ -0,0 +1,21 @@
+// Fuzzes the readers of settings files and of operators' intents.
+#include "fuzz_input.h"
+#include "peridotgrade/core/config/intent_codec.h"
+#include "peridotgrade/ops/settings/agent_settings.h"
+#include "peridotgrade/ops/settings/entry_settings.h"
+
+#include <boost/json/parse.hpp>
+
+using namespace peridotgrade;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    std::string input = fuzzing::textOf(data, size);
+    parseEntrySettings(input, "fuzz");
+    parseAgentSettings(input, "fuzz");
+    boost::system::error_code error;
+    boost::json::value value = boost::json::parse(input, error);
+    if (!error)
+        intentsFrom(value);
+    return 0;
+}
