Serve operators: intents, plans, confirmations that are settled

Cause: operators drive the system only by intents and confirmed plans, over HTTP, while the log loses answers and other operators race them.

Ruled out: keeping a plan only at the entry that made it, since a balancer may send the confirmation elsewhere; the confirmation may carry the plan and its id binds the content.

--- /dev/null
+++ b/src/libperidotgrade/operators/operator_responses.h
@@ -0,0 +1,33 @@
+// Responses of the operators' interface.
+#pragma once
+
+#include "peridotgrade/core/config/config_error.h"
+#include "peridotgrade/core/config/confirm_settlement.h"
+#include "peridotgrade/net/http_message.h"
+#include "peridotgrade/ops/settings/settings_error.h"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace peridotgrade {
+
+HttpResponse jsonResponse(std::uint16_t status, const boost::json::value& body);
+HttpResponse errorResponse(std::uint16_t status, const std::string& type, const std::string& message);
+/// All problems of a set of intents.
+HttpResponse problemsResponse(const std::vector<ConfigError>& problems);
+HttpResponse schemaResponse(const SettingsError& error);
+
+HttpResponse inForceResponse(const Plan& plan, const PlanInForce& standing);
+HttpResponse voidResponse(const Plan& plan, const PlanVoid& standing);
+/// The time to confirm is over; `mayBeAppended` if the answer of an append was lost or has not been read
+/// back.
+HttpResponse unsettledResponse(const Plan& plan, bool mayBeAppended);
+
+HttpResponse statusResponse(const ConfigurationFold& fold, bool isLogAvailable);
+HttpResponse historyResponse(const ConfigurationFold& fold);
+HttpResponse configurationResponse(const ConfigurationFold& fold);
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/operators/plan_confirmer.h
@@ -0,0 +1,41 @@
+// Confirms one plan: appends, reads back, and settles lost answers.
+#pragma once
+
+#include "peridotgrade/core/config/confirm_settlement.h"
+#include "peridotgrade/net/http_message.h"
+#include "peridotgrade/platform/configuration_follower.h"
+#include "peridotgrade/platform/log_client.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <string>
+
+namespace peridotgrade {
+
+/// One confirmation in progress, on one executor.
+class PlanConfirmer {
+public:
+    PlanConfirmer(boost::asio::any_io_executor executor, Endpoint platform,
+        const ConfigurationFollower& follower, Plan plan, std::string operatorName);
+
+    const Plan& planToConfirm() const { return this->plan; }
+
+    /// The response for the operator; at most `timeout` later, and one append's time.
+    boost::asio::awaitable<HttpResponse> run(std::chrono::milliseconds timeout);
+
+private:
+    ConfirmStanding standing() const;
+    boost::asio::awaitable<void> append();
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+
+    boost::asio::any_io_executor executor;
+    LogClient client;
+    const ConfigurationFollower& follower;
+    const Plan plan;
+    const std::string operatorName;
+    AppendKnowledge appends;
+};
+
+} // namespace peridotgrade
--- a/src/libperidotgrade/ops/settings/agent_settings.cpp
+++ b/src/libperidotgrade/ops/settings/agent_settings.cpp
@@ -1,7 +1,7 @@
 // Implementation of the agent's settings.
 #include "peridotgrade/ops/settings/agent_settings.h"
 
-#include "schema_check.h"
+#include "peridotgrade/ops/settings/schema_check.h"
 #include "settings_reader.h"
 
 #include <boost/json/value.hpp>
--- a/src/libperidotgrade/ops/settings/entry_settings.cpp
+++ b/src/libperidotgrade/ops/settings/entry_settings.cpp
@@ -1,7 +1,7 @@
 // Implementation of the entry's settings.
 #include "peridotgrade/ops/settings/entry_settings.h"
 
-#include "schema_check.h"
+#include "peridotgrade/ops/settings/schema_check.h"
 #include "settings_reader.h"
 
 #include <boost/json/array.hpp>
--- a/src/libperidotgrade/ops/settings/schema_check.cpp
+++ b/src/libperidotgrade/ops/settings/schema_check.cpp
@@ -1,5 +1,5 @@
 // Implementation of the schema check over valijson.
-#include "schema_check.h"
+#include "peridotgrade/ops/settings/schema_check.h"
 
 #include <boost/json.hpp>
 #include <valijson/adapters/boost_json_adapter.hpp>
