Run the configuration at random, with two faults found by it

Cause: single tests do not meet faults that come together: outages, retention, lost and late appends, nodes and whole entries replaced, engines that restart or are ordered by strangers.

The timer is cancelled now; a plan whose base left the history is told as forgotten, and void only while the rival on its base is remembered.

--- a/src/include/peridotgrade/core/config/confirm_settlement.h
+++ b/src/include/peridotgrade/core/config/confirm_settlement.h
@@ -32,15 +32,20 @@
     std::string confirmedInstead;
 };
 
+/// The base was in force too long ago: which plan took effect on it is not remembered any more.
+struct PlanForgotten {
+    ConfigVersion versionInForce;
+};
+
 /// Append the confirmation (again); doubling it does no harm, since one plan takes effect at most once.
 struct AppendNeeded { };
 
 /// The acknowledged append has not been read back yet.
 struct ReadBackNeeded { };
 
-using ConfirmStanding = std::variant<PlanInForce, PlanVoid, AppendNeeded, ReadBackNeeded>;
+using ConfirmStanding = std::variant<PlanInForce, PlanVoid, PlanForgotten, AppendNeeded, ReadBackNeeded>;
 
-/// Where a confirmation stands by what `fold` has read. In force and void are final.
+/// Where a confirmation stands by what `fold` has read. In force, void and forgotten are final.
 ConfirmStanding standingOf(const ConfigurationFold& fold, const Plan& plan, const AppendKnowledge& appends);
 
 /// The record that confirms the plan.
--- a/src/include/peridotgrade/core/config/reconciler.h
+++ b/src/include/peridotgrade/core/config/reconciler.h
@@ -64,6 +64,10 @@
 public:
     Reconciler(ReconcilerSettings settings, TimerService& timers, RandomSource& random, EventSink& events);
 
+    ~Reconciler();
+    Reconciler(const Reconciler&) = delete;
+    Reconciler& operator=(const Reconciler&) = delete;
+
     /// Begins to read the state.
     void start();
 
@@ -117,6 +121,7 @@
     TimePoint startAt;
     TimePoint retryAt;
 
+    TimerId readTimer;
     std::uint64_t lastRead = 0;
     /// States of reads up to this one were asked for before the last order was answered and say nothing of
     /// it.
--- a/src/include/peridotgrade/operators/operator_api.h
+++ b/src/include/peridotgrade/operators/operator_api.h
@@ -35,8 +35,9 @@
 /// - `GET /operator/status`, `/operator/history`, `/operator/configuration`.
 ///
 /// A confirmation is answered with its `outcome`: `in_force` (200), `void` (409: another plan was confirmed
-/// first), `not_confirmed` (503: surely nothing was appended) or `undecided` (202: the log's answer was lost;
-/// asking again settles it). Thread safe.
+/// first), `forgotten` (410: its base was left long ago; it does not take effect any more, but whether it
+/// once did is not remembered), `not_confirmed` (503: surely nothing was appended) or `undecided` (202: the
+/// log's answer was lost; asking again settles it). Thread safe.
 class OperatorApi {
 public:
     /// `view` gives what a plan depends on besides the configuration.
--- a/src/libperidotgrade/core/config/confirm_settlement.cpp
+++ b/src/libperidotgrade/core/config/confirm_settlement.cpp
@@ -5,14 +5,14 @@
 
 namespace {
 
-    /// The plan that took effect on the same base, if it is remembered.
-    std::string rivalOf(const ConfigurationFold& fold, const Plan& plan)
+    /// The plan that took effect on the same base, or null.
+    const HistoryEntry* rivalOf(const ConfigurationFold& fold, const Plan& plan)
     {
         for (const HistoryEntry& entry : fold.history()) {
             if (entry.base == plan.base)
-                return entry.plan.raw() + " by " + entry.operatorName;
+                return &entry;
         }
-        return "an earlier plan";
+        return nullptr;
     }
 
 } // namespace
@@ -21,10 +21,11 @@
 {
     if (const HistoryEntry* entry = fold.historyOf(plan.id))
         return PlanInForce { entry->version, entry->operatorName, entry->version != fold.version() };
-    // The base is not in force any more and never will be again, so any copy still on its way is void. Behind
-    // a gap the version is known to have been in force, which is enough.
+    // One plan at most takes effect on a base, so with a rival there any copy still on its way is void.
+    if (const HistoryEntry* rival = rivalOf(fold, plan))
+        return PlanVoid { fold.version(), rival->plan.raw() + " by " + rival->operatorName };
     if (fold.version() > plan.base)
-        return PlanVoid { fold.version(), rivalOf(fold, plan) };
+        return PlanForgotten { fold.version() };
     bool isUnread = appends.acknowledged && fold.readThrough() <= *appends.acknowledged;
     if (isUnread || fold.hasGap())
         return ReadBackNeeded {};
--- /dev/null
+++ b/src/libperidotgrade/core/config/random_run_engine.h
@@ -0,0 +1,206 @@
+// An agent with its engine, for randomised runs of the configuration.
+#pragma once
+
+#include "peridotgrade/core/config/reconciler.h"
+#include "random_run_log.h"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+
+namespace peridotgrade::test {
+
+/// An engine that loses answers, takes orders late, fails loads, restarts, and is given orders by strangers.
+class RandomRunEngine {
+public:
+    RandomRunEngine(
+        AgentId agent, bool checksFence, TimerService& timers, RandomSource& random, RandomRunLog& log)
+        : agent(std::move(agent))
+        , timers(timers)
+        , random(random)
+        , log(log)
+    {
+        this->state.checksFence = checksFence;
+        this->restartAgent();
+    }
+
+    /// A new agent process beside the same engine; orders of the old one may still arrive.
+    void restartAgent()
+    {
+        ++this->agentRun;
+        this->reconciler = std::make_unique<Reconciler>(ReconcilerSettings {}, timers, random, events);
+        this->isDraining = false;
+        this->reconciler->start();
+    }
+
+    void restartEngine()
+    {
+        this->state.incarnation = Incarnation { this->state.incarnation.raw() + 1 };
+        this->state.loading.clear();
+        this->state.models.clear();
+        this->state.fence = 0;
+    }
+
+    void strangerOrders()
+    {
+        AssignedOrder order;
+        order.kind = this->random.below(2) == 0 ? AssignedOrderKind::Load : AssignedOrderKind::ChangeRole;
+        order.model = ModelId { "foreign" };
+        order.modelVersion = "v0";
+        order.role = EngineRole::Prefill;
+        this->obey(order);
+    }
+
+    void applyConfiguration(const ConfigurationFold& fold)
+    {
+        if (!fold.isReady())
+            return;
+        std::optional<EngineAssignment> assignment;
+        Duration startIn { 0 };
+        auto found = fold.configuration().engines.find(this->agent);
+        if (found != fold.configuration().engines.end()) {
+            assignment = found->second;
+            startIn = std::max<Duration>(startIn, assignment->notBefore - this->log.wallNow());
+        }
+        this->reconciler->onTarget(fold.version(), std::move(assignment), startIn);
+    }
+
+    void serve()
+    {
+        for (auto actions = this->reconciler->takeActions(); !actions.empty();
+             actions = this->reconciler->takeActions()) {
+            for (const ReconcilerAction& action : actions)
+                this->serveOne(action);
+        }
+    }
+
+    /// True if the engine is exactly as the true configuration assigns.
+    bool isAsAssigned() const
+    {
+        auto found = this->log.truth.configuration().engines.find(this->agent);
+        if (found == this->log.truth.configuration().engines.end())
+            return true;
+        const EngineAssignment& wish = found->second;
+        return this->state.role == wish.role && this->state.models.size() == 1
+            && this->state.models[0].model == wish.model
+            && this->state.models[0].version == wish.modelVersion;
+    }
+
+    const AgentId agent;
+    EngineState state;
+    std::unique_ptr<Reconciler> reconciler;
+    bool areFaultsOn = true;
+
+private:
+    /// Runs `callback` later if the agent process is still the same.
+    template <typename Callback> void later(std::uint64_t maxMilliseconds, Callback callback)
+    {
+        this->timers.subscribeAfter(std::chrono::milliseconds { this->random.below(maxMilliseconds + 1) },
+            [this, run = this->agentRun, callback] {
+                if (run == this->agentRun)
+                    callback();
+            });
+    }
+
+    bool happens(std::uint64_t oneIn) { return this->areFaultsOn && this->random.below(oneIn) == 0; }
+
+    void serveOne(const ReconcilerAction& action)
+    {
+        if (const auto* read = std::get_if<ReadEngineState>(&action))
+            this->readState(read->read);
+        if (const auto* sent = std::get_if<SendOrder>(&action))
+            this->takeOrder(sent->order);
+        if (std::holds_alternative<StopDrain>(action))
+            this->isDraining = false;
+        if (std::holds_alternative<StartDrain>(action)) {
+            this->isDraining = true;
+            this->later(3'000, [this] {
+                if (this->isDraining)
+                    this->reconciler->onDrained();
+            });
+        }
+    }
+
+    /// The state is that of now, the answer comes later.
+    void readState(std::uint64_t read)
+    {
+        if (this->happens(20)) {
+            this->later(500, [this, read] { this->reconciler->onStateFailed(read); });
+            return;
+        }
+        this->later(500, [this, read, seen = this->state] { this->reconciler->onState(read, seen); });
+    }
+
+    void takeOrder(const AssignedOrder& order)
+    {
+        this->checkConfirmed(order);
+        if (this->happens(6)) {
+            bool arrives = this->random.below(2) == 0;
+            // Beyond the agent's grace for lost orders: a late order, possibly of a dead predecessor.
+            auto delay = std::chrono::milliseconds { this->random.below(15'000) };
+            if (arrives)
+                this->timers.subscribeAfter(delay, [this, order] { this->obey(order); });
+            this->later(2'000, [this] { this->reconciler->onOrderAnswer(OrderAnswer::Lost); });
+            return;
+        }
+        OrderAnswer answer = this->obey(order);
+        this->later(300, [this, answer] { this->reconciler->onOrderAnswer(answer); });
+    }
+
+    /// Invariant: an order follows the configuration of a version that was confirmed.
+    void checkConfirmed(const AssignedOrder& order) const
+    {
+        auto found = this->log.versions.find(order.fence);
+        BOOST_REQUIRE_MESSAGE(found != this->log.versions.end(), "an order of an unconfirmed version");
+        auto engine = found->second.engines.find(this->agent);
+        BOOST_REQUIRE_MESSAGE(
+            engine != found->second.engines.end(), "an order to an engine without assignment");
+        bool isOfPlan = order.kind == AssignedOrderKind::Unload
+            || (order.kind == AssignedOrderKind::ChangeRole && order.role == engine->second.role)
+            || (order.kind == AssignedOrderKind::Load && order.model == engine->second.model
+                && order.modelVersion == engine->second.modelVersion);
+        BOOST_REQUIRE_MESSAGE(isOfPlan, "an order that is not of the plan at its version");
+    }
+
+    OrderAnswer obey(const AssignedOrder& order)
+    {
+        if (this->state.checksFence && order.fence.raw() < this->state.fence)
+            return OrderAnswer::StaleFence;
+        this->state.fence = std::max(this->state.fence, order.fence.raw());
+        if (order.kind == AssignedOrderKind::ChangeRole)
+            this->state.role = order.role;
+        if (order.kind == AssignedOrderKind::Unload)
+            std::erase_if(
+                this->state.models, [&](const LoadedModel& each) { return each.model == order.model; });
+        if (order.kind == AssignedOrderKind::Load)
+            this->load(order);
+        return OrderAnswer::Taken;
+    }
+
+    void load(const AssignedOrder& order)
+    {
+        this->state.loading.push_back(order.model);
+        bool fails = this->happens(5);
+        this->timers.subscribeAfter(std::chrono::milliseconds { 1'000 + this->random.below(4'000) },
+            [this, order, fails, run = this->state.incarnation] {
+                if (run != this->state.incarnation)
+                    return;
+                auto entry = std::find(this->state.loading.begin(), this->state.loading.end(), order.model);
+                this->state.loading.erase(entry);
+                if (fails)
+                    return;
+                std::erase_if(
+                    this->state.models, [&](const LoadedModel& each) { return each.model == order.model; });
+                this->state.models.push_back({ order.model, order.modelVersion, {} });
+            });
+    }
+
+    TimerService& timers;
+    RandomSource& random;
+    RandomRunLog& log;
+    NullEventSink events;
+    std::uint64_t agentRun = 0;
+    bool isDraining = false;
+};
+
+} // namespace peridotgrade::test
--- /dev/null
+++ b/src/libperidotgrade/core/config/random_run_log.h
@@ -0,0 +1,122 @@
+// The log and the truth about it, for randomised runs of the configuration.
+#pragma once
+
+#include "peridotgrade/core/base/random_source.h"
+#include "peridotgrade/core/base/timer_service.h"
+#include "peridotgrade/core/config/configuration_fold.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace peridotgrade::test {
+
+enum class AppendResult { Acknowledged, Refused, Unknown };
+
+/// A log stream with retention, outages, lost answers and appends that arrive late. Beside it runs a fold
+/// that sees every record, as the truth.
+class RandomRunLog {
+public:
+    RandomRunLog(TimerService& timers, RandomSource& random)
+        : timers(timers)
+        , random(random)
+    {
+        this->truth.onCaughtUp(LogOffset {});
+        this->noteTruth();
+    }
+
+    struct Appended {
+        AppendResult result = AppendResult::Refused;
+        LogOffset offset;
+    };
+
+    Appended append(const std::string& data)
+    {
+        if (this->isDown)
+            return {};
+        std::uint64_t dice = this->areFaultsOn ? this->random.below(10) : 9;
+        if (dice == 0)
+            return { AppendResult::Unknown, {} };
+        if (dice == 1) {
+            this->timers.subscribeAfter(
+                std::chrono::milliseconds { this->random.below(20'000) }, [this, data] { this->take(data); });
+            return { AppendResult::Unknown, {} };
+        }
+        LogOffset offset = this->take(data);
+        if (dice == 2)
+            return { AppendResult::Unknown, {} };
+        return { AppendResult::Acknowledged, offset };
+    }
+
+    /// Hands up to `limit` records to the fold; false in an outage.
+    bool feed(ConfigurationFold& fold, std::size_t limit)
+    {
+        if (this->isDown)
+            return false;
+        this->trim();
+        if (fold.readThrough() < this->oldest())
+            fold.onGap(this->oldest());
+        std::size_t index = fold.readThrough().raw();
+        for (std::size_t read = 0; read < limit && index < this->records.size(); ++read, ++index)
+            fold.onRecord(this->records[index]);
+        if (index >= this->records.size())
+            fold.onCaughtUp(this->next());
+        return true;
+    }
+
+    WallTime wallNow() const
+    {
+        auto since = this->timers.now().time_since_epoch();
+        return WallTime { std::chrono::duration_cast<std::chrono::milliseconds>(since) };
+    }
+
+    LogOffset oldest() const { return LogOffset { this->firstKept }; }
+    LogOffset next() const { return LogOffset { this->records.size() }; }
+
+    static constexpr std::chrono::milliseconds Retention { 120'000 };
+
+    bool isDown = false;
+    bool areFaultsOn = true;
+    ConfigurationFold truth;
+    /// The configuration at each version that was ever in force.
+    std::map<ConfigVersion, SiteConfiguration> versions;
+    /// The version at which each plan took effect.
+    std::map<PlanId, ConfigVersion> plans;
+
+private:
+    LogOffset take(const std::string& data)
+    {
+        LogRecord record;
+        record.offset = this->next();
+        record.appendedAt = this->wallNow();
+        record.data = data;
+        this->records.push_back(record);
+        this->truth.onRecord(record);
+        this->noteTruth();
+        return record.offset;
+    }
+
+    void noteTruth()
+    {
+        this->versions.emplace(this->truth.version(), this->truth.configuration());
+        if (!this->truth.history().empty())
+            this->plans.emplace(this->truth.history().back().plan, this->truth.version());
+    }
+
+    void trim()
+    {
+        while (this->firstKept < this->records.size()
+            && this->records[this->firstKept].appendedAt + Retention < this->wallNow())
+            ++this->firstKept;
+    }
+
+    TimerService& timers;
+    RandomSource& random;
+    std::vector<LogRecord> records;
+    std::size_t firstKept = 0;
+};
+
+} // namespace peridotgrade::test
--- /dev/null
+++ b/src/libperidotgrade/core/config/random_run_operator.h
@@ -0,0 +1,135 @@
+// An operator who plans and confirms, for randomised runs of the configuration.
+#pragma once
+
+#include "peridotgrade/core/config/confirm_settlement.h"
+#include "peridotgrade/core/config/planner.h"
+#include "random_run_log.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace peridotgrade::test {
+
+/// Makes plans on whatever version its entry has, confirms them, and writes down what it was told, so that it
+/// can be compared with the truth.
+class RandomRunOperator {
+public:
+    RandomRunOperator(
+        std::string name, TimerService& timers, RandomSource& random, RandomRunLog& log, PlanningView view)
+        : name(std::move(name))
+        , timers(timers)
+        , random(random)
+        , log(log)
+        , view(std::move(view))
+    {
+    }
+
+    /// One step at an entry, whose fold is given; `isNewEntry` if it is not the one of the last step.
+    void step(const ConfigurationFold& fold, bool isNewEntry)
+    {
+        if (!fold.isReady())
+            return;
+        if (!this->plan) {
+            if (this->isPlanning && this->random.below(100) == 0)
+                this->makePlanOn(fold);
+            return;
+        }
+        // The former entry died with the confirmation in progress: it may have appended.
+        if (isNewEntry) {
+            this->appends.acknowledged.reset();
+            this->appends.isAnyUnknown = true;
+        }
+        this->confirm(fold);
+    }
+
+    /// Everything that was told has to be true in the end.
+    void checkTold() const
+    {
+        for (const auto& [plan, version] : this->toldInForce) {
+            auto entry = this->log.plans.find(plan);
+            bool isTrue = entry != this->log.plans.end() && entry->second == version;
+            BOOST_REQUIRE_MESSAGE(isTrue, "told in force, but is not");
+        }
+        for (const PlanId& plan : this->toldNever)
+            BOOST_REQUIRE_MESSAGE(
+                !this->log.plans.contains(plan), "told that it does not take effect, but it did");
+    }
+
+    bool isPlanning = true;
+    std::size_t confirmed() const { return this->toldInForce.size(); }
+    std::size_t refused() const { return this->toldNever.size(); }
+
+private:
+    void makePlanOn(const ConfigurationFold& fold)
+    {
+        ServeModel serve;
+        serve.service = ServiceId { "s" };
+        serve.model = ModelId { "m" };
+        serve.modelVersion = "v" + std::to_string(this->random.below(1'000));
+        serve.mixedEngines = static_cast<std::uint32_t>(1 + this->random.below(3));
+        serve.weightBytes = 1'000;
+        OfferService offer { ServiceId { "s" }, ServiceKind::Model };
+        auto made = makePlan(fold.configuration(), fold.version(), { offer, serve }, this->view);
+        this->plan = std::get<Plan>(std::move(made));
+        this->appends = {};
+        this->deadline = this->timers.now() + std::chrono::seconds { 10 };
+    }
+
+    void confirm(const ConfigurationFold& fold)
+    {
+        ConfirmStanding standing = standingOf(fold, *this->plan, this->appends);
+        if (auto* inForce = std::get_if<PlanInForce>(&standing)) {
+            this->toldInForce.emplace_back(this->plan->id, inForce->version);
+            this->plan.reset();
+            return;
+        }
+        if (std::holds_alternative<PlanVoid>(standing)) {
+            this->toldNever.insert(this->plan->id);
+            this->plan.reset();
+            return;
+        }
+        if (std::holds_alternative<PlanForgotten>(standing)) {
+            this->plan.reset();
+            return;
+        }
+        if (this->timers.now() >= this->deadline) {
+            this->giveUp();
+            return;
+        }
+        if (std::holds_alternative<AppendNeeded>(standing))
+            this->append();
+    }
+
+    void append()
+    {
+        auto result = this->log.append(encodeRecord(confirmationOf(*this->plan, this->name)));
+        if (result.result == AppendResult::Acknowledged)
+            this->appends.acknowledged = result.offset;
+        if (result.result == AppendResult::Unknown)
+            this->appends.isAnyUnknown = true;
+    }
+
+    void giveUp()
+    {
+        bool isNothingAppended = !this->appends.acknowledged && !this->appends.isAnyUnknown;
+        if (isNothingAppended)
+            this->toldNever.insert(this->plan->id);
+        this->plan.reset();
+    }
+
+    const std::string name;
+    TimerService& timers;
+    RandomSource& random;
+    RandomRunLog& log;
+    const PlanningView view;
+    std::optional<Plan> plan;
+    AppendKnowledge appends;
+    TimePoint deadline;
+    std::vector<std::pair<PlanId, ConfigVersion>> toldInForce;
+    std::set<PlanId> toldNever;
+};
+
+} // namespace peridotgrade::test
--- a/src/libperidotgrade/core/config/reconciler.cpp
+++ b/src/libperidotgrade/core/config/reconciler.cpp
@@ -53,6 +53,8 @@
 {
 }
 
+Reconciler::~Reconciler() { this->timers.cancel(this->readTimer); }
+
 void Reconciler::start() { this->requestState(); }
 
 void Reconciler::requestState()
@@ -63,7 +65,8 @@
 
 void Reconciler::scheduleRead()
 {
-    this->timers.subscribeAfter(this->settings.stateInterval, [this] { this->requestState(); });
+    this->readTimer
+        = this->timers.subscribeAfter(this->settings.stateInterval, [this] { this->requestState(); });
 }
 
 void Reconciler::onTarget(ConfigVersion version, std::optional<EngineAssignment> target, Duration startIn)
--- a/src/libperidotgrade/operators/operator_responses.cpp
+++ b/src/libperidotgrade/operators/operator_responses.cpp
@@ -80,6 +80,13 @@
     return jsonResponse(409, body);
 }
 
+HttpResponse forgottenResponse(const Plan& plan, const PlanForgotten& standing)
+{
+    json::object body = outcomeOf(plan, "forgotten");
+    body["versionInForce"] = standing.versionInForce.raw();
+    return jsonResponse(410, body);
+}
+
 HttpResponse unsettledResponse(const Plan& plan, bool mayBeAppended)
 {
     if (!mayBeAppended)
--- a/src/libperidotgrade/operators/operator_responses.h
+++ b/src/libperidotgrade/operators/operator_responses.h
@@ -22,6 +22,7 @@
 
 HttpResponse inForceResponse(const Plan& plan, const PlanInForce& standing);
 HttpResponse voidResponse(const Plan& plan, const PlanVoid& standing);
+HttpResponse forgottenResponse(const Plan& plan, const PlanForgotten& standing);
 /// The time to confirm is over; `mayBeAppended` if the answer of an append was lost or has not been read
 /// back.
 HttpResponse unsettledResponse(const Plan& plan, bool mayBeAppended);
--- a/src/libperidotgrade/operators/plan_confirmer.cpp
+++ b/src/libperidotgrade/operators/plan_confirmer.cpp
@@ -50,6 +50,8 @@
             co_return inForceResponse(this->plan, *inForce);
         if (auto* gone = std::get_if<PlanVoid>(&standing))
             co_return voidResponse(this->plan, *gone);
+        if (auto* forgotten = std::get_if<PlanForgotten>(&standing))
+            co_return forgottenResponse(this->plan, *forgotten);
         if (TimerDriver::now() >= deadline)
             break;
         if (std::holds_alternative<AppendNeeded>(standing))
