--- /dev/null
+++ b/src/peridotctl/commands.h
@@ -0,0 +1,44 @@
+// The subcommands of peridotctl. Each prints its result and gives the exit status.
+#pragma once
+
+#include "caller.h"
+#include "exit_status.h"
+#include "site.h"
+
+#include <chrono>
+#include <string>
+
+namespace peridotgrade::ctl {
+
+/// What all commands have in common.
+struct CommandContext {
+    Site site;
+    Caller caller;
+    bool isJson = false;
+};
+
+struct StatusOptions {
+    /// Ask again until the version is in force everywhere or the time is over.
+    bool isFollowed = false;
+    std::chrono::milliseconds followTimeout { 60'000 };
+};
+
+struct TimelineOptions {
+    std::string request;
+    std::string plan;
+    std::string server;
+    bool isTrace = false;
+};
+
+/// Makes a plan for the intents in a file (`-` for the standard input).
+int planIntents(const CommandContext& context, const std::string& file);
+int showPlan(const CommandContext& context, const std::string& plan);
+/// Confirms a plan made by the entry, or the one in `planFile` if that is not empty.
+int confirmPlan(const CommandContext& context, std::string plan, const std::string& planFile);
+int showStatus(const CommandContext& context, const StatusOptions& options);
+int showHistory(const CommandContext& context);
+int showTimeline(const CommandContext& context, const TimelineOptions& options);
+/// Checks a settings file of an entry or an agent, told apart by the key `backend`.
+int checkSettings(const std::string& file, bool isJson);
+
+} // namespace peridotgrade::ctl
--- /dev/null
+++ b/src/peridotctl/status_command.cpp
@@ -0,0 +1,137 @@
+// The command status: where the version is in force, where not, and why.
+#include "commands.h"
+#include "output.h"
+
+#include "peridotgrade/net/timer_driver.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <vector>
+
+namespace peridotgrade::ctl {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr std::chrono::milliseconds FollowInterval { 500 };
+
+    /// One process as seen at one moment.
+    struct NodeStanding {
+        std::string name;
+        std::uint64_t version = 0;
+        /// Empty if all is in force there.
+        std::string problem;
+    };
+
+    struct SiteStanding {
+        std::uint64_t version = 0;
+        std::vector<NodeStanding> nodes;
+
+        bool isInForce() const
+        {
+            return std::all_of(this->nodes.begin(), this->nodes.end(),
+                [](const auto& node) { return node.problem.empty(); });
+        }
+    };
+
+    std::string problemOf(const json::value& status)
+    {
+        if (!flagOf(status, "isReady"))
+            return "knows no configuration yet";
+        const json::value* engine = status.as_object().if_contains("engine");
+        if (engine == nullptr || flagOf(*engine, "isInForce"))
+            return {};
+        std::string text = "engine waits for " + textOf(*engine, "waitingFor");
+        std::uint64_t failures = numberOf(*engine, "failures");
+        return failures == 0 ? text : text + " (" + std::to_string(failures) + " failures)";
+    }
+
+    NodeStanding standingOf(const NodeAnswer& answer)
+    {
+        NodeStanding standing;
+        standing.name = toString(answer.node);
+        if (const auto* error = std::get_if<NetError>(&answer.result)) {
+            standing.problem = "not reached: " + std::string { nameOf(error->kind) };
+            return standing;
+        }
+        json::value status = bodyOf(std::get<HttpResponse>(answer.result));
+        if (!status.is_object() || !status.as_object().contains("version")) {
+            standing.problem = "gave no status";
+            return standing;
+        }
+        standing.name = textOf(status, "node") + " (" + standing.name + ")";
+        standing.version = numberOf(status, "version");
+        standing.problem = problemOf(status);
+        return standing;
+    }
+
+    SiteStanding gather(const CommandContext& context)
+    {
+        HttpRequest request;
+        request.target = "/status";
+        SiteStanding site;
+        for (const NodeAnswer& answer : context.caller.callAll(context.site.all(), request))
+            site.nodes.push_back(standingOf(answer));
+        for (const NodeStanding& node : site.nodes)
+            site.version = std::max(site.version, node.version);
+        for (NodeStanding& node : site.nodes) {
+            if (node.problem.empty() && node.version < site.version)
+                node.problem = "has version " + std::to_string(node.version);
+        }
+        return site;
+    }
+
+    void printText(const SiteStanding& site)
+    {
+        std::cout << "version " << site.version << " "
+                  << (site.isInForce() ? "in force everywhere" : "not in force everywhere") << "\n";
+        for (const NodeStanding& node : site.nodes)
+            std::cout << "  " << node.name << ": " << (node.problem.empty() ? "in force" : node.problem)
+                      << "\n";
+        std::cout.flush();
+    }
+
+    void printJson(const SiteStanding& site)
+    {
+        json::array nodes;
+        for (const NodeStanding& node : site.nodes) {
+            json::object object;
+            object["node"] = node.name;
+            object["version"] = node.version;
+            object["isInForce"] = node.problem.empty();
+            object["problem"] = node.problem;
+            nodes.push_back(std::move(object));
+        }
+        json::object body;
+        body["version"] = site.version;
+        body["isInForce"] = site.isInForce();
+        body["nodes"] = std::move(nodes);
+        std::cout << json::serialize(body) << "\n";
+        std::cout.flush();
+    }
+
+} // namespace
+
+int showStatus(const CommandContext& context, const StatusOptions& options)
+{
+    TimePoint deadline = TimerDriver::now() + options.followTimeout;
+    while (true) {
+        SiteStanding site = gather(context);
+        if (context.isJson)
+            printJson(site);
+        else
+            printText(site);
+        if (site.isInForce())
+            return Done;
+        if (!options.isFollowed || TimerDriver::now() >= deadline)
+            return NotInForce;
+        context.caller.pause(FollowInterval);
+    }
+}
+
+} // namespace peridotgrade::ctl
