Add the agent daemon for both kinds of backend server

Cause: ModelHost and ActionHost had no process; entries could reach nothing. Change: peridot-agent with frame connections, host shard, configuration follower, notices of versions and quarantines, watch on the VM list, operators' pages, SIGTERM drain. It prints `ready peers=... admin=...`. Conclusion: the agent's side of the whole path is there.

--- /dev/null
+++ b/src/include/peridotgrade/agent/engine_backend.h
@@ -0,0 +1,48 @@
+// An engine as an agent's backend server.
+#pragma once
+
+#include "peridotgrade/agent/backend.h"
+#include "peridotgrade/core/hosting/model_host.h"
+#include "peridotgrade/platform/engine_client.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace peridotgrade {
+
+struct EngineBackendSettings {
+    ModelHostSettings host;
+    EngineClientSettings engine;
+    std::uint64_t seed = 0;
+};
+
+/// A ModelHost with the client of its engine.
+class EngineBackend final : public Backend {
+public:
+    EngineBackend(boost::asio::any_io_executor executor, EngineBackendSettings settings, EventSink& events,
+        SendToEntryHandler send);
+    ~EngineBackend() override;
+
+    void start() override;
+    void stop() override;
+    void onConnected(ConnectionId connection) override;
+    void onDisconnected(ConnectionId connection) override;
+    void onMessage(ConnectionId connection, const EntryMessage& message) override;
+    void setVersion(ConfigVersion version) override;
+    void drain() override;
+    bool isDrained() const override;
+
+    ModelHostCounters counters() const;
+
+    /// Called with each state that was read from the engine. To be set before `start`.
+    void observeState(std::function<void(const EngineState&)> observer);
+    void order(EngineOrder order, std::function<void(EngineClient::OrderResult)> onResult);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/agent/leaving_watch.h
@@ -0,0 +1,32 @@
+// Watches the VM list for the word that this VM is leaving.
+#pragma once
+
+#include "peridotgrade/net/endpoint.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace peridotgrade {
+
+/// Polls the VM list; calls `onLeaving` once, when the VM is listed as leaving. A list that can't be read, or
+/// that lacks the VM, says nothing: it lags.
+class LeavingWatch {
+public:
+    LeavingWatch(boost::asio::any_io_executor executor, Endpoint platform, std::string vmName,
+        std::function<void()> onLeaving);
+    ~LeavingWatch();
+    LeavingWatch(const LeavingWatch&) = delete;
+    LeavingWatch& operator=(const LeavingWatch&) = delete;
+
+    void start();
+    void stop();
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/agent/peer_notices.cpp
@@ -0,0 +1,105 @@
+// Exchange of versions, configurations and quarantined fingerprints with entries.
+#include "peridotgrade/agent/peer_notices.h"
+
+#include "peridotgrade/net/timer_driver.h"
+
+#include <optional>
+
+namespace peridotgrade {
+
+namespace {
+
+    // Every message carries a version; one answer is enough for all that arrive meanwhile.
+    constexpr std::chrono::milliseconds FetchInterval { 500 };
+
+    std::optional<ConfigVersion> versionOf(const EntryMessage& message)
+    {
+        return std::visit(
+            [](const auto& typed) -> std::optional<ConfigVersion> {
+                if constexpr (requires { typed.version; })
+                    return typed.version;
+                return std::nullopt;
+            },
+            message);
+    }
+
+} // namespace
+
+PeerNotices::PeerNotices(ConfigurationFollower& follower, AgentConnections& connections)
+    : follower(follower)
+    , connections(connections)
+{
+}
+
+void PeerNotices::onConnected(ConnectionId connection)
+{
+    QuarantineNotice notice;
+    {
+        std::lock_guard lock(this->mutex);
+        notice.quarantined = this->quarantine.quarantined();
+    }
+    if (!notice.quarantined.empty())
+        this->connections.send(connection, notice);
+}
+
+bool PeerNotices::onMessage(ConnectionId connection, const EntryMessage& message)
+{
+    if (const auto* snapshot = std::get_if<ConfigurationSnapshot>(&message)) {
+        this->follower.offer(*snapshot);
+        return true;
+    }
+    if (const auto* wanted = std::get_if<FetchConfiguration>(&message)) {
+        this->onWanted(connection, *wanted);
+        return true;
+    }
+    if (const auto* notice = std::get_if<QuarantineNotice>(&message)) {
+        this->onQuarantined(*notice);
+        return true;
+    }
+    if (auto version = versionOf(message))
+        this->onVersionHeard(connection, *version);
+    return std::holds_alternative<VersionNotice>(message);
+}
+
+void PeerNotices::onVersion(ConfigVersion version) { this->connections.sendToAll(VersionNotice { version }); }
+
+void PeerNotices::onVersionHeard(ConnectionId connection, ConfigVersion version)
+{
+    bool isNeeded = this->follower.isBehind(version) && !this->follower.isLogAvailable();
+    if (isNeeded && this->takeFetchPermit())
+        this->connections.send(connection, FetchConfiguration { this->follower.current()->version });
+}
+
+bool PeerNotices::takeFetchPermit()
+{
+    std::lock_guard lock(this->mutex);
+    TimePoint now = TimerDriver::now();
+    if (now - this->lastFetchAt < FetchInterval)
+        return false;
+    this->lastFetchAt = now;
+    return true;
+}
+
+void PeerNotices::onWanted(ConnectionId connection, const FetchConfiguration& wanted)
+{
+    if (this->follower.current()->version > wanted.have)
+        this->connections.send(connection, this->follower.peerSnapshot());
+}
+
+void PeerNotices::onQuarantined(const QuarantineNotice& notice)
+{
+    QuarantineNotice news;
+    {
+        std::lock_guard lock(this->mutex);
+        for (Fingerprint fingerprint : notice.quarantined) {
+            if (this->quarantine.standingOf(fingerprint) == Standing::Quarantined)
+                continue;
+            this->quarantine.quarantine(fingerprint);
+            news.quarantined.push_back(fingerprint);
+        }
+    }
+    if (!news.quarantined.empty())
+        this->connections.sendToAll(news);
+}
+
+} // namespace peridotgrade
--- a/src/peridot-agent/main.cpp
+++ b/src/peridot-agent/main.cpp
@@ -1,10 +1,84 @@
 // Entry point of peridot-agent.
+#include "drain.h"
+
+#include "peridotgrade/agent/agent.h"
+
 #include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <iostream>
+#include <random>
+#include <thread>
+#include <vector>
+
+using namespace peridotgrade;
+
+namespace {
+
+struct Options {
+    std::string settingsFile;
+    std::string checkedFile;
+    std::uint64_t seed = 0;
+};
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+void runThreads(boost::asio::io_context& context, std::uint32_t count)
+{
+    std::vector<std::thread> threads;
+    for (std::uint32_t i = 1; i < count; ++i)
+        threads.emplace_back([&context] { context.run(); });
+    context.run();
+    for (std::thread& thread : threads)
+        thread.join();
+}
+
+int serve(AgentSettings settings, std::uint64_t seed)
+{
+    std::uint32_t threads = settings.node.threads;
+    auto drainTimeout = settings.drainTimeout;
+    boost::asio::io_context context(static_cast<int>(threads));
+    Agent agent(context.get_executor(), std::move(settings), seed);
+    auto started = agent.start();
+    if (const auto* error = std::get_if<NetError>(&started)) {
+        std::cerr << error->detail << "\n";
+        return exit_status::AddressInUse;
+    }
+    drainOnSignal(context, agent, drainTimeout);
+    const auto& endpoints = std::get<AgentEndpoints>(started);
+    std::cout << "ready peers=" << toString(endpoints.peers) << " admin=" << toString(endpoints.admin)
+              << std::endl;
+    runThreads(context, threads);
+    return exit_status::Success;
+}
+
+} // namespace
 
 int main(int argc, char** argv)
 {
-    CLI::App app { "peridot-agent" };
+    CLI::App app { "peridot-agent: the process beside a backend server" };
+    Options options;
     app.set_version_flag("--version", PERIDOT_VERSION);
+    auto* settingsFlag = app.add_option("--settings", options.settingsFile, "settings file (JSON)");
+    auto* checkFlag = app.add_option("--check-settings", options.checkedFile, "checks a settings file only");
+    app.add_option("--seed", options.seed, "seed of all random choices; random without");
     CLI11_PARSE(app, argc, argv);
-    return 0;
+    if (!*settingsFlag && !*checkFlag) {
+        std::cerr << "--settings FILE is needed\n";
+        return exit_status::BadSettings;
+    }
+
+    auto settings = readAgentSettings(*checkFlag ? options.checkedFile : options.settingsFile);
+    if (const auto* error = std::get_if<SettingsError>(&settings)) {
+        std::cerr << error->message() << "\n";
+        return exit_status::BadSettings;
+    }
+    if (*checkFlag)
+        return exit_status::Success;
+    std::uint64_t seed = options.seed != 0 ? options.seed : randomSeed();
+    return serve(std::get<AgentSettings>(std::move(settings)), seed);
 }
