--- a/src/libperidotgrade/agent/agent.cpp
+++ b/src/libperidotgrade/agent/agent.cpp
@@ -81,6 +81,7 @@
     engine.host.prefillsAtOnce = this->settings.prefillsAtOnce;
     engine.engine.engine = this->settings.backend.address;
     engine.engine.exportAddress = this->settings.backend.address;
+    engine.engine.weightStore = this->settings.weightStore;
     engine.engine.stateInterval = this->settings.stateInterval;
     engine.seed = this->seed;
     auto send = [this](ConnectionId connection, const AgentMessage& message) {
--- a/src/libperidotgrade/agent/engine_backend.cpp
+++ b/src/libperidotgrade/agent/engine_backend.cpp
@@ -28,6 +28,7 @@
                 self->shard->step([&event](ModelHost& host) { host.onEngineEvent(event); });
         };
         handlers.onState = this->stateObserver;
+        handlers.onUnreachable = this->silenceObserver;
         this->client
             = std::make_unique<EngineClient>(this->executor, this->settings.engine, std::move(handlers));
         this->shard->start(this->executor);
@@ -59,6 +60,7 @@
     RandomSource random;
     const SendToEntryHandler send;
     std::function<void(const EngineState&)> stateObserver;
+    std::function<void()> silenceObserver;
     std::unique_ptr<EngineClient> client;
     std::shared_ptr<HostShard<ModelHost>> shard;
 };
@@ -115,9 +117,14 @@
     this->impl->stateObserver = std::move(observer);
 }
 
-void EngineBackend::order(EngineOrder order, std::function<void(EngineClient::OrderResult)> onResult)
+void EngineBackend::observeSilence(std::function<void()> observer)
 {
-    this->impl->client->order(std::move(order), std::move(onResult));
+    this->impl->silenceObserver = std::move(observer);
+}
+
+void EngineBackend::order(AssignedOrder order, std::function<void(OrderAnswer)> onAnswer)
+{
+    this->impl->client->order(std::move(order), std::move(onAnswer));
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/platform/engine_client.cpp
+++ b/src/libperidotgrade/platform/engine_client.cpp
@@ -17,6 +17,18 @@
     constexpr std::chrono::milliseconds CachePollWait { 1000 };
     constexpr std::chrono::milliseconds CacheRetryDelay { 1000 };
     constexpr std::chrono::milliseconds OrderTimeout { 2000 };
+    constexpr std::uint16_t HttpAccepted = 202;
+    constexpr std::uint16_t HttpConflict = 409;
+
+    OrderAnswer orderAnswerFrom(const std::variant<HttpResponse, NetError>& result)
+    {
+        if (const auto* error = std::get_if<NetError>(&result))
+            return error->mayHaveArrived ? OrderAnswer::Lost : OrderAnswer::Refused;
+        std::uint16_t status = std::get<HttpResponse>(result).status;
+        if (status == HttpAccepted)
+            return OrderAnswer::Taken;
+        return status == HttpConflict ? OrderAnswer::StaleFence : OrderAnswer::Refused;
+    }
 } // namespace
 
 EngineClient::Impl::Impl(
@@ -71,6 +83,8 @@
     auto result = co_await this->http.send(std::move(request), this->settings.stateTimeout);
     if (const auto* error = std::get_if<NetError>(&result)) {
         this->onSilence(*error);
+        if (this->handlers.onUnreachable && !this->isStopped)
+            this->handlers.onUnreachable();
         co_return;
     }
     auto state = readState(std::get<HttpResponse>(result));
@@ -141,32 +155,22 @@
     }
 }
 
-void EngineClient::Impl::order(EngineOrder order, std::function<void(OrderResult)> onResult)
+void EngineClient::Impl::order(AssignedOrder order, std::function<void(OrderAnswer)> onAnswer)
 {
     asio::post(this->strand,
         [self = this->shared_from_this(), order = std::move(order),
-            onResult = std::move(onResult)]() mutable {
+            onAnswer = std::move(onAnswer)]() mutable {
             asio::co_spawn(
-                self->strand, self->giveOrder(self, std::move(order), std::move(onResult)), asio::detached);
+                self->strand, self->giveOrder(self, std::move(order), std::move(onAnswer)), asio::detached);
         });
 }
 
 asio::awaitable<void> EngineClient::Impl::giveOrder(
-    Self, EngineOrder order, std::function<void(OrderResult)> onResult)
+    Self, AssignedOrder order, std::function<void(OrderAnswer)> onAnswer)
 {
-    constexpr std::uint16_t Taken = 202;
-    HttpRequest request = orderRequest(order);
+    HttpRequest request = orderRequest(order, this->settings.weightStore);
     auto result = co_await this->http.send(std::move(request), OrderTimeout, false);
-    if (const auto* error = std::get_if<NetError>(&result)) {
-        onResult(engineErrorFrom(*error));
-        co_return;
-    }
-    const auto& response = std::get<HttpResponse>(result);
-    if (response.status != Taken) {
-        onResult(engineErrorFrom(response));
-        co_return;
-    }
-    onResult(std::monostate {});
+    onAnswer(orderAnswerFrom(result));
 }
 
 EngineClient::EngineClient(
@@ -183,9 +187,9 @@
 
 void EngineClient::command(EngineCommand command) { this->impl->command(std::move(command)); }
 
-void EngineClient::order(EngineOrder order, std::function<void(OrderResult)> onResult)
+void EngineClient::order(AssignedOrder order, std::function<void(OrderAnswer)> onAnswer)
 {
-    this->impl->order(std::move(order), std::move(onResult));
+    this->impl->order(std::move(order), std::move(onAnswer));
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/platform/engine_protocol.h
+++ b/src/libperidotgrade/platform/engine_protocol.h
@@ -1,12 +1,12 @@
 // Requests to an engine and the reading of its answers.
 #pragma once
 
+#include "peridotgrade/core/config/engine_state.h"
 #include "peridotgrade/core/hosting/engine_command.h"
 #include "peridotgrade/core/hosting/engine_event.h"
 #include "peridotgrade/core/messages/stream_messages.h"
 #include "peridotgrade/net/http_message.h"
 #include "peridotgrade/platform/engine_client.h"
-#include "peridotgrade/platform/engine_state.h"
 
 #include <optional>
 #include <string>
@@ -21,7 +21,7 @@
 HttpRequest cancelRequest(const EngineStreamId& stream);
 HttpRequest listRequest();
 HttpRequest stateRequest();
-HttpRequest orderRequest(const EngineOrder& order);
+HttpRequest orderRequest(const AssignedOrder& order, const Endpoint& weightStore);
 HttpRequest cacheEventsRequest(std::uint64_t from, std::chrono::milliseconds wait);
 
 /// One event of a token stream.
--- a/src/libperidotgrade/platform/engine_requests.cpp
+++ b/src/libperidotgrade/platform/engine_requests.cpp
@@ -22,11 +22,11 @@
         return request;
     }
 
-    std::string_view nameOf(EngineOrder::Kind kind)
+    std::string_view wireName(AssignedOrderKind kind)
     {
-        if (kind == EngineOrder::Kind::Load)
+        if (kind == AssignedOrderKind::Load)
             return "load";
-        return kind == EngineOrder::Kind::Unload ? "unload" : "role";
+        return kind == AssignedOrderKind::Unload ? "unload" : "role";
     }
 
 } // namespace
@@ -90,20 +90,20 @@
     return request;
 }
 
-HttpRequest orderRequest(const EngineOrder& order)
+HttpRequest orderRequest(const AssignedOrder& order, const Endpoint& weightStore)
 {
     json::object body;
-    body["fence"] = order.fence;
-    body["kind"] = nameOf(order.kind);
-    if (order.kind == EngineOrder::Kind::SetRole) {
-        body["role"] = peridotgrade::nameOf(order.role);
+    body["fence"] = order.fence.raw();
+    body["kind"] = wireName(order.kind);
+    if (order.kind == AssignedOrderKind::ChangeRole) {
+        body["role"] = nameOf(order.role);
         return post("/v1/orders", body);
     }
     body["model"] = order.model.raw();
-    body["version"] = order.version;
+    body["version"] = order.modelVersion;
     if (!order.adapter.empty())
         body["adapter"] = order.adapter;
-    body["weights"] = toString(order.weightStore);
+    body["weights"] = toString(weightStore);
     return post("/v1/orders", body);
 }
 
