--- a/testsuite/run.py
+++ b/testsuite/run.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Runs the cases of the test suite: every folder here with a case.py whose `run(site_factory)` passes or raises."""
+"""Runs the cases of the test suite: every folder here with a case.py whose `run(build_folder)` passes or raises."""
 import argparse
 import importlib.util
 import pathlib
--- /dev/null
+++ b/testsuite/support/site.py
@@ -0,0 +1,216 @@
+"""A small site on loopback: platform, engines and application servers with their agents, entries."""
+import hashlib
+import json
+import os
+import shutil
+import subprocess
+
+from support.caller import Caller
+from support.http_calls import call, wait_for
+from support.process import Process, new_folder
+
+WORKSPACE_KEY = "parish-office-key"
+OPERATOR_KEY = "desk-operator-key"
+MODEL = "reminder-llm"
+MODEL_SERVICE = "reminder-llm"
+APPLICATION_SERVICE = "care-app"
+
+
+def sha256(text):
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+class BackendServer:
+    """A backend server with its agent."""
+
+    def __init__(self, name, data_centre, service, kind, server, agent):
+        self.name = name
+        self.data_centre = data_centre
+        self.service = service
+        self.kind = kind
+        self.server = server
+        self.agent = agent
+        self.role = None
+
+    def control(self, **switches):
+        answer = call(self.server.ports["control"], "POST", "/control", switches)
+        assert answer.status == 200, answer
+
+    def counts(self):
+        return call(self.server.ports["control"], "GET", "/control").json()
+
+    def pieces_held(self):
+        return self.counts()["pieces_held"]
+
+
+class Site:
+    """Starts everything with ports that the kernel chooses, and ends all that it started."""
+
+    def __init__(self, build, **settings_of_agents):
+        self.build = build
+        self.folder = new_folder()
+        self.processes = []
+        self.relays = []
+        self.backends = {}
+        self.entries = {}
+        self.settings_of_agents = settings_of_agents
+        self.platform = self.start("standin-platform", "platform", "--vm-lag-ms", 50)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, failure, value, trace):
+        for relay in self.relays:
+            relay.end()
+        for process in self.processes:
+            process.end()
+        if failure:
+            print(f"logs of the processes: {self.folder}")
+            for process in self.processes:
+                print(f"--- {process.name} ({process.child.returncode})\n{process.log_tail()[-1500:]}")
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    # Starting.
+
+    def start(self, program, name, *arguments):
+        process = Process(self.build / program, arguments, self.folder, name)
+        self.processes.append(process)
+        return process.start()
+
+    def settings_file(self, name, settings):
+        path = os.path.join(self.folder, f"{name}.json")
+        with open(path, "w") as file:
+            json.dump(settings, file, indent=2)
+        return path
+
+    def node_settings(self, name, data_centre):
+        return {"nodeName": name, "dataCentre": data_centre, "adminListen": "127.0.0.1:0",
+                "peerListen": "127.0.0.1:0", "platform": self.platform.ports["listen"], "logLevel": "info"}
+
+    def add_engine(self, name, role, *flags, data_centre="kgl-nyar"):
+        server = self.start("standin-engine", f"{name}-engine", "--role", role, "--model", MODEL, *flags)
+        backend = self._add_backend(name, data_centre, MODEL_SERVICE, "engine", server)
+        backend.role = role
+        return backend
+
+    def add_application(self, name, *flags, data_centre="kgl-nyar"):
+        server = self.start("standin-appserver", f"{name}-server", *flags)
+        return self._add_backend(name, data_centre, APPLICATION_SERVICE, "application", server)
+
+    def _add_backend(self, name, data_centre, service, kind, server):
+        settings = {**self.node_settings(name, data_centre), **self.settings_of_agents, "service": service,
+                    "backend": {"kind": kind, "address": server.ports["listen"]}}
+        agent = self.start("peridot-agent", name, "--settings", self.settings_file(name, settings))
+        # A restarted agent comes back at its address.
+        settings.update(peerListen=agent.ports["peers"], adminListen=agent.ports["admin"])
+        self.settings_file(name, settings)
+        backend = BackendServer(name, data_centre, service, kind, server, agent)
+        self.backends[name] = backend
+        self.list_vm(name, agent.ports["peers"], data_centre, service, kind)
+        return backend
+
+    def restart_server(self, backend):
+        """Starts a backend server again, at its address, after it has ended."""
+        backend.server.wait_exit()
+        ports = backend.server.ports
+        backend.server.command += ["--listen", ports["listen"], "--control", ports["control"]]
+        backend.server.start()
+
+    def restart_agent(self, backend):
+        backend.agent.wait_exit()
+        backend.agent.start()
+
+    def add_entry(self, name, data_centre="kgl-nyar", **more):
+        settings = {**self.node_settings(name, data_centre), "listen": "127.0.0.1:0",
+                    "operators": [{"name": "desk-operator", "keySha256": sha256(OPERATOR_KEY)}], **more}
+        entry = self.start("peridot-entry", name, "--settings", self.settings_file(name, settings))
+        self.entries[name] = entry
+        return entry
+
+    # The platform.
+
+    def control_platform(self, **switches):
+        answer = call(self.platform.ports["control"], "POST", "/control", switches)
+        assert answer.status == 200, answer
+
+    def list_vm(self, name, address, data_centre, service, kind):
+        self.control_platform(add_vm={"name": name, "address": address, "data_centre": data_centre,
+                                      "service": service, "kind": kind, "state": "live"})
+
+    def append(self, stream, record):
+        answer = call(self.platform.ports["listen"], "POST", f"/log/{stream}/records", {"records": [record]})
+        assert answer.status == 200, answer
+        return answer.json()["first_offset"]
+
+    def configure(self, base=0):
+        """Confirms a configuration that serves the model with the engines as they are; gives its version."""
+        changes = [{"setService": {"id": MODEL_SERVICE, "kind": "model", "committedShare": 0.5}},
+                   {"setService": {"id": APPLICATION_SERVICE, "kind": "application", "committedShare": 0.1}},
+                   {"setWorkspace": {"id": "parish-office", "keySha256": sha256(WORKSPACE_KEY),
+                                     "priority": "normal"}}]
+        for backend in self.backends.values():
+            if backend.kind == "engine":
+                changes.append({"setEngine": {"agent": backend.name, "service": MODEL_SERVICE, "model": MODEL,
+                                              "modelVersion": "1", "adapters": [], "role": backend.role}})
+        record = {"kind": "confirmed", "plan": "0123456789abcdef", "base": base, "operator": "desk-operator",
+                  "summary": "the first configuration", "changes": changes}
+        return self.append("configuration", json.dumps(record)) + 1
+
+    # Waiting and looking.
+
+    def caller(self, entry=None):
+        process = self.entries[entry] if entry else next(iter(self.entries.values()))
+        return Caller(process.ports["listen"], WORKSPACE_KEY)
+
+    def wait_until_serving(self):
+        """Waits until every entry answers a completion and, if there is an application server, a read."""
+        for name in self.entries:
+            caller = self.caller(name)
+            if any(backend.kind == "engine" for backend in self.backends.values()):
+                wait_for(lambda: caller.complete(MODEL, "Are you there?", 2).status == 200, f"{name} serves a model")
+            if any(backend.kind == "application" for backend in self.backends.values()):
+                wait_for(lambda: caller.read(APPLICATION_SERVICE, "/ready").status == 200, f"{name} serves reads")
+
+    def wait_until_memory_free(self, seconds=20):
+        """No engine holds anything for anybody."""
+        engines = [backend for backend in self.backends.values()
+                   if backend.kind == "engine" and backend.server.is_running()]
+        wait_for(lambda: all(engine.pieces_held() == 0 for engine in engines), "the engines' memory is free", seconds)
+
+    def answer_to(self, prompt, max_tokens):
+        """The one right answer to a prompt."""
+        command = [self.build / "standin-engine", "answer", "--max-tokens", str(max_tokens), "--", prompt]
+        return subprocess.run(command, capture_output=True, text=True, check=True).stdout
+
+    def violations(self):
+        """Invariants found broken by any process, by name."""
+        found = {}
+        processes = list(self.entries.values()) + [backend.agent for backend in self.backends.values()]
+        for process in processes:
+            if not process.is_running():
+                continue
+            for line in call(process.ports["admin"], "GET", "/metrics").body.splitlines():
+                if line.startswith("peridot_invariant_violations_total") and not line.endswith(" 0"):
+                    found[process.name] = line
+        return found
+
+
+def small_site(build, prefills=1, decodes=2, applications=0, entries=1, flags=(), **settings_of_agents):
+    """A configured site that serves."""
+    site = Site(build, **settings_of_agents)
+    try:
+        for number in range(prefills):
+            site.add_engine(f"prefill-{number + 1}", "prefill", *flags)
+        for number in range(decodes):
+            site.add_engine(f"decode-{number + 1}", "decode", *flags)
+        for number in range(applications):
+            site.add_application(f"application-{number + 1}")
+        site.configure()
+        for number in range(entries):
+            site.add_entry(f"entry-{number + 1}")
+        site.wait_until_serving()
+        return site
+    except BaseException as failure:
+        site.__exit__(type(failure), failure, None)
+        raise
