--- a/src/bench/goodput/site_run.h
+++ b/src/bench/goodput/site_run.h
@@ -235,7 +235,8 @@
 
     void submit(PromptShape shape, bool isComeBack)
     {
-        // Not drawn from the arrivals' generator: callers that come back must not shift the arrivals of the others.
+        // Not drawn from the arrivals' generator: callers that come back must not shift the arrivals of the
+        // others.
         auto e = static_cast<std::uint32_t>(this->entryRandom.below(this->entries.size()));
         RequestId id { ++this->lastRequest };
         Watch watch;
--- a/src/bench/slopes/host_bench.cpp
+++ b/src/bench/slopes/host_bench.cpp
@@ -7,9 +7,9 @@
 namespace peridotgrade::bench {
 
 namespace {
-constexpr std::uint32_t KvTokensPerPlace = 4096;
-constexpr std::uint32_t KvTokensPerPiece = 64;
-constexpr std::uint32_t OutputTokens = 256;
+    constexpr std::uint32_t KvTokensPerPlace = 4096;
+    constexpr std::uint32_t KvTokensPerPiece = 64;
+    constexpr std::uint32_t OutputTokens = 256;
 } // namespace
 
 class HostBench::Impl {
--- a/src/bench/slopes/router_bench.cpp
+++ b/src/bench/slopes/router_bench.cpp
@@ -9,15 +9,16 @@
 namespace peridotgrade::bench {
 
 namespace {
-constexpr std::uint32_t OutputTokens = 100'000;
-constexpr std::chrono::milliseconds LeaseDuration { 3000 };
+    constexpr std::uint32_t OutputTokens = 100'000;
+    constexpr std::chrono::milliseconds LeaseDuration { 3000 };
 } // namespace
 
 class RouterBench::Impl {
 public:
     explicit Impl(std::uint32_t engines)
         : random(1)
-        , router(makeSettings(), TwoChoicePolicy {}, this->timers, this->random, this->quarantine, this->events)
+        , router(
+              makeSettings(), TwoChoicePolicy {}, this->timers, this->random, this->quarantine, this->events)
     {
         RoutingView view;
         view.version = ConfigVersion { 1 };
--- a/src/bench/slopes/router_bench.h
+++ b/src/bench/slopes/router_bench.h
@@ -20,8 +20,8 @@
     std::uint64_t renewalBytes = 0;
 };
 
-/// One router whose agents grant every place and finish every prefill at once. Requests can be left open after any
-/// number of tokens, so that state is measured in the middle.
+/// One router whose agents grant every place and finish every prefill at once. Requests can be left open
+/// after any number of tokens, so that state is measured in the middle.
 class RouterBench {
 public:
     explicit RouterBench(std::uint32_t engines);
--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -17,7 +17,7 @@
 if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
   # These analyses report false positives inside Boost under -O2 and the sanitizers.
   target_compile_options(peridot_options INTERFACE -Wno-maybe-uninitialized -Wno-stringop-overflow -Wno-array-bounds
-                                                   -Wno-restrict -Wno-tsan)
+                                                   -Wno-restrict -Wno-tsan -Wno-mismatched-new-delete)
 endif()
 target_include_directories(peridot_options INTERFACE "${CMAKE_SOURCE_DIR}/src/include")
 target_compile_definitions(peridot_options INTERFACE PERIDOT_VERSION="${PROJECT_VERSION}")
--- /dev/null
+++ b/src/include/peridotgrade/entry/entry_node.h
@@ -0,0 +1,49 @@
+// A whole entry process.
+#pragma once
+
+#include "peridotgrade/entry/operator_api.h"
+#include "peridotgrade/net/endpoint.h"
+#include "peridotgrade/net/net_error.h"
+#include "peridotgrade/ops/settings/entry_settings.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace peridotgrade {
+
+struct EntryContext;
+
+/// Where a running entry listens.
+struct EntryAddresses {
+    Endpoint callers;
+    Endpoint admin;
+    Endpoint peers;
+};
+
+/// Puts shards, platform feeds and HTTP together, runs the threads, and stops without cutting off a request:
+/// on SIGTERM or SIGINT it stops being ready, refuses new requests as not run, finishes those in progress,
+/// and ends.
+class EntryNode {
+public:
+    /// Makes the operators' interface, once the rest of the process stands. May give null.
+    using OperatorApiFactory
+        = std::function<std::unique_ptr<OperatorApi>(EntryContext&, boost::asio::any_io_executor)>;
+
+    /// `seed` is the root of all random choices of the process, and is logged.
+    EntryNode(EntrySettings settings, std::uint64_t seed, OperatorApiFactory operators);
+    ~EntryNode();
+    EntryNode(const EntryNode&) = delete;
+    EntryNode& operator=(const EntryNode&) = delete;
+
+    /// Listens on all ports and begins to work.
+    std::variant<EntryAddresses, NetError> start();
+    /// Returns when the process has been told to stop and is done. True if nothing was cut off.
+    bool run();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/admin_api.cpp
@@ -0,0 +1,122 @@
+// The admin port: health, metrics, time line, log level, operators' calls.
+#include "admin_api.h"
+
+#include "peridotgrade/callers/api_error.h"
+#include "peridotgrade/ops/settings/key_hash.h"
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::string_view BearerPrefix = "Bearer ";
+    constexpr std::string_view OperatorPrefix = "/operator/";
+
+    HttpResponse errorOf(std::uint16_t status, std::string code, std::string message)
+    {
+        ApiError error;
+        error.status = status;
+        error.type = "invalid_request_error";
+        error.code = std::move(code);
+        error.message = std::move(message);
+        HttpResponse response;
+        response.status = status;
+        response.body = errorBody(error);
+        return response;
+    }
+
+    HttpResponse textOf(std::string body)
+    {
+        HttpResponse response;
+        response.contentType = "text/plain; version=0.0.4";
+        response.body = std::move(body);
+        return response;
+    }
+
+    const OperatorCredential* credentialOf(const HttpRequest& request, const EntrySettings& settings)
+    {
+        std::string_view field = request.field("Authorization");
+        if (!field.starts_with(BearerPrefix))
+            return nullptr;
+        return settings.operatorOfKey(keySha256(field.substr(BearerPrefix.size())));
+    }
+
+    bool changesSomething(const HttpRequest& request)
+    {
+        return request.path().starts_with(OperatorPrefix) || request.method == "PUT";
+    }
+
+} // namespace
+
+AdminApi::AdminApi(EntryContext& context, OperatorApi* operators)
+    : context(context)
+    , operators(operators)
+{
+}
+
+asio::awaitable<void> AdminApi::handle(HttpExchange& exchange)
+{
+    const HttpRequest& request = exchange.request();
+    HttpResponse response;
+    if (!changesSomething(request)) {
+        response = this->answerTo(request);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    const OperatorCredential* credential = credentialOf(request, this->context.settings);
+    if (credential == nullptr) {
+        response = errorOf(
+            401, "invalid_operator_key", "the field Authorization must hold 'Bearer ' and an operator's key");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    if (request.path().starts_with(OperatorPrefix) && this->operators != nullptr) {
+        std::string name = credential->name;
+        co_await this->operators->handle(exchange, std::move(name));
+        co_return;
+    }
+    response = this->changeLogLevel(request, *credential);
+    co_await exchange.respond(std::move(response));
+}
+
+HttpResponse AdminApi::answerTo(const HttpRequest& request)
+{
+    std::string_view path = request.path();
+    if (path == "/health/live")
+        return textOf("live\n");
+    if (path == "/health/ready") {
+        bool isReady = this->context.isReady();
+        HttpResponse response = textOf(isReady ? "ready\n" : "not ready\n");
+        response.status = isReady ? 200 : 503;
+        return response;
+    }
+    if (path == "/metrics")
+        return textOf(this->context.metrics.text());
+    if (path == "/loglevel")
+        return textOf(std::string { nameOf(this->context.logger.level()) } + "\n");
+    if (path == "/timeline") {
+        HttpResponse response;
+        response.body = this->context.timeline.toJson({ request.query("request"), request.query("subject") });
+        return response;
+    }
+    return errorOf(404, "unknown_path", "there is nothing at this path");
+}
+
+HttpResponse AdminApi::changeLogLevel(const HttpRequest& request, const OperatorCredential& credential)
+{
+    if (request.path() != "/loglevel")
+        return errorOf(404, "unknown_path", "there is nothing at this path");
+    std::string_view name = request.body;
+    while (name.ends_with('\n') || name.ends_with('\r'))
+        name.remove_suffix(1);
+    auto level = logLevelFrom(name);
+    if (!level)
+        return errorOf(400, "unknown_level", "the body must be trace, debug, info, warn or error");
+    this->context.logger.setLevel(*level);
+    this->context.logger.write(LogLevel::Warn, "log_level_changed",
+        { { "operator", credential.name }, { "to", std::string { nameOf(*level) } } });
+    return textOf(std::string { nameOf(*level) } + "\n");
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/claims_feed.h
@@ -0,0 +1,34 @@
+// Follows the claims stream for all shards and appends for them.
+#pragma once
+
+#include "peridotgrade/entry/entry_context.h"
+#include "peridotgrade/platform/log_client.h"
+#include "peridotgrade/platform/log_tail.h"
+
+namespace peridotgrade {
+
+/// All shards see all records. Runs on one strand.
+class ClaimsFeed final : public LogTailListener {
+public:
+    ClaimsFeed(boost::asio::any_io_executor strand, EntryContext& context, std::uint64_t seed);
+
+    void start();
+    void stop();
+    /// Sent once; the shard is told what is known of the result. Thread safe.
+    void append(std::size_t shard, AppendClaims claims);
+
+    void onLogRecords(std::vector<LogRecord> records) override;
+    void onLogCaughtUp(LogOffset oldest, LogOffset next, TimePoint readBegan) override;
+    void onLogGap(LogOffset oldest) override;
+    void onLogAvailability(bool isAvailable) override;
+
+private:
+    boost::asio::awaitable<void> appendOnce(std::size_t shard, AppendClaims claims);
+
+    const boost::asio::any_io_executor strand;
+    EntryContext& context;
+    LogClient client;
+    LogTail tail;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/peer_exchange.cpp
@@ -0,0 +1,115 @@
+// What entries tell each other without the log.
+#include "peer_exchange.h"
+
+#include "peridotgrade/wire/codec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+    constexpr std::chrono::milliseconds AskInterval { 1000 };
+} // namespace
+
+PeerExchange::PeerExchange(
+    asio::any_io_executor strand, EntryContext& context, HybridClock& clock, QuarantineFeed& quarantines)
+    : strand(std::move(strand))
+    , context(context)
+    , clock(clock)
+    , quarantines(quarantines)
+    , server(this->strand, context.settings.node.peerListen, FrameSettings {},
+          [this](std::shared_ptr<FrameConnection> connection) { this->onAccepted(std::move(connection)); })
+    , pause(this->strand)
+{
+}
+
+std::variant<Endpoint, NetError> PeerExchange::start()
+{
+    auto result = this->server.start();
+    if (std::holds_alternative<Endpoint>(result))
+        asio::co_spawn(
+            this->strand, [this] { return this->askUntilReady(); }, asio::detached);
+    return result;
+}
+
+void PeerExchange::stop()
+{
+    this->isStopped = true;
+    this->pause.cancel();
+    this->server.stopAccepting();
+}
+
+void PeerExchange::onAccepted(std::shared_ptr<FrameConnection> connection)
+{
+    FrameHandlers handlers;
+    handlers.onFrame = [this, connection](std::string_view frame) { this->onFrame(*connection, frame); };
+    handlers.onClosed = [](const NetError&) {};
+    connection->start(std::move(handlers));
+}
+
+void PeerExchange::onFrame(FrameConnection& connection, std::string_view frame)
+{
+    auto decoded = decodeEntryFrame(frame);
+    auto* known = std::get_if<EntryFrame>(&decoded);
+    if (known == nullptr) {
+        connection.close();
+        return;
+    }
+    this->clock.observe(known->clock);
+    if (auto* wanted = std::get_if<FetchConfiguration>(&known->message))
+        this->answer(connection, *wanted);
+    else if (auto* snapshot = std::get_if<ConfigurationSnapshot>(&known->message))
+        this->context.follower.offer(std::move(*snapshot));
+    else if (auto* notice = std::get_if<QuarantineNotice>(&known->message))
+        this->quarantines.hear(std::move(notice->quarantined));
+}
+
+void PeerExchange::answer(FrameConnection& connection, const FetchConfiguration& wanted)
+{
+    auto current = this->context.follower.current();
+    bool hasNewer = current->isReady && current->version >= wanted.have;
+    if (!hasNewer)
+        return;
+    EntryMessage reply = this->context.follower.peerSnapshot();
+    connection.send(encode(reply, this->clock.tick()));
+}
+
+asio::awaitable<void> PeerExchange::askUntilReady()
+{
+    // The log comes first: give it a moment before the peers are asked.
+    do {
+        boost::system::error_code ignored;
+        this->pause.expires_after(AskInterval);
+        co_await this->pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        bool isNeeded = !this->context.follower.current()->isReady && !this->isStopped;
+        if (!isNeeded)
+            co_return;
+        for (const Endpoint& peer : this->context.settings.node.peers)
+            this->ask(peer);
+    } while (!this->isStopped);
+}
+
+void PeerExchange::ask(const Endpoint& peer)
+{
+    connectFrames(this->strand, peer, FrameSettings {}, [this](ConnectResult result) {
+        auto* connection = std::get_if<std::shared_ptr<FrameConnection>>(&result);
+        if (connection == nullptr)
+            return;
+        FrameHandlers handlers;
+        handlers.onFrame = [this, kept = *connection](std::string_view frame) {
+            this->onFrame(*kept, frame);
+            kept->close();
+        };
+        handlers.onClosed = [](const NetError&) {};
+        (*connection)->start(std::move(handlers));
+        EntryMessage question = FetchConfiguration { this->context.follower.current()->version };
+        (*connection)->send(encode(question, this->clock.tick()));
+    });
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/peer_exchange.h
@@ -0,0 +1,40 @@
+// What entries tell each other without the log.
+#pragma once
+
+#include "quarantine_feed.h"
+
+#include "peridotgrade/entry/entry_context.h"
+#include "peridotgrade/net/frame_client.h"
+#include "peridotgrade/net/frame_server.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace peridotgrade {
+
+/// Answers peers that ask for the configuration, and asks peers itself while this process knows no version
+/// and the log is out of reach. Runs on one strand.
+class PeerExchange {
+public:
+    PeerExchange(boost::asio::any_io_executor strand, EntryContext& context, HybridClock& clock,
+        QuarantineFeed& quarantines);
+
+    std::variant<Endpoint, NetError> start();
+    void stop();
+
+private:
+    void onAccepted(std::shared_ptr<FrameConnection> connection);
+    void onFrame(FrameConnection& connection, std::string_view frame);
+    void answer(FrameConnection& connection, const FetchConfiguration& wanted);
+    boost::asio::awaitable<void> askUntilReady();
+    void ask(const Endpoint& peer);
+
+    const boost::asio::any_io_executor strand;
+    EntryContext& context;
+    HybridClock& clock;
+    QuarantineFeed& quarantines;
+    FrameServer server;
+    boost::asio::steady_timer pause;
+    bool isStopped = false;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/quarantine_feed.cpp
@@ -0,0 +1,96 @@
+// Spreads quarantined requests among shards and entries.
+#include "quarantine_feed.h"
+
+#include "peridotgrade/core/quarantine/quarantine_record.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+    const std::string Stream = "quarantine";
+    constexpr std::chrono::milliseconds AppendTimeout { 2000 };
+    constexpr std::chrono::milliseconds RetryDelay { 1000 };
+} // namespace
+
+QuarantineFeed::QuarantineFeed(asio::any_io_executor strand, EntryContext& context, std::uint64_t seed)
+    : strand(std::move(strand))
+    , context(context)
+    , client(this->strand, context.settings.node.platform)
+    , tail(this->strand, context.settings.node.platform, Stream, LogOffset {}, seed, *this)
+    , pause(this->strand)
+{
+}
+
+void QuarantineFeed::start() { this->tail.start(); }
+
+void QuarantineFeed::stop()
+{
+    this->isStopped = true;
+    this->pause.cancel();
+    this->tail.stop();
+}
+
+void QuarantineFeed::publish(Fingerprint fingerprint)
+{
+    asio::post(this->strand, [this, fingerprint] {
+        this->context.logger.write(
+            LogLevel::Warn, "request_quarantined", { { "fingerprint", std::to_string(fingerprint.raw()) } });
+        this->tellShards({ fingerprint }, false);
+        this->pending.insert(fingerprint);
+        if (!std::exchange(this->isAppending, true))
+            asio::co_spawn(
+                this->strand, [this] { return this->appendPending(); }, asio::detached);
+    });
+}
+
+void QuarantineFeed::hear(std::vector<Fingerprint> fingerprints)
+{
+    asio::post(this->strand, [this, heard = std::move(fingerprints)] { this->tellShards(heard, false); });
+}
+
+asio::awaitable<void> QuarantineFeed::appendPending()
+{
+    while (!this->pending.empty() && !this->isStopped) {
+        QuarantineRecord record;
+        record.entry = EntryId { this->context.settings.node.name };
+        record.quarantined.assign(this->pending.begin(), this->pending.end());
+        std::vector<std::string> records { encodeQuarantineRecord(record) };
+        std::string stream = Stream;
+        auto result = co_await this->client.append(std::move(stream), std::move(records), AppendTimeout);
+        if (std::holds_alternative<LogOffset>(result)) {
+            for (Fingerprint fingerprint : record.quarantined)
+                this->pending.erase(fingerprint);
+            continue;
+        }
+        // Appending a record twice changes nothing, so a lost answer needs no care.
+        this->tellShards(record.quarantined, true);
+        boost::system::error_code ignored;
+        this->pause.expires_after(RetryDelay);
+        co_await this->pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    this->isAppending = false;
+}
+
+void QuarantineFeed::tellShards(const std::vector<Fingerprint>& fingerprints, bool tellsAgents)
+{
+    for (auto& shard : this->context.shards)
+        shard->quarantine(fingerprints, tellsAgents);
+}
+
+void QuarantineFeed::onLogRecords(std::vector<LogRecord> records)
+{
+    for (const LogRecord& record : records) {
+        auto decoded = decodeQuarantineRecord(record.data);
+        if (auto* known = std::get_if<QuarantineRecord>(&decoded))
+            this->tellShards(known->quarantined, false);
+    }
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/vm_list_feed.cpp
@@ -0,0 +1,68 @@
+// Polls the platform's VM list for all shards.
+#include "vm_list_feed.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+    constexpr std::chrono::milliseconds PollInterval { 1000 };
+    constexpr std::chrono::milliseconds FirstRetry { 100 };
+    constexpr std::chrono::milliseconds PollTimeout { 5000 };
+} // namespace
+
+VmListFeed::VmListFeed(asio::any_io_executor strand, EntryContext& context)
+    : strand(std::move(strand))
+    , context(context)
+    , client(this->strand, context.settings.node.platform)
+    , pause(this->strand)
+{
+}
+
+void VmListFeed::start()
+{
+    asio::co_spawn(
+        this->strand, [this] { return this->pollForever(); }, asio::detached);
+}
+
+void VmListFeed::stop()
+{
+    this->isStopped = true;
+    this->pause.cancel();
+}
+
+asio::awaitable<void> VmListFeed::pollForever()
+{
+    while (!this->isStopped) {
+        auto result = co_await this->client.poll(PollTimeout);
+        auto* error = std::get_if<VmListError>(&result);
+        bool wasReachable = std::exchange(this->isReachable, error == nullptr);
+        if (error != nullptr && wasReachable)
+            this->context.logger.write(
+                LogLevel::Warn, "vm_list_unreachable", { { "detail", error->detail } });
+        if (error == nullptr)
+            this->take(std::get<std::vector<VmRecord>>(std::move(result)));
+        boost::system::error_code ignored;
+        this->pause.expires_after(this->context.hasVmList ? PollInterval : FirstRetry);
+        co_await this->pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void VmListFeed::take(std::vector<VmRecord> vms)
+{
+    bool isSame = this->context.hasVmList && vms == this->last;
+    if (isSame)
+        return;
+    this->last = vms;
+    for (auto& shard : this->context.shards)
+        shard->onVmList(vms);
+    this->context.hasVmList = true;
+    this->context.logger.write(LogLevel::Info, "vm_list_changed", { { "vms", std::to_string(vms.size()) } });
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/entry/vm_list_feed.h
@@ -0,0 +1,32 @@
+// Polls the platform's VM list for all shards.
+#pragma once
+
+#include "peridotgrade/entry/entry_context.h"
+#include "peridotgrade/platform/vm_list_client.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace peridotgrade {
+
+/// Each list read goes to every shard; while the list is out of reach the last one holds. Runs on one strand.
+class VmListFeed {
+public:
+    VmListFeed(boost::asio::any_io_executor strand, EntryContext& context);
+
+    void start();
+    void stop();
+
+private:
+    boost::asio::awaitable<void> pollForever();
+    void take(std::vector<VmRecord> vms);
+
+    const boost::asio::any_io_executor strand;
+    EntryContext& context;
+    VmListClient client;
+    boost::asio::steady_timer pause;
+    std::vector<VmRecord> last;
+    bool isReachable = true;
+    bool isStopped = false;
+};
+
+} // namespace peridotgrade
--- a/src/peridot-entry/main.cpp
+++ b/src/peridot-entry/main.cpp
@@ -1,10 +1,61 @@
 // Entry point of peridot-entry.
+#include "peridotgrade/entry/entry_node.h"
+#include "peridotgrade/ops/settings/entry_settings.h"
+#include "peridotgrade/ops/settings/settings_error.h"
+
 #include <CLI/CLI.hpp>
 
+#include <iostream>
+#include <random>
+
+using namespace peridotgrade;
+
+namespace {
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+int serve(EntrySettings settings)
+{
+    EntryNode node(std::move(settings), randomSeed(), nullptr);
+    auto addresses = node.start();
+    if (auto* error = std::get_if<NetError>(&addresses)) {
+        std::cerr << "peridot-entry: cannot listen on " << error->detail
+                  << "; free the address or change it in the settings\n";
+        return ExitStatus::AddressInUse;
+    }
+    return node.run() ? ExitStatus::Success : ExitStatus::Failure;
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
-    CLI::App app { "peridot-entry" };
+    CLI::App app { "Serves callers and routes their requests to backend servers." };
     app.set_version_flag("--version", PERIDOT_VERSION);
+    std::string settingsFile;
+    std::string fileToCheck;
+    auto* settingsOption
+        = app.add_option("--settings", settingsFile, "JSON file with the settings of this entry");
+    auto* checkOption = app.add_option("--check-settings", fileToCheck, "check a settings file and exit");
+    checkOption->excludes(settingsOption);
     CLI11_PARSE(app, argc, argv);
-    return 0;
+    bool isCheck = !fileToCheck.empty();
+    if (!isCheck && settingsFile.empty()) {
+        std::cerr << "peridot-entry: give --settings FILE; see --help\n";
+        return ExitStatus::BadSettings;
+    }
+    auto settings = readEntrySettings(isCheck ? fileToCheck : settingsFile);
+    if (auto* error = std::get_if<SettingsError>(&settings)) {
+        std::cerr << "peridot-entry: " << error->message() << "\n";
+        return ExitStatus::BadSettings;
+    }
+    if (isCheck) {
+        std::cout << fileToCheck << ": settings are good\n";
+        return ExitStatus::Success;
+    }
+    return serve(std::get<EntrySettings>(std::move(settings)));
 }
