Rename the action router's directory of application servers

Cause: core/actions and core/routing each had a class AgentDirectory in one namespace; peridot-entry holds both and failed to link (multiple definition of AgentDirectory::onLost). Found on the first build of the whole path. Ruled out: a namespace of its own for each part, which would touch every file. Change: the one in core/actions is ApplicationDirectory, its files are named after it. Also: the support module prints the status of a process that never started.

--- a/src/libperidotgrade/core/actions/agent_directory.cpp
+++ b/src/libperidotgrade/core/actions/application_directory.cpp
@@ -1,16 +1,16 @@
 // Choice of application servers.
-#include "agent_directory.h"
+#include "application_directory.h"
 
 #include <algorithm>
 
 namespace peridotgrade {
 
-void AgentDirectory::updateCandidates(std::vector<CallCandidate> candidates)
+void ApplicationDirectory::updateCandidates(std::vector<CallCandidate> candidates)
 {
     this->candidates = std::move(candidates);
 }
 
-void AgentDirectory::onConnected(const AgentId& agent, Incarnation incarnation)
+void ApplicationDirectory::onConnected(const AgentId& agent, Incarnation incarnation)
 {
     this->connected[agent] = incarnation;
     auto draining = this->drainingRuns.find(agent);
@@ -18,15 +18,15 @@
         this->drainingRuns.erase(draining);
 }
 
-void AgentDirectory::onLost(const AgentId& agent) { this->connected.erase(agent); }
+void ApplicationDirectory::onLost(const AgentId& agent) { this->connected.erase(agent); }
 
-void AgentDirectory::onDraining(const AgentId& agent)
+void ApplicationDirectory::onDraining(const AgentId& agent)
 {
     if (auto run = this->runOf(agent))
         this->drainingRuns[agent] = *run;
 }
 
-std::optional<Incarnation> AgentDirectory::runOf(const AgentId& agent) const
+std::optional<Incarnation> ApplicationDirectory::runOf(const AgentId& agent) const
 {
     auto found = this->connected.find(agent);
     if (found == this->connected.end())
@@ -34,9 +34,12 @@
     return found->second;
 }
 
-bool AgentDirectory::isDraining(const AgentId& agent) const { return this->drainingRuns.contains(agent); }
+bool ApplicationDirectory::isDraining(const AgentId& agent) const
+{
+    return this->drainingRuns.contains(agent);
+}
 
-std::optional<AgentRun> AgentDirectory::choose(const ServiceId& service, const DataCentreId& dataCentre,
+std::optional<AgentRun> ApplicationDirectory::choose(const ServiceId& service, const DataCentreId& dataCentre,
     const std::vector<AgentRun>& excluded, RandomSource& random) const
 {
     std::vector<AgentRun> near;
--- a/src/libperidotgrade/core/actions/agent_directory.h
+++ b/src/libperidotgrade/core/actions/application_directory.h
@@ -12,7 +12,7 @@
 
 /// Candidates come from outside (VM list, configuration) and may be wrong; a connection is what proves that
 /// an agent is there. New work goes to connected candidates that have not said that they drain.
-class AgentDirectory {
+class ApplicationDirectory {
 public:
     void updateCandidates(std::vector<CallCandidate> candidates);
     void onConnected(const AgentId& agent, Incarnation incarnation);
--- a/src/libperidotgrade/core/actions/call_context.h
+++ b/src/libperidotgrade/core/actions/call_context.h
@@ -1,7 +1,7 @@
 // What the two halves of the action router share.
 #pragma once
 
-#include "agent_directory.h"
+#include "application_directory.h"
 
 namespace peridotgrade {
 
@@ -11,7 +11,7 @@
     TimerService& timers;
     RandomSource& random;
     EventSink& events;
-    AgentDirectory agents;
+    ApplicationDirectory agents;
     ActionRouterCounters counters;
     std::vector<CallAction> actions;
 
--- a/testsuite/support/process.py
+++ b/testsuite/support/process.py
@@ -47,6 +47,9 @@
     def is_running(self):
         return self.child is not None and self.child.poll() is None
 
+    def status(self):
+        return self.child.returncode if self.child else "not started"
+
     def send(self, number):
         self.child.send_signal(number)
 
--- a/testsuite/support/site.py
+++ b/testsuite/support/site.py
@@ -67,7 +67,7 @@
         if failure:
             print(f"logs of the processes: {self.folder}")
             for process in self.processes:
-                print(f"--- {process.name} ({process.child.returncode})\n{process.log_tail()[-1500:]}")
+                print(f"--- {process.name} (status {process.status()})\n{process.log_tail()[-1500:]}")
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
