--- a/src/include/peridotgrade/platform/engine_client.h
+++ b/src/include/peridotgrade/platform/engine_client.h
@@ -1,12 +1,13 @@
 // The agent's client of its engine: commands become HTTP calls, answers become events.
 #pragma once
 
+#include "peridotgrade/core/config/assigned_order.h"
+#include "peridotgrade/core/config/engine_state.h"
 #include "peridotgrade/core/hosting/engine_command.h"
 #include "peridotgrade/core/hosting/engine_event.h"
 #include "peridotgrade/core/messages/stream_messages.h"
 #include "peridotgrade/net/endpoint.h"
 #include "peridotgrade/platform/engine_error.h"
-#include "peridotgrade/platform/engine_state.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -14,8 +15,6 @@
 #include <chrono>
 #include <functional>
 #include <memory>
-#include <string>
-#include <variant>
 
 namespace peridotgrade {
 
@@ -24,6 +23,8 @@
     Endpoint engine;
     /// Address at which other engines fetch exported KV caches.
     Endpoint exportAddress;
+    /// Where the engine fetches the weights of models that it is to load.
+    Endpoint weightStore;
     std::chrono::milliseconds stateInterval { 1000 };
     /// An engine that has not told its state for this long counts as dead.
     std::chrono::milliseconds stateTimeout { 2000 };
@@ -33,24 +34,13 @@
     std::chrono::milliseconds tokenTimeout { 10'000 };
 };
 
-/// An order that changes what the engine serves, under a fencing number.
-struct EngineOrder {
-    enum class Kind : std::uint8_t { Load, Unload, SetRole };
-
-    std::uint64_t fence = 0;
-    Kind kind = Kind::Load;
-    ModelId model;
-    std::string version;
-    std::string adapter;
-    EngineRole role = EngineRole::Mixed;
-    Endpoint weightStore;
-};
-
 /// Whom the client tells. Called on the client's strand, one at a time.
 struct EngineHandlers {
     std::function<void(const EngineEvent&)> onEvent;
     /// Each state read, changed or not, for whoever reconciles the engine with the configuration.
     std::function<void(const EngineState&)> onState;
+    /// The state could not be read.
+    std::function<void()> onUnreachable;
     std::function<void(const CacheChanged&)> onCacheChanged;
 };
 
@@ -72,9 +62,8 @@
 
     void command(EngineCommand command);
 
-    using OrderResult = std::variant<std::monostate, EngineError>;
-    /// Gives an order; `onResult` is called on the strand. Taken is not done: the state tells.
-    void order(EngineOrder order, std::function<void(OrderResult)> onResult);
+    /// Sends an order once; `onAnswer` is called on the strand. Taken is not done: the state tells.
+    void order(AssignedOrder order, std::function<void(OrderAnswer)> onAnswer);
 
 private:
     class Impl;
