Print the ready line of an entry with its kernel-chosen ports

Cause: the test suite learns ports from one line on standard output. Ruled out: parsing the log line, whose format is for operators. Change: `ready callers= admin= peers=` when all ports listen; exit statuses by their new namespace.

--- a/src/peridot-entry/main.cpp
+++ b/src/peridot-entry/main.cpp
@@ -25,9 +25,12 @@
     if (auto* error = std::get_if<NetError>(&addresses)) {
         std::cerr << "peridot-entry: cannot listen on " << error->detail
                   << "; free the address or change it in the settings\n";
-        return ExitStatus::AddressInUse;
+        return exit_status::AddressInUse;
     }
-    return node.run() ? ExitStatus::Success : ExitStatus::Failure;
+    const auto& listening = std::get<EntryAddresses>(addresses);
+    std::cout << "ready callers=" << toString(listening.callers) << " admin=" << toString(listening.admin)
+              << " peers=" << toString(listening.peers) << std::endl;
+    return node.run() ? exit_status::Success : exit_status::Failure;
 }
 
 } // namespace
@@ -46,16 +49,16 @@
     bool isCheck = !fileToCheck.empty();
     if (!isCheck && settingsFile.empty()) {
         std::cerr << "peridot-entry: give --settings FILE; see --help\n";
-        return ExitStatus::BadSettings;
+        return exit_status::BadSettings;
     }
     auto settings = readEntrySettings(isCheck ? fileToCheck : settingsFile);
     if (auto* error = std::get_if<SettingsError>(&settings)) {
         std::cerr << "peridot-entry: " << error->message() << "\n";
-        return ExitStatus::BadSettings;
+        return exit_status::BadSettings;
     }
     if (isCheck) {
         std::cout << fileToCheck << ": settings are good\n";
-        return ExitStatus::Success;
+        return exit_status::Success;
     }
     return serve(std::get<EntrySettings>(std::move(settings)));
 }
