--- a/src/include/peridotgrade/agent/engine_backend.h
+++ b/src/include/peridotgrade/agent/engine_backend.h
@@ -38,7 +38,9 @@
 
     /// Called with each state that was read from the engine. To be set before `start`.
     void observeState(std::function<void(const EngineState&)> observer);
-    void order(EngineOrder order, std::function<void(EngineClient::OrderResult)> onResult);
+    /// Called when the state could not be read. To be set before `start`.
+    void observeSilence(std::function<void()> observer);
+    void order(AssignedOrder order, std::function<void(OrderAnswer)> onAnswer);
 
 private:
     class Impl;
--- a/src/libperidotgrade/platform/engine_client_impl.h
+++ b/src/libperidotgrade/platform/engine_client_impl.h
@@ -22,7 +22,7 @@
     void start();
     void stop();
     void command(EngineCommand command);
-    void order(EngineOrder order, std::function<void(OrderResult)> onResult);
+    void order(AssignedOrder order, std::function<void(OrderAnswer)> onAnswer);
 
 private:
     using Self = std::shared_ptr<Impl>;
@@ -54,7 +54,7 @@
     Awaitable<bool> freeAtEngine(EngineStreamId stream);
     Awaitable<void> cancel(Self self, EngineStreamId stream);
     Awaitable<void> list(Self self);
-    Awaitable<void> giveOrder(Self self, EngineOrder order, std::function<void(OrderResult)> onResult);
+    Awaitable<void> giveOrder(Self self, AssignedOrder order, std::function<void(OrderAnswer)> onAnswer);
 
     void emit(EngineEvent event);
     Awaitable<void> pause(std::chrono::milliseconds duration);
