Leave time for the hand-over when a prefill is admitted

A prefill was admitted if it ended before the first token was due, with nothing left for the transfer of its KV cache (up to 240 ms) and the first decode step. Ruled out: a wrong prefill speed (engines tell their own now), decode steps over the target (late answers had slow first tokens only, since steps are 40 ms at most). Change: the router learns the time from StartDecode to the first token as a line over prompt tokens, and takes it from what a prefill may take.

--- a/src/include/peridotgrade/core/policy/placement.h
+++ b/src/include/peridotgrade/core/policy/placement.h
@@ -39,7 +39,8 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t maxOutputTokens = 0;
     Priority priority = Priority::Normal;
-    TimePoint firstTokenDue;
+    /// When the prefill has to have ended for the first token to be in time.
+    TimePoint prefillDue;
 };
 
 /// Chooses engines for a request. `decodeChoices` gives up to `count` indices into `engines`, best first, to
--- a/src/libperidotgrade/core/policy/two_choice_policy.cpp
+++ b/src/libperidotgrade/core/policy/two_choice_policy.cpp
@@ -57,7 +57,7 @@
     for (std::size_t i = 0; i < engines.size(); ++i) {
         std::size_t index = (start + i) % engines.size();
         Duration end = expectedPrefillEnd(request, engines[index]);
-        bool endsInTime = now + end <= request.firstTokenDue;
+        bool endsInTime = now + end <= request.prefillDue;
         if (endsInTime && (!best || end < bestEnd)) {
             best = index;
             bestEnd = end;
--- a/src/libperidotgrade/core/routing/request_state.h
+++ b/src/libperidotgrade/core/routing/request_state.h
@@ -44,6 +44,7 @@
     std::optional<AttemptHold> prefill;
     /// The prefill's result, where the prefill came before the place.
     std::optional<PrefillFinished> kvCache;
+    TimePoint decodeStartedAt;
 
     /// Agents not to be tried again for this request.
     std::set<AgentId> avoided;
--- a/src/libperidotgrade/core/routing/router_core.cpp
+++ b/src/libperidotgrade/core/routing/router_core.cpp
@@ -82,6 +82,11 @@
     return due - this->timers.now();
 }
 
+Duration RouterCore::prefillSlack(const RequestState& state) const
+{
+    return this->slack(state) - this->handover.expected(state.request.promptTokens + state.nextIndex);
+}
+
 void RouterCore::setPhaseTimer(
     RequestState& state, Duration delay, void (RouterCore::*onTimer)(RequestState&))
 {
--- a/src/libperidotgrade/core/routing/router_core.h
+++ b/src/libperidotgrade/core/routing/router_core.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "agent_directory.h"
+#include "handover_estimate.h"
 #include "peridotgrade/core/base/retry_budget.h"
 #include "peridotgrade/core/base/timeline_event.h"
 #include "peridotgrade/core/quarantine/quarantine.h"
@@ -91,6 +92,8 @@
     RequestState* find(RequestId request);
     /// Time left in which new work for the request is of use.
     Duration slack(const RequestState& state) const;
+    /// Time left in which its prefill has to end, so that the hand-over still fits in.
+    Duration prefillSlack(const RequestState& state) const;
     void setPhaseTimer(RequestState& state, Duration delay, void (RouterCore::*onTimer)(RequestState&));
     void clearPhaseTimer(RequestState& state);
     void onDeadline(RequestState& state);
@@ -107,6 +110,7 @@
     ModelRouterCounters totals;
     RetryBudget retryBudget;
     AgentDirectory agents;
+    HandoverEstimate handover;
     RoutingView view;
     std::map<RequestId, RequestState> requests;
     /// Suspects in an attempt. Invariant: at most one request for each fingerprint.
--- a/src/libperidotgrade/core/routing/router_placing.cpp
+++ b/src/libperidotgrade/core/routing/router_placing.cpp
@@ -49,7 +49,7 @@
     if (state.retries > 0)
         return false;
     std::vector<EngineView> engines = this->candidates(state, true);
-    std::chrono::duration<double> timeLeft = this->slack(state);
+    std::chrono::duration<double> timeLeft = this->prefillSlack(state);
     return !engines.empty() && std::all_of(engines.begin(), engines.end(), [&](const EngineView& engine) {
         std::uint32_t uncached
             = state.request.promptTokens - std::min(state.request.promptTokens, engine.cachedTokens);
@@ -104,7 +104,7 @@
     placement.promptTokens = state.request.promptTokens + state.nextIndex;
     placement.maxOutputTokens = state.request.maxOutputTokens - state.nextIndex;
     placement.priority = state.request.priority;
-    placement.firstTokenDue = this->timers.now() + this->slack(state);
+    placement.prefillDue = this->timers.now() + this->prefillSlack(state);
     return placement;
 }
 
@@ -194,7 +194,7 @@
         return;
     }
     AgentId agent = engines[*choice].agent;
-    Duration timeLeft = this->slack(state);
+    Duration timeLeft = this->prefillSlack(state);
     StartPrefill message;
     message.epoch = this->agents.epochOf(agent);
     message.attempt = attempt;
--- a/src/libperidotgrade/core/routing/router_streaming.cpp
+++ b/src/libperidotgrade/core/routing/router_streaming.cpp
@@ -25,6 +25,7 @@
     message.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(this->slack(state));
     message.version = this->view.version;
     state.phase = RequestPhase::Decoding;
+    state.decodeStartedAt = this->timers.now();
     state.mayBeRunning = true;
     this->setPhaseTimer(state, this->settings.streamStallTimeout, &RouterCore::onPhaseTooLong);
     if (state.nextIndex > 0)
@@ -77,6 +78,8 @@
     state.prefillTokensAtStake = 0;
     if (!state.prefill)
         return;
+    this->handover.record(
+        state.request.promptTokens + state.nextIndex, this->timers.now() - state.decodeStartedAt);
     this->agents.release(state.prefill->agent, state.prefill->attempt);
     state.prefill.reset();
 }
