--- a/src/include/peridotgrade/core/routing/model_router.h
+++ b/src/include/peridotgrade/core/routing/model_router.h
@@ -23,6 +23,9 @@
     DataCentreId dataCentre;
     /// Decode agents asked for a place at once.
     std::uint32_t asksAtOnce = 2;
+    /// Rounds of asks in one attempt; a further one asks other engines when all of the last refused. Asks are
+    /// no retries: nothing has run, so they do not draw on the retry budget.
+    std::uint32_t askRounds = 3;
     /// How long an ask may queue at an agent.
     std::chrono::milliseconds maxAskQueueTime { 100 };
     /// Tries after the first for one request, within the retry budget.
--- a/src/libperidotgrade/core/routing/request_state.h
+++ b/src/libperidotgrade/core/routing/request_state.h
@@ -49,6 +49,8 @@
     /// Agents not to be tried again for this request.
     std::set<AgentId> avoided;
     std::uint32_t retries = 0;
+    /// Rounds of asks in the current attempt.
+    std::uint32_t askRounds = 0;
     /// Engines that died while they ran this request.
     std::uint32_t crashes = 0;
     Backoff backoff;
--- a/src/libperidotgrade/core/routing/router_placing.cpp
+++ b/src/libperidotgrade/core/routing/router_placing.cpp
@@ -35,6 +35,7 @@
     if (!this->checkStanding(state))
         return;
     ++this->totals.attempts;
+    state.askRounds = 0;
     bool hasPrefillEngines = !this->candidates(state, true).empty();
     if (this->chooser->asksPlaceFirst() || !hasPrefillEngines) {
         this->askPlaces(state);
@@ -122,6 +123,7 @@
         return;
     }
     state.phase = RequestPhase::Placing;
+    ++state.askRounds;
     for (std::size_t choice : choices)
         this->askPlace(state, engines[choice]);
 }
@@ -161,6 +163,11 @@
 
 void RouterCore::onNoPlace(RequestState& state)
 {
+    bool hasOthers = !this->candidates(state, false).empty();
+    if (state.askRounds < this->settings.askRounds && hasOthers && this->slack(state) > Duration::zero()) {
+        this->askPlaces(state);
+        return;
+    }
     this->releaseAll(state);
     if (this->candidates(state, false).empty()) {
         this->refuse(state, RefusalReason::NoCapacity);
