Force the failures of an action one by one; drop timers at the end

Cause: the new case entry_killed_before_the_append crashed: an action router that ended left its timers with the timer service, which called them into freed memory. Daemons end both together, so only a shared service shows it.

Change: both flows cancel their timers when they end. Twelve cases over real routers and hosts force each failure named in the issue: entry killed before the append, after it, after sending, after the answer; lost append answers; agent restarted before and after the start; a winner paused for 50 minutes; a log that takes nothing; an empty VM list.

Ruled out: leaving the timers' cancellation to the owner, which knows none of their ids.

--- /dev/null
+++ b/src/libperidotgrade/core/actions/action_cases_test.cpp
@@ -0,0 +1,169 @@
+// Failures of entries, agents and the log at each step of an action, forced one by one.
+#include "case_world.h"
+
+using namespace peridotgrade;
+using namespace peridotgrade::testing;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+BOOST_FIXTURE_TEST_SUITE(action_cases, CaseWorld)
+
+BOOST_AUTO_TEST_CASE(one_key_at_two_entries_at_once_runs_once_and_both_get_the_answer)
+{
+    submit(0, 1);
+    submit(1, 2);
+    advance(milliseconds { 10 });
+    BOOST_TEST(effects == 1);
+    BOOST_TEST(answerOf(1) == "effect 1");
+    BOOST_TEST(answerOf(2) == "effect 1");
+}
+
+BOOST_AUTO_TEST_CASE(entry_killed_before_the_append)
+{
+    submit(0, 1);
+    killEntry(0);
+    submit(1, 2);
+    advance(milliseconds { 10 });
+    BOOST_TEST(effects == 1);
+    BOOST_TEST(isAnswered(2));
+}
+
+BOOST_AUTO_TEST_CASE(entry_killed_after_the_append)
+{
+    isEntryHeld = true;
+    submit(0, 1);
+    advance(milliseconds { 10 });
+    killEntry(0);
+    submit(1, 2);
+    BOOST_TEST(effects == 0);
+    // The other entry waits for the claim's holder, seals, and names the other agent.
+    advance(seconds { 1 });
+    advance(seconds { 1 });
+    BOOST_TEST(effects == 1);
+    BOOST_TEST(isAnswered(2));
+}
+
+BOOST_AUTO_TEST_CASE(entry_whose_appends_answer_was_lost)
+{
+    appendResult = AppendResult::Unknown;
+    submit(0, 1);
+    advance(milliseconds { 10 });
+    BOOST_TEST(effects == 1);
+    BOOST_TEST(isAnswered(1));
+}
+
+BOOST_AUTO_TEST_CASE(entry_killed_after_sending)
+{
+    isCallHeld = true;
+    submit(0, 1);
+    advance(milliseconds { 10 });
+    killEntry(0);
+    submit(1, 2);
+    advance(milliseconds { 500 });
+    finishCalls();
+    BOOST_TEST(effects == 1);
+    BOOST_TEST(answerOf(2) == "effect 1");
+}
+
+BOOST_AUTO_TEST_CASE(entry_killed_after_the_agent_answered)
+{
+    areAnswersLost = true;
+    submit(0, 1);
+    advance(milliseconds { 10 });
+    killEntry(0);
+    areAnswersLost = false;
+    startEntry(0);
+    submit(0, 2);
+    advance(milliseconds { 10 });
+    BOOST_TEST(effects == 1);
+    BOOST_TEST(answerOf(2) == "effect 1");
+}
+
+BOOST_AUTO_TEST_CASE(agent_restarted_before_the_start_reached_it)
+{
+    offer({ 0 });
+    isEntryHeld = true;
+    submit(0, 1);
+    advance(milliseconds { 10 });
+    offer({ 0, 1 });
+    restartAgent(0);
+    // The start was handed out before the restart, so whether it ran is not known.
+    BOOST_TEST(isTold(1, Outcome::Unknown));
+    release();
+    BOOST_TEST(effects == 0);
+}
+
+BOOST_AUTO_TEST_CASE(agent_killed_after_it_started_makes_every_repeat_unknown)
+{
+    offer({ 0 });
+    isCallHeld = true;
+    submit(0, 1);
+    advance(milliseconds { 10 });
+    BOOST_TEST(effects == 1);
+    offer({ 0, 1 });
+    restartAgent(0);
+    BOOST_TEST(isTold(1, Outcome::Unknown));
+    submit(1, 2);
+    submit(0, 3);
+    advance(seconds { 1 });
+    BOOST_TEST(isTold(2, Outcome::Unknown));
+    BOOST_TEST(isTold(3, Outcome::Unknown));
+    BOOST_TEST(effects == 1);
+}
+
+BOOST_AUTO_TEST_CASE(agent_restarted_between_the_claim_and_the_start_is_replaced)
+{
+    offer({ 0 });
+    doAppendsTakeEffect = false;
+    submit(0, 1);
+    advance(milliseconds { 10 });
+    BOOST_TEST(effects == 0);
+    offer({ 0, 1 });
+    restartAgent(0);
+    doAppendsTakeEffect = true;
+    // The first claim was in no log after all: a repeat at the other entry runs, and the first is not run.
+    submit(1, 2);
+    advance(milliseconds { 10 });
+    BOOST_TEST(isAnswered(2));
+    advance(seconds { 10 });
+    BOOST_TEST(isTold(1, Outcome::NotRun));
+    BOOST_TEST(effects == 1);
+}
+
+BOOST_AUTO_TEST_CASE(winner_paused_between_claim_and_send_for_longer_than_anything)
+{
+    isEntryHeld = true;
+    submit(0, 1);
+    advance(milliseconds { 10 });
+    submit(1, 2);
+    advance(seconds { 1 });
+    advance(seconds { 1 });
+    BOOST_TEST(effects == 1);
+    BOOST_TEST(isAnswered(2));
+    // By now the agents have forgotten the key; its time alone makes them refuse it.
+    advance(minutes { 50 });
+    release();
+    BOOST_TEST(effects == 1);
+}
+
+BOOST_AUTO_TEST_CASE(log_that_takes_nothing_and_answers_nothing)
+{
+    doAppendsTakeEffect = false;
+    appendResult = AppendResult::Unknown;
+    submit(0, 1);
+    advance(seconds { 6 });
+    BOOST_TEST(isTold(1, Outcome::NotRun));
+    BOOST_TEST(refusalOf(1).retryAfter.has_value());
+    BOOST_TEST(effects == 0);
+}
+
+BOOST_AUTO_TEST_CASE(vm_list_that_names_nobody_means_not_run)
+{
+    offer({});
+    submit(0, 1);
+    BOOST_TEST(isTold(1, Outcome::NotRun));
+    BOOST_TEST(effects == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/core/actions/action_flow.cpp
+++ b/src/libperidotgrade/core/actions/action_flow.cpp
@@ -28,6 +28,14 @@
     checkInvariant(logOutlivesKeys, Invariant::ActionAtMostOnce, "keys outlive their claims in the log");
 }
 
+ActionFlow::~ActionFlow()
+{
+    if (this->batchTimer)
+        this->context.timers.cancel(*this->batchTimer);
+    for (const auto& [key, conversation] : this->conversations)
+        this->cancelTimers(conversation);
+}
+
 // Requests.
 
 void ActionFlow::submit(CallRequest request, WallTime now)
@@ -230,12 +238,17 @@
 }
 
 void ActionFlow::forget(Conversation& conversation)
+{
+    this->cancelTimers(conversation);
+    IdempotencyKey key = conversation.key;
+    this->conversations.erase(key);
+}
+
+void ActionFlow::cancelTimers(const Conversation& conversation)
 {
     for (const ActionWaiter& waiter : conversation.waiters)
         this->context.timers.cancel(waiter.deadline);
     this->context.timers.cancel(conversation.pause);
-    IdempotencyKey key = conversation.key;
-    this->conversations.erase(key);
 }
 
 ActionFlow::Conversation* ActionFlow::find(const IdempotencyKey& key)
--- a/src/libperidotgrade/core/actions/action_flow.h
+++ b/src/libperidotgrade/core/actions/action_flow.h
@@ -15,6 +15,10 @@
 class ActionFlow {
 public:
     explicit ActionFlow(CallContext& context);
+    /// Drops its timers; nobody is told anything.
+    ~ActionFlow();
+    ActionFlow(const ActionFlow&) = delete;
+    ActionFlow& operator=(const ActionFlow&) = delete;
 
     void submit(CallRequest request, WallTime now);
     void cancel(RequestId request);
@@ -88,6 +92,7 @@
     void end(Conversation& conversation, RefusalReason reason, Outcome outcome,
         std::optional<std::chrono::milliseconds> retryAfter);
     void forget(Conversation& conversation);
+    void cancelTimers(const Conversation& conversation);
 
     Conversation* find(const IdempotencyKey& key);
     /// Keys of the conversations for which `predicate` holds; acting on one may end it or others.
--- a/src/libperidotgrade/core/actions/read_flow.cpp
+++ b/src/libperidotgrade/core/actions/read_flow.cpp
@@ -16,6 +16,12 @@
 {
 }
 
+ReadFlow::~ReadFlow()
+{
+    for (const auto& [id, read] : this->reads)
+        this->cancelTimers(read);
+}
+
 void ReadFlow::submit(CallRequest request)
 {
     ++this->context.counters.reads;
@@ -144,11 +150,16 @@
 
 void ReadFlow::forget(Reads::iterator read)
 {
-    this->context.timers.cancel(read->second.deadline);
-    this->context.timers.cancel(read->second.hedge);
+    this->cancelTimers(read->second);
     this->reads.erase(read);
 }
 
+void ReadFlow::cancelTimers(const Read& read)
+{
+    this->context.timers.cancel(read.deadline);
+    this->context.timers.cancel(read.hedge);
+}
+
 RetryBudget& ReadFlow::budgetOf(const ServiceId& service)
 {
     const ActionRouterSettings& settings = this->context.settings;
--- a/src/libperidotgrade/core/actions/read_flow.h
+++ b/src/libperidotgrade/core/actions/read_flow.h
@@ -13,6 +13,10 @@
 class ReadFlow {
 public:
     explicit ReadFlow(CallContext& context);
+    /// Drops its timers; nobody is told anything.
+    ~ReadFlow();
+    ReadFlow(const ReadFlow&) = delete;
+    ReadFlow& operator=(const ReadFlow&) = delete;
 
     void submit(CallRequest request);
     void cancel(RequestId request);
@@ -46,6 +50,7 @@
     void onDeadline(RequestId request);
     void giveUp(Reads::iterator read, RefusalReason reason);
     void forget(Reads::iterator read);
+    void cancelTimers(const Read& read);
     bool maySpendRetry(const Read& read);
     RetryBudget& budgetOf(const ServiceId& service);
 
