Compare "nothing was appended" with the operator's own appends

Two operators had made the very same plan on one version; the log refused one operator's appends and took the other's. The first was told that its confirmation was not appended, which is true, and the check demanded more than that.

Replaced: the check for that outcome now demands that no append of this operator is in the log for that plan, unless it confirmed the plan again; void still demands that the plan never takes effect. peridotctl's text said "nothing has changed", which was too much, and says "nothing was appended" now.

--- a/src/libperidotgrade/core/config/random_run_log.h
+++ b/src/libperidotgrade/core/config/random_run_log.h
@@ -83,8 +83,8 @@
     ConfigurationFold truth;
     /// The configuration at each version that was ever in force.
     std::map<ConfigVersion, SiteConfiguration> versions;
-    /// The version at which each plan took effect.
-    std::map<PlanId, ConfigVersion> plans;
+    /// All plans that ever took effect.
+    std::map<PlanId, HistoryEntry> plans;
 
 private:
     LogOffset take(const std::string& data)
@@ -103,7 +103,7 @@
     {
         this->versions.emplace(this->truth.version(), this->truth.configuration());
         if (!this->truth.history().empty())
-            this->plans.emplace(this->truth.history().back().plan, this->truth.version());
+            this->plans.emplace(this->truth.history().back().plan, this->truth.history().back());
     }
 
     void trim()
--- a/src/libperidotgrade/core/config/random_run_operator.h
+++ b/src/libperidotgrade/core/config/random_run_operator.h
@@ -50,17 +50,24 @@
     {
         for (const auto& [plan, version] : this->toldInForce) {
             auto entry = this->log.plans.find(plan);
-            bool isTrue = entry != this->log.plans.end() && entry->second == version;
+            bool isTrue = entry != this->log.plans.end() && entry->second.version == version;
             BOOST_REQUIRE_MESSAGE(isTrue, "told in force, but is not");
         }
         for (const PlanId& plan : this->toldNever)
             BOOST_REQUIRE_MESSAGE(
                 !this->log.plans.contains(plan), "told that it does not take effect, but it did");
+        for (const PlanId& plan : this->toldNotAppended) {
+            // Another operator may have confirmed the very same plan, and this one again later.
+            auto entry = this->log.plans.find(plan);
+            bool isOwn = entry != this->log.plans.end() && entry->second.operatorName == this->name;
+            BOOST_REQUIRE_MESSAGE(
+                !isOwn || this->triedOtherwise.contains(plan), "told that nothing was appended, but it was");
+        }
     }
 
     bool isPlanning = true;
     std::size_t confirmed() const { return this->toldInForce.size(); }
-    std::size_t refused() const { return this->toldNever.size(); }
+    std::size_t refused() const { return this->toldNever.size() + this->toldNotAppended.size(); }
 
 private:
     void makePlanOn(const ConfigurationFold& fold)
@@ -83,6 +90,7 @@
         ConfirmStanding standing = standingOf(fold, *this->plan, this->appends);
         if (auto* inForce = std::get_if<PlanInForce>(&standing)) {
             this->toldInForce.emplace_back(this->plan->id, inForce->version);
+            this->triedOtherwise.insert(this->plan->id);
             this->plan.reset();
             return;
         }
@@ -116,7 +124,9 @@
     {
         bool isNothingAppended = !this->appends.acknowledged && !this->appends.isAnyUnknown;
         if (isNothingAppended)
-            this->toldNever.insert(this->plan->id);
+            this->toldNotAppended.insert(this->plan->id);
+        else
+            this->triedOtherwise.insert(this->plan->id);
         this->plan.reset();
     }
 
@@ -130,6 +140,9 @@
     TimePoint deadline;
     std::vector<std::pair<PlanId, ConfigVersion>> toldInForce;
     std::set<PlanId> toldNever;
+    std::set<PlanId> toldNotAppended;
+    /// Plans that this operator confirmed with another end than "nothing was appended".
+    std::set<PlanId> triedOtherwise;
 };
 
 } // namespace peridotgrade::test
--- a/src/peridotctl/plan_commands.cpp
+++ b/src/peridotctl/plan_commands.cpp
@@ -106,7 +106,7 @@
         if (outcome == "forgotten")
             std::cout << ": its base was left long ago; make a new plan";
         if (outcome == "not_confirmed")
-            std::cout << ": the log refused it, nothing has changed; confirm again later";
+            std::cout << ": the log refused the confirmation, nothing was appended; confirm again later";
         if (outcome == "undecided")
             std::cout << ": the log's answer was lost; confirm the same plan again to learn which";
         std::cout << "\n";
