Admit by rate limits, shares and priorities, without chatter

Cause: when a service is short of capacity, every workspace has to get its share, and limits must hold over many entries inside the control budget.

Ruled out: messages between entries about usage (1,300 workspaces times 390 nodes); each shard takes an equal part of a rate and learns from refusals how much it can have in flight. Keeping idle shares free was ruled out too: what active workspaces leave unused is lent, by priority, and comes back as lent requests end. Not covered: callers of a workspace who all use one entry get that entry's part only.

--- /dev/null
+++ b/src/libperidotgrade/core/config/admission_test.cpp
@@ -0,0 +1,156 @@
+// Tests of admission: three workspaces that overload one service, limits, lending and calling back.
+#include "peridotgrade/core/base/random_source.h"
+#include "peridotgrade/core/config/admission.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <queue>
+
+using namespace peridotgrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t Workspaces = 3;
+constexpr std::uint32_t Places = 60;
+
+struct Running {
+    TimePoint end;
+    std::size_t workspace = 0;
+    friend bool operator>(const Running& one, const Running& other) { return one.end > other.end; }
+};
+
+/// A service with a fixed number of places, overloaded through one entry shard.
+struct OverloadFixture {
+    OverloadFixture()
+    {
+        const std::array<double, Workspaces> shares { 1, 1, 2 };
+        for (std::size_t i = 0; i < Workspaces; ++i) {
+            Workspace workspace;
+            workspace.id = idOf(i);
+            workspace.share = shares[i];
+            this->configuration.workspaces[workspace.id] = workspace;
+        }
+        this->admission.configure(this->configuration, 1, this->now);
+    }
+
+    static WorkspaceId idOf(std::size_t index)
+    {
+        return WorkspaceId { std::string(1, 'a' + static_cast<char>(index)) };
+    }
+
+    /// Offers requests of each workspace at `rates` (a second) for `time`; gives the answered ones.
+    std::array<double, Workspaces> run(std::array<double, Workspaces> rates, Duration time)
+    {
+        std::array<double, Workspaces> answered {};
+        constexpr Duration Step = 1ms;
+        for (TimePoint end = this->now + time; this->now < end; this->now += Step) {
+            while (!this->running.empty() && this->running.top().end <= this->now) {
+                answered[this->running.top().workspace] += 1;
+                this->admission.finished(
+                    { idOf(this->running.top().workspace), "m" }, { 10, false }, this->now);
+                this->running.pop();
+            }
+            for (std::size_t i = 0; i < Workspaces; ++i) {
+                if (this->random.unit() < rates[i] * 0.001)
+                    this->offer(i);
+            }
+        }
+        return answered;
+    }
+
+    void offer(std::size_t index)
+    {
+        auto result = this->admission.admit(idOf(index), "m", this->now);
+        if (std::holds_alternative<Refusal>(result)) {
+            ++this->refusedHere;
+            return;
+        }
+        if (this->running.size() >= Places) {
+            ++this->refusedByServer;
+            this->admission.finished(std::get<AdmissionTicket>(result), { 0, true }, this->now);
+            return;
+        }
+        Duration length = std::chrono::milliseconds { 500 + this->random.below(1'000) };
+        this->running.push({ this->now + length, index });
+    }
+
+    RandomSource random { 7 };
+    TimePoint now { 1s };
+    SiteConfiguration configuration;
+    Admission admission;
+    std::priority_queue<Running, std::vector<Running>, std::greater<>> running;
+    std::size_t refusedHere = 0;
+    std::size_t refusedByServer = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(admission, OverloadFixture)
+
+BOOST_AUTO_TEST_CASE(three_workspaces_that_overload_a_service_get_their_shares)
+{
+    this->run({ 100, 100, 100 }, 20s);
+    auto answered = this->run({ 100, 100, 100 }, 60s);
+    double sum = answered[0] + answered[1] + answered[2];
+    BOOST_TEST_MESSAGE("answered " << answered[0] << " " << answered[1] << " " << answered[2]
+                                   << ", refused here " << this->refusedHere << ", by the server "
+                                   << this->refusedByServer);
+    // 60 places and a mean length of 1 s: 60 answers a second are possible.
+    BOOST_TEST(sum > 0.9 * 60 * 60);
+    BOOST_TEST(answered[0] / sum > 0.22);
+    BOOST_TEST(answered[0] / sum < 0.28);
+    BOOST_TEST(answered[1] / sum > 0.22);
+    BOOST_TEST(answered[2] / sum > 0.45);
+    BOOST_TEST(answered[2] / sum < 0.55);
+    BOOST_TEST(this->refusedByServer < this->refusedHere / 10);
+}
+
+BOOST_AUTO_TEST_CASE(an_unused_share_is_lent_and_called_back)
+{
+    this->run({ 100, 100, 0 }, 20s);
+    auto lent = this->run({ 100, 100, 0 }, 30s);
+    BOOST_TEST(lent[0] + lent[1] > 0.9 * 60 * 30);
+    this->run({ 100, 100, 100 }, 5s);
+    auto back = this->run({ 100, 100, 100 }, 30s);
+    BOOST_TEST(back[2] / (back[0] + back[1] + back[2]) > 0.45);
+}
+
+BOOST_AUTO_TEST_CASE(a_small_demand_is_served_whole_beside_large_ones)
+{
+    this->run({ 5, 100, 100 }, 20s);
+    auto answered = this->run({ 5, 100, 100 }, 60s);
+    BOOST_TEST(answered[0] > 0.9 * 5 * 60);
+}
+
+BOOST_AUTO_TEST_CASE(a_limit_is_divided_by_the_shards_and_told_with_a_time)
+{
+    this->configuration.workspaces[idOf(0)].requestsPerSecond = 40;
+    this->admission.configure(this->configuration, 4, this->now);
+    auto answered = this->run({ 100, 0, 0 }, 30s);
+    BOOST_TEST(answered[0] > 280);
+    BOOST_TEST(answered[0] < 330);
+    while (std::holds_alternative<AdmissionTicket>(this->admission.admit(idOf(0), "m", this->now))) { }
+    auto refusal = std::get<Refusal>(this->admission.admit(idOf(0), "m", this->now));
+    BOOST_TEST((refusal.reason == RefusalReason::WorkspaceLimit));
+    BOOST_TEST((refusal.retryAfter == 100ms));
+}
+
+BOOST_AUTO_TEST_CASE(tokens_beyond_a_limit_are_paid_back_before_more_is_let_in)
+{
+    this->configuration.workspaces[idOf(0)].outputTokensPerSecond = 100;
+    this->admission.configure(this->configuration, 1, this->now);
+    auto ticket = std::get<AdmissionTicket>(this->admission.admit(idOf(0), "m", this->now));
+    this->admission.finished(ticket, { 500, false }, this->now);
+    BOOST_TEST(std::holds_alternative<Refusal>(this->admission.admit(idOf(0), "m", this->now + 2s)));
+    BOOST_TEST(std::holds_alternative<AdmissionTicket>(this->admission.admit(idOf(0), "m", this->now + 4s)));
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_workspace_is_refused)
+{
+    BOOST_TEST(
+        std::holds_alternative<Refusal>(this->admission.admit(WorkspaceId { "nobody" }, "m", this->now)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
