Run the whole path: entry, agents and stand-ins as processes

Ruled out: an operators' interface of our own; OperatorApi of the config part is mounted on the admin port, with /status, /timeline, /metrics, /health. Change: mounting, planning view from the VM list, SessionOpened and Draining also reach the action router.

--- a/src/include/peridotgrade/entry/entry_node.h
+++ b/src/include/peridotgrade/entry/entry_node.h
@@ -1,19 +1,15 @@
 // A whole entry process.
 #pragma once
 
-#include "peridotgrade/entry/operator_api.h"
 #include "peridotgrade/net/endpoint.h"
 #include "peridotgrade/net/net_error.h"
 #include "peridotgrade/ops/settings/entry_settings.h"
 
-#include <functional>
 #include <memory>
-#include <optional>
+#include <variant>
 
 namespace peridotgrade {
 
-struct EntryContext;
-
 /// Where a running entry listens.
 struct EntryAddresses {
     Endpoint callers;
@@ -26,12 +22,8 @@
 /// and ends.
 class EntryNode {
 public:
-    /// Makes the operators' interface, once the rest of the process stands. May give null.
-    using OperatorApiFactory
-        = std::function<std::unique_ptr<OperatorApi>(EntryContext&, boost::asio::any_io_executor)>;
-
     /// `seed` is the root of all random choices of the process, and is logged.
-    EntryNode(EntrySettings settings, std::uint64_t seed, OperatorApiFactory operators);
+    EntryNode(EntrySettings settings, std::uint64_t seed);
     ~EntryNode();
     EntryNode(const EntryNode&) = delete;
     EntryNode& operator=(const EntryNode&) = delete;
--- a/src/libperidotgrade/entry/admin_api.cpp
+++ b/src/libperidotgrade/entry/admin_api.cpp
@@ -2,6 +2,7 @@
 #include "admin_api.h"
 
 #include "peridotgrade/callers/api_error.h"
+#include "peridotgrade/operators/node_status.h"
 #include "peridotgrade/ops/settings/key_hash.h"
 
 namespace peridotgrade {
@@ -11,7 +12,6 @@
 namespace {
 
     constexpr std::string_view BearerPrefix = "Bearer ";
-    constexpr std::string_view OperatorPrefix = "/operator/";
 
     HttpResponse errorOf(std::uint16_t status, std::string code, std::string message)
     {
@@ -42,14 +42,9 @@
         return settings.operatorOfKey(keySha256(field.substr(BearerPrefix.size())));
     }
 
-    bool changesSomething(const HttpRequest& request)
-    {
-        return request.path().starts_with(OperatorPrefix) || request.method == "PUT";
-    }
-
 } // namespace
 
-AdminApi::AdminApi(EntryContext& context, OperatorApi* operators)
+AdminApi::AdminApi(EntryContext& context, OperatorApi& operators)
     : context(context)
     , operators(operators)
 {
@@ -58,25 +53,11 @@
 asio::awaitable<void> AdminApi::handle(HttpExchange& exchange)
 {
     const HttpRequest& request = exchange.request();
-    HttpResponse response;
-    if (!changesSomething(request)) {
-        response = this->answerTo(request);
-        co_await exchange.respond(std::move(response));
-        co_return;
-    }
-    const OperatorCredential* credential = credentialOf(request, this->context.settings);
-    if (credential == nullptr) {
-        response = errorOf(
-            401, "invalid_operator_key", "the field Authorization must hold 'Bearer ' and an operator's key");
-        co_await exchange.respond(std::move(response));
+    if (OperatorApi::serves(request.path())) {
+        co_await this->operators.handle(exchange);
         co_return;
     }
-    if (request.path().starts_with(OperatorPrefix) && this->operators != nullptr) {
-        std::string name = credential->name;
-        co_await this->operators->handle(exchange, std::move(name));
-        co_return;
-    }
-    response = this->changeLogLevel(request, *credential);
+    HttpResponse response = request.method == "PUT" ? this->changeLogLevel(request) : this->answerTo(request);
     co_await exchange.respond(std::move(response));
 }
 
@@ -95,6 +76,12 @@
         return textOf(this->context.metrics.text());
     if (path == "/loglevel")
         return textOf(std::string { nameOf(this->context.logger.level()) } + "\n");
+    if (path == "/status") {
+        HttpResponse response;
+        const std::string& node = this->context.settings.node.name;
+        response.body = nodeStatusJson(node, "entry", this->context.follower, std::nullopt);
+        return response;
+    }
     if (path == "/timeline") {
         HttpResponse response;
         response.body = this->context.timeline.toJson({ request.query("request"), request.query("subject") });
@@ -103,10 +90,13 @@
     return errorOf(404, "unknown_path", "there is nothing at this path");
 }
 
-HttpResponse AdminApi::changeLogLevel(const HttpRequest& request, const OperatorCredential& credential)
+HttpResponse AdminApi::changeLogLevel(const HttpRequest& request)
 {
     if (request.path() != "/loglevel")
         return errorOf(404, "unknown_path", "there is nothing at this path");
+    const OperatorCredential* credential = credentialOf(request, this->context.settings);
+    if (credential == nullptr)
+        return errorOf(401, "invalid_operator_key", "the field Authorization must hold an operator's key");
     std::string_view name = request.body;
     while (name.ends_with('\n') || name.ends_with('\r'))
         name.remove_suffix(1);
@@ -115,7 +105,7 @@
         return errorOf(400, "unknown_level", "the body must be trace, debug, info, warn or error");
     this->context.logger.setLevel(*level);
     this->context.logger.write(LogLevel::Warn, "log_level_changed",
-        { { "operator", credential.name }, { "to", std::string { nameOf(*level) } } });
+        { { "operator", credential->name }, { "to", std::string { nameOf(*level) } } });
     return textOf(std::string { nameOf(*level) } + "\n");
 }
 
--- a/src/libperidotgrade/entry/admin_api.h
+++ b/src/libperidotgrade/entry/admin_api.h
@@ -2,25 +2,25 @@
 #pragma once
 
 #include "peridotgrade/entry/entry_context.h"
-#include "peridotgrade/entry/operator_api.h"
 #include "peridotgrade/net/http_server.h"
+#include "peridotgrade/operators/operator_api.h"
 
 namespace peridotgrade {
 
-/// Reading is open to whoever reaches the port; changing needs an operator's credential.
+/// Reading is open to whoever reaches the port; changing needs an operator's credential, which
+/// OperatorApi checks by itself.
 class AdminApi {
 public:
-    /// `operators` may be null: then there is nothing below `/operator/`.
-    AdminApi(EntryContext& context, OperatorApi* operators);
+    AdminApi(EntryContext& context, OperatorApi& operators);
 
     boost::asio::awaitable<void> handle(HttpExchange& exchange);
 
 private:
     HttpResponse answerTo(const HttpRequest& request);
-    HttpResponse changeLogLevel(const HttpRequest& request, const OperatorCredential& credential);
+    HttpResponse changeLogLevel(const HttpRequest& request);
 
     EntryContext& context;
-    OperatorApi* operators;
+    OperatorApi& operators;
 };
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/entry/entry_node.cpp
+++ b/src/libperidotgrade/entry/entry_node.cpp
@@ -36,9 +36,17 @@
         return result;
     }
 
+    OperatorApiSettings operatorSettings(const EntrySettings& settings)
+    {
+        OperatorApiSettings result;
+        result.platform = settings.node.platform;
+        result.operators = settings.operators;
+        return result;
+    }
+
 } // namespace
 
-EntryNode::Impl::Impl(EntrySettings given, std::uint64_t seed, OperatorApiFactory makeOperators)
+EntryNode::Impl::Impl(EntrySettings given, std::uint64_t seed)
     : settings(std::move(given))
     , seed(seed)
     , strand(asio::make_strand(this->io))
@@ -53,8 +61,10 @@
     , vmList(this->strand, this->context)
     , peers(this->strand, this->context, this->clock, this->quarantines)
     , callerApi(this->context, this->entryMetrics)
-    , operators(makeOperators ? makeOperators(this->context, this->strand) : nullptr)
-    , adminApi(this->context, this->operators.get())
+    , operators(
+          operatorSettings(this->settings), this->follower, [this] { return this->planningView(); },
+          this->timeline)
+    , adminApi(this->context, this->operators)
     , signals(this->io, SIGTERM, SIGINT)
     , pause(this->strand)
 {
@@ -98,6 +108,16 @@
         [this](HttpExchange& exchange) { return this->adminApi.handle(exchange); });
 }
 
+PlanningView EntryNode::Impl::planningView() const
+{
+    PlanningView view;
+    for (const VmRecord& vm : this->vmList.current()) {
+        if (vm.kind == VmKind::Engine && vm.state == VmState::Live)
+            view.fleet.push_back(FleetEngine { .agent = AgentId { vm.name }, .service = vm.service });
+    }
+    return view;
+}
+
 std::variant<EntryAddresses, NetError> EntryNode::Impl::start()
 {
     EntryAddresses addresses;
@@ -214,8 +234,8 @@
     this->io.stop();
 }
 
-EntryNode::EntryNode(EntrySettings settings, std::uint64_t seed, OperatorApiFactory operators)
-    : impl(std::make_unique<Impl>(std::move(settings), seed, std::move(operators)))
+EntryNode::EntryNode(EntrySettings settings, std::uint64_t seed)
+    : impl(std::make_unique<Impl>(std::move(settings), seed))
 {
 }
 
--- a/src/libperidotgrade/entry/entry_node_impl.h
+++ b/src/libperidotgrade/entry/entry_node_impl.h
@@ -24,7 +24,7 @@
 
 class EntryNode::Impl final : public ShardHost {
 public:
-    Impl(EntrySettings settings, std::uint64_t seed, OperatorApiFactory makeOperators);
+    Impl(EntrySettings settings, std::uint64_t seed);
     ~Impl() override;
 
     std::variant<EntryAddresses, NetError> start();
@@ -40,6 +40,7 @@
 private:
     void makeShards(std::uint64_t seed);
     void makeHttpServers();
+    PlanningView planningView() const;
     void addMetrics();
     void addShardMetric(
         const MetricName& name, std::function<double(const EntryShardStatus&)> read, bool isCounter);
@@ -66,7 +67,7 @@
     VmListFeed vmList;
     PeerExchange peers;
     CallerApi callerApi;
-    std::unique_ptr<OperatorApi> operators;
+    OperatorApi operators;
     AdminApi adminApi;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> adminServer;
--- a/src/libperidotgrade/entry/entry_shard_impl.cpp
+++ b/src/libperidotgrade/entry/entry_shard_impl.cpp
@@ -115,6 +115,7 @@
         this->membership.onDraining(agent);
     this->models.onMessage(agent, message);
     this->calls.onAgentConnected(agent, message.incarnation);
+    this->calls.onMessage(agent, message);
     this->refresh();
     this->host.onVersionHeard(this->settings.number, agent, message.version);
 }
@@ -123,6 +124,7 @@
 {
     this->membership.onDraining(agent);
     this->models.onMessage(agent, message);
+    this->calls.onMessage(agent, message);
     this->refresh();
 }
 
--- a/src/libperidotgrade/entry/vm_list_feed.cpp
+++ b/src/libperidotgrade/entry/vm_list_feed.cpp
@@ -36,6 +36,12 @@
     this->pause.cancel();
 }
 
+std::vector<VmRecord> VmListFeed::current() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->last;
+}
+
 asio::awaitable<void> VmListFeed::pollForever()
 {
     while (!this->isStopped) {
@@ -58,7 +64,10 @@
     bool isSame = this->context.hasVmList && vms == this->last;
     if (isSame)
         return;
-    this->last = vms;
+    {
+        std::lock_guard lock(this->mutex);
+        this->last = vms;
+    }
     for (auto& shard : this->context.shards)
         shard->onVmList(vms);
     this->context.hasVmList = true;
--- a/src/libperidotgrade/entry/vm_list_feed.h
+++ b/src/libperidotgrade/entry/vm_list_feed.h
@@ -6,6 +6,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <mutex>
+
 namespace peridotgrade {
 
 /// Each list read goes to every shard; while the list is out of reach the last one holds. Runs on one strand.
@@ -15,6 +17,8 @@
 
     void start();
     void stop();
+    /// The list read last. Thread safe.
+    std::vector<VmRecord> current() const;
 
 private:
     boost::asio::awaitable<void> pollForever();
@@ -24,6 +28,8 @@
     EntryContext& context;
     VmListClient client;
     boost::asio::steady_timer pause;
+    mutable std::mutex mutex;
+    /// Written on the strand only. Guarded by `mutex`.
     std::vector<VmRecord> last;
     bool isReachable = true;
     bool isStopped = false;
--- a/src/peridot-entry/main.cpp
+++ b/src/peridot-entry/main.cpp
@@ -20,7 +20,7 @@
 
 int serve(EntrySettings settings)
 {
-    EntryNode node(std::move(settings), randomSeed(), nullptr);
+    EntryNode node(std::move(settings), randomSeed());
     auto addresses = node.start();
     if (auto* error = std::get_if<NetError>(&addresses)) {
         std::cerr << "peridot-entry: cannot listen on " << error->detail
@@ -28,7 +28,7 @@
         return exit_status::AddressInUse;
     }
     const auto& listening = std::get<EntryAddresses>(addresses);
-    std::cout << "ready callers=" << toString(listening.callers) << " admin=" << toString(listening.admin)
+    std::cout << "ready listen=" << toString(listening.callers) << " admin=" << toString(listening.admin)
               << " peers=" << toString(listening.peers) << std::endl;
     return node.run() ? exit_status::Success : exit_status::Failure;
 }
