--- a/src/libperidotgrade/core/routing/request_state.h
+++ b/src/libperidotgrade/core/routing/request_state.h
@@ -44,10 +44,13 @@
     std::optional<AttemptHold> prefill;
     /// The prefill's result, where the prefill came before the place.
     std::optional<PrefillFinished> kvCache;
+    TimePoint decodeStartedAt;
 
     /// Agents not to be tried again for this request.
     std::set<AgentId> avoided;
     std::uint32_t retries = 0;
+    /// Rounds of asks in the current attempt.
+    std::uint32_t askRounds = 0;
     /// Engines that died while they ran this request.
     std::uint32_t crashes = 0;
     Backoff backoff;
