--- a/src/libperidotgrade/core/routing/router_placing.cpp
+++ b/src/libperidotgrade/core/routing/router_placing.cpp
@@ -35,6 +35,7 @@
     if (!this->checkStanding(state))
         return;
     ++this->totals.attempts;
+    state.askRounds = 0;
     bool hasPrefillEngines = !this->candidates(state, true).empty();
     if (this->chooser->asksPlaceFirst() || !hasPrefillEngines) {
         this->askPlaces(state);
@@ -49,7 +50,7 @@
     if (state.retries > 0)
         return false;
     std::vector<EngineView> engines = this->candidates(state, true);
-    std::chrono::duration<double> timeLeft = this->slack(state);
+    std::chrono::duration<double> timeLeft = this->prefillSlack(state);
     return !engines.empty() && std::all_of(engines.begin(), engines.end(), [&](const EngineView& engine) {
         std::uint32_t uncached
             = state.request.promptTokens - std::min(state.request.promptTokens, engine.cachedTokens);
@@ -104,7 +105,7 @@
     placement.promptTokens = state.request.promptTokens + state.nextIndex;
     placement.maxOutputTokens = state.request.maxOutputTokens - state.nextIndex;
     placement.priority = state.request.priority;
-    placement.firstTokenDue = this->timers.now() + this->slack(state);
+    placement.prefillDue = this->timers.now() + this->prefillSlack(state);
     return placement;
 }
 
@@ -122,6 +123,7 @@
         return;
     }
     state.phase = RequestPhase::Placing;
+    ++state.askRounds;
     for (std::size_t choice : choices)
         this->askPlace(state, engines[choice]);
 }
@@ -161,6 +163,11 @@
 
 void RouterCore::onNoPlace(RequestState& state)
 {
+    bool hasOthers = !this->candidates(state, false).empty();
+    if (state.askRounds < this->settings.askRounds && hasOthers && this->slack(state) > Duration::zero()) {
+        this->askPlaces(state);
+        return;
+    }
     this->releaseAll(state);
     if (this->candidates(state, false).empty()) {
         this->refuse(state, RefusalReason::NoCapacity);
@@ -194,7 +201,7 @@
         return;
     }
     AgentId agent = engines[*choice].agent;
-    Duration timeLeft = this->slack(state);
+    Duration timeLeft = this->prefillSlack(state);
     StartPrefill message;
     message.epoch = this->agents.epochOf(agent);
     message.attempt = attempt;
