Resume answers before new requests and outside the retry budget

Cause: when half of the engines are lost the streams that ran there were broken (129 of 133 at 1.1 of capacity): each resume drew on a retry budget with a reserve of ten, and its asks queued for 100 ms like those of new requests. Ruled out: longer queueing and first priority alone (129 -> 129 broken at 1.1, 103 -> 103 at 0.8). Change: a resumed answer asks with first priority, queues for up to 1.5 s, and does not draw on the budget. Its number is bounded by the streams that were open and by maxRetries, so the sum of attempts stays bounded.

--- a/src/include/peridotgrade/core/routing/model_router.h
+++ b/src/include/peridotgrade/core/routing/model_router.h
@@ -28,6 +28,9 @@
     std::uint32_t askRounds = 3;
     /// How long an ask may queue at an agent.
     std::chrono::milliseconds maxAskQueueTime { 100 };
+    /// The same for an answer that is resumed: its caller already reads, and what was spent on it would be
+    /// lost.
+    std::chrono::milliseconds maxResumeQueueTime { 1500 };
     /// Tries after the first for one request, within the retry budget.
     std::uint32_t maxRetries = 3;
     double retryBudgetShare = 0.1;
--- a/src/libperidotgrade/core/routing/router_core.h
+++ b/src/libperidotgrade/core/routing/router_core.h
@@ -65,6 +65,9 @@
     bool isPrefillTooLong(const RequestState& state) const;
     void askPlaces(RequestState& state);
     void askPlace(RequestState& state, const EngineView& engine);
+    /// An answer that is resumed comes before new ones.
+    Priority priorityOf(const RequestState& state) const;
+    std::chrono::milliseconds queueTimeOf(const RequestState& state, std::chrono::milliseconds slack) const;
     void onAsksUnanswered(RequestState& state);
     /// All asks are answered, and none with a place.
     void onNoPlace(RequestState& state);
--- a/src/libperidotgrade/core/routing/router_failures.cpp
+++ b/src/libperidotgrade/core/routing/router_failures.cpp
@@ -49,7 +49,9 @@
         this->refuse(state, RefusalReason::DeadlineUnreachable);
         return;
     }
-    if (!this->retryBudget.trySpend()) {
+    // Resuming adds no request: it is bounded by the streams that were open and by maxRetries for each.
+    bool isResumed = state.nextIndex > 0;
+    if (!isResumed && !this->retryBudget.trySpend()) {
         this->refuse(state, RefusalReason::RetryBudgetSpent);
         return;
     }
--- a/src/libperidotgrade/core/routing/router_placing.cpp
+++ b/src/libperidotgrade/core/routing/router_placing.cpp
@@ -137,11 +137,10 @@
     message.attempt = ask.attempt;
     message.model = state.request.model;
     message.fingerprint = state.fingerprint;
-    message.priority = state.request.priority;
+    message.priority = this->priorityOf(state);
     message.promptTokens = state.request.promptTokens + state.nextIndex;
     message.maxOutputTokens = state.request.maxOutputTokens - state.nextIndex;
-    // A suspect waits for another suspect's end, which takes longer than a place in a busy batch.
-    message.maxQueueTime = state.isSuspect ? slack / 2 : std::min(this->settings.maxAskQueueTime, slack);
+    message.maxQueueTime = this->queueTimeOf(state, slack);
     message.isSuspect = state.isSuspect;
     message.version = this->view.version;
     this->setPhaseTimer(state, message.maxQueueTime + AnswerAllowance, &RouterCore::onAsksUnanswered);
@@ -151,6 +150,21 @@
     this->agents.send(engine.agent, std::move(message));
 }
 
+Priority RouterCore::priorityOf(const RequestState& state) const
+{
+    return state.nextIndex > 0 ? Priority::Urgent : state.request.priority;
+}
+
+std::chrono::milliseconds RouterCore::queueTimeOf(
+    const RequestState& state, std::chrono::milliseconds slack) const
+{
+    // A suspect waits for another suspect's end, which takes longer than a place in a busy batch.
+    if (state.isSuspect)
+        return slack / 2;
+    bool isResumed = state.nextIndex > 0;
+    return std::min(isResumed ? this->settings.maxResumeQueueTime : this->settings.maxAskQueueTime, slack);
+}
+
 void RouterCore::onAsksUnanswered(RequestState& state)
 {
     for (const AttemptHold& ask : state.asks) {
@@ -207,7 +221,7 @@
     message.attempt = attempt;
     message.model = state.request.model;
     message.fingerprint = state.fingerprint;
-    message.priority = state.request.priority;
+    message.priority = this->priorityOf(state);
     message.prompt = state.request.prompt + state.sentText;
     message.promptTokens = placement.promptTokens;
     message.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft);
