Grant places ahead of room, behind a setting that is off

Ruled out: reserving more at the engine than it has; CapacityNotExceeded stays for what is at the engine. Change: grantsAhead (default 0): a place granted ahead reserves nothing, its decode waits in order of grant and fails with TooLate when its time is over; seven tests of the host by itself; the test world split into smaller files.

--- /dev/null
+++ b/src/libperidotgrade/core/hosting/model_host_test.cpp
@@ -0,0 +1,176 @@
+// The model host by itself: places granted ahead of room, repeated and late messages.
+#include "peridotgrade/core/hosting/model_host.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace peridotgrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ConnectionId Connection { 1 };
+
+struct Fixture {
+    TimerService timers;
+    RandomSource random { 1 };
+    NullEventSink events;
+    ModelHost host { ModelHostSettings { .agent = AgentId { "a" }, .grantsAhead = 1 }, timers, random,
+        events };
+    SessionEpoch epoch;
+
+    Fixture()
+    {
+        EngineUp up;
+        up.incarnation = Incarnation { 7 };
+        up.placesTotal = 1;
+        up.kvTokensTotal = 1000;
+        up.kvTokensPerPiece = 10;
+        up.models = { ModelId { "m" } };
+        this->host.onEngineEvent(up);
+        this->host.onEngineEvent(EngineListing {});
+        this->host.onConnected(Connection);
+        this->host.onMessage(Connection, OpenSession { EntryId { "e" } });
+        this->epoch = this->sent<SessionOpened>().at(0).epoch;
+    }
+
+    static AttemptId attempt(std::uint64_t request) { return AttemptId { RequestId { request }, 1 }; }
+
+    /// What the host sent since the last call, of one type; the rest is dropped.
+    template <typename Message> std::vector<Message> sent()
+    {
+        std::vector<Message> found;
+        for (const HostAction& action : this->host.takeActions()) {
+            const auto* toEntry = std::get_if<SendToEntry>(&action);
+            if (const auto* message = toEntry ? std::get_if<Message>(&toEntry->message) : nullptr)
+                found.push_back(*message);
+        }
+        return found;
+    }
+
+    template <typename Command> std::vector<Command> commands()
+    {
+        std::vector<Command> found;
+        for (const HostAction& action : this->host.takeActions()) {
+            const auto* toEngine = std::get_if<TellEngine>(&action);
+            if (const auto* command = toEngine ? std::get_if<Command>(&toEngine->command) : nullptr)
+                found.push_back(*command);
+        }
+        return found;
+    }
+
+    void ask(std::uint64_t request)
+    {
+        AskPlace message;
+        message.epoch = this->epoch;
+        message.attempt = attempt(request);
+        message.model = ModelId { "m" };
+        message.promptTokens = 100;
+        message.maxOutputTokens = 100;
+        this->host.onMessage(Connection, message);
+    }
+
+    void startDecode(std::uint64_t request)
+    {
+        StartDecode message;
+        message.epoch = this->epoch;
+        message.attempt = attempt(request);
+        message.model = ModelId { "m" };
+        message.timeLeft = 500ms;
+        this->host.onMessage(Connection, message);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(model_host, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_place_granted_ahead_decodes_when_there_is_room)
+{
+    this->ask(1);
+    this->startDecode(1);
+    auto first = this->commands<EngineDecode>();
+    BOOST_REQUIRE(first.size() == 1U);
+    this->ask(2);
+    BOOST_TEST(this->sent<PlaceGranted>().size() == 1U);
+    this->ask(3);
+    this->timers.advance(this->timers.now());
+    BOOST_TEST(this->sent<PlaceRefused>().size() == 1U);
+    this->startDecode(2);
+    BOOST_TEST(this->commands<EngineDecode>().empty());
+    BOOST_TEST(this->host.counters().placesHeld == 1U);
+    EngineTokens last;
+    last.stream = first[0].stream;
+    last.isLast = true;
+    this->host.onEngineEvent(last);
+    BOOST_TEST(this->commands<EngineDecode>().size() == 1U);
+    BOOST_TEST(this->host.counters().placesHeld == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_decode_that_waits_too_long_for_room_fails)
+{
+    this->ask(1);
+    this->startDecode(1);
+    this->ask(2);
+    this->startDecode(2);
+    this->host.takeActions();
+    this->timers.advance(TimePoint { 600ms });
+    auto failed = this->sent<AttemptFailed>();
+    BOOST_REQUIRE(failed.size() == 1U);
+    BOOST_TEST((failed[0].reason == AttemptFailure::TooLate));
+}
+
+BOOST_AUTO_TEST_CASE(a_release_before_room_reserves_nothing)
+{
+    this->ask(1);
+    this->ask(2);
+    this->host.onMessage(Connection, ReleaseAttempt { this->epoch, attempt(2) });
+    BOOST_TEST(this->host.counters().placesHeld == 1U);
+    this->host.onMessage(Connection, ReleaseAttempt { this->epoch, attempt(1) });
+    BOOST_TEST(this->host.counters().placesHeld == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_message_of_an_earlier_epoch_is_refused_and_changes_nothing)
+{
+    SessionEpoch earlier = this->epoch;
+    this->host.onMessage(Connection, OpenSession { EntryId { "e" } });
+    this->host.takeActions();
+    this->epoch = earlier;
+    this->ask(1);
+    BOOST_TEST(this->sent<SessionRefused>().size() == 1U);
+    BOOST_TEST(this->host.counters().placesHeld == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(holds_lapse_without_renewal_and_not_with_it)
+{
+    this->ask(1);
+    this->timers.advance(TimePoint { 2s });
+    this->host.onMessage(Connection, RenewSession { this->epoch, { attempt(1) } });
+    this->timers.advance(TimePoint { 4s });
+    BOOST_TEST(this->host.counters().placesHeld == 1U);
+    this->timers.advance(TimePoint { 5s });
+    BOOST_TEST(this->host.counters().placesHeld == 0U);
+    BOOST_TEST(this->host.counters().lapsed == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_renewal_frees_what_it_does_not_list)
+{
+    this->ask(1);
+    this->host.onMessage(Connection, RenewSession { this->epoch, {} });
+    BOOST_TEST(this->host.counters().placesHeld == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_cancellation_is_repeated_until_confirmed_and_the_place_held_until_then)
+{
+    this->ask(1);
+    this->startDecode(1);
+    this->host.onMessage(Connection, ReleaseAttempt { this->epoch, attempt(1) });
+    auto cancels = this->commands<EngineCancel>();
+    BOOST_REQUIRE(cancels.size() == 1U);
+    this->timers.advance(TimePoint { 1s });
+    BOOST_TEST(this->commands<EngineCancel>().size() == 5U);
+    BOOST_TEST(this->host.counters().placesHeld == 1U);
+    this->host.onEngineEvent(EngineCancelled { cancels[0].stream });
+    BOOST_TEST(this->host.counters().placesHeld == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/core/routing/model_request_test.cpp
+++ b/src/libperidotgrade/core/routing/model_request_test.cpp
@@ -1,5 +1,5 @@
 // Model requests between a router and hosts with fake engines: the usual path, step by step failures.
-#include "test_support/world.h"
+#include "test_support/world_counts.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -23,7 +23,7 @@
         this->world.ledger.checkAllEnded();
         for (const std::string& failure : this->world.ledger.failures)
             BOOST_ERROR(failure);
-        BOOST_TEST(this->world.heldAtEngines() == 0U);
+        BOOST_TEST(heldAtEngines(this->world) == 0U);
         for (const auto& entry : this->world.entries) {
             BOOST_TEST(entry->router.openRequests() == 0U);
             BOOST_TEST(entry->router.holds() == 0U);
@@ -55,10 +55,10 @@
 {
     RequestId id = this->world.submit(0, 1);
     this->world.runFor(150ms);
-    BOOST_TEST(this->world.heldAtEngines() > 0U);
+    BOOST_TEST(heldAtEngines(this->world) > 0U);
     this->world.entries[0]->isFrozen = true;
     this->world.runFor(1500ms);
-    BOOST_TEST(this->world.heldAtEngines() == 0U);
+    BOOST_TEST(heldAtEngines(this->world) == 0U);
     this->world.entries[0]->isFrozen = false;
     this->world.runFor(4s);
     BOOST_TEST((this->request(id).finals == 1U));
@@ -80,14 +80,14 @@
     for (std::uint64_t i = 0; i < 6; ++i)
         this->world.submit(i % 2, i);
     this->world.runFor(150ms);
-    BOOST_TEST(this->world.heldAtEngines() > 0U);
+    BOOST_TEST(heldAtEngines(this->world) > 0U);
     for (std::size_t agent = 0; agent < this->world.agents.size(); ++agent) {
         this->world.killAgent(agent);
         this->world.startAgent(agent);
     }
     // Two round trips to the engine: the listing and the cancellations.
     this->world.runFor(12ms);
-    BOOST_TEST(this->world.heldAtEngines() == 0U);
+    BOOST_TEST(heldAtEngines(this->world) == 0U);
     this->world.runFor(8s);
     this->checkQuiet();
 }
@@ -101,7 +101,7 @@
         // Entry to agent to engine and back; where the cancellation overtook the start, another 200 ms
         // until the host lists the engine's streams.
         this->world.runFor(250ms);
-        BOOST_TEST(this->world.heldAtEngines() == 0U, "cancelled after " << step * 4 << " ms");
+        BOOST_TEST(heldAtEngines(this->world) == 0U, "cancelled after " << step * 4 << " ms");
     }
     this->checkQuiet();
 }
--- a/src/libperidotgrade/core/routing/test_support/fake_process.h
+++ b/src/libperidotgrade/core/routing/test_support/fake_process.h
@@ -26,7 +26,15 @@
     }
 
     void input(std::function<void()> call) { this->inbox.push_back(std::move(call)); }
-    bool hasInput() const { return !this->isFrozen && !this->inbox.empty(); }
+
+    /// True if the process has something to do now.
+    bool isDue(TimePoint now) const
+    {
+        if (this->isFrozen)
+            return false;
+        auto next = this->timers.nextDue();
+        return !this->inbox.empty() || (next && *next <= now) || this->timers.now() < now;
+    }
 
     /// One turn of the process's loop: time, or else one input.
     void turn(TimePoint now)
--- /dev/null
+++ b/src/libperidotgrade/core/routing/test_support/fake_request.h
@@ -0,0 +1,23 @@
+// Requests of fake callers.
+#pragma once
+
+#include "fake_answer.h"
+#include "peridotgrade/core/base/random_source.h"
+#include "peridotgrade/core/routing/model_request.h"
+
+namespace peridotgrade::test {
+
+/// A request with a new id, still without its times.
+inline ModelRequest fakeRequest(RandomSource& random, std::uint64_t number, bool isPoison)
+{
+    ModelRequest request;
+    request.id = RequestId { random.next() };
+    request.model = ModelId { "m" };
+    request.prompt = promptOf(number, isPoison);
+    request.promptTokens = 100;
+    request.maxOutputTokens = 30;
+    request.priority = static_cast<Priority>(random.below(3));
+    return request;
+}
+
+} // namespace peridotgrade::test
--- a/src/libperidotgrade/core/routing/test_support/random_run.h
+++ b/src/libperidotgrade/core/routing/test_support/random_run.h
@@ -1,7 +1,7 @@
 // One randomised run: requests, cancellations and faults from a seed, then quiet, then the checks.
 #pragma once
 
-#include "world.h"
+#include "world_counts.h"
 
 #include <string>
 #include <vector>
@@ -71,6 +71,7 @@
         world.seed = seed;
         world.router.streamStallTimeout = Milliseconds { 700 };
         world.router.maxRetries = 4;
+        world.grantsAhead = seed % 3 == 0 ? 2 : 0;
         world.router.retryBudgetReserve = 50;
         return world;
     }
@@ -85,9 +86,9 @@
         if (!this->settings.hasNetworkFaults)
             return;
         constexpr double Shares[] = { 0, 0.002, 0.02 };
-        this->world.faults.lost = Shares[this->random.below(3)];
-        this->world.faults.repeated = Shares[this->random.below(3)];
-        this->world.faults.longestDelay = Milliseconds { 1 + this->random.below(60) };
+        this->world.network.faults.lost = Shares[this->random.below(3)];
+        this->world.network.faults.repeated = Shares[this->random.below(3)];
+        this->world.network.faults.longestDelay = Milliseconds { 1 + this->random.below(60) };
     }
 
     void setUpPoison()
@@ -205,7 +206,7 @@
     void calm()
     {
         this->isCalm = true;
-        this->world.faults = NetworkFaults {};
+        this->world.network.faults = NetworkFaults {};
         for (std::size_t i = 0; i < this->world.engines.size(); ++i) {
             this->world.engines[i]->stalledTransfers = 0;
             this->world.engines[i]->restart();
@@ -247,7 +248,7 @@
             else if (entry.finals > 0)
                 ++result.refused[entry.refusal.reason];
         }
-        result.poisonCrashes = this->world.poisonCrashes();
+        result.poisonCrashes = poisonCrashes(this->world);
         return result;
     }
 
--- a/src/libperidotgrade/core/routing/test_support/world.h
+++ b/src/libperidotgrade/core/routing/test_support/world.h
@@ -2,8 +2,11 @@
 #pragma once
 
 #include "fake_engine.h"
+#include "fake_network.h"
 #include "fake_process.h"
+#include "fake_request.h"
 #include "request_ledger.h"
+#include "world_settings.h"
 
 #include <algorithm>
 #include <map>
@@ -12,24 +15,6 @@
 
 namespace peridotgrade::test {
 
-struct WorldSettings {
-    std::uint64_t seed = 1;
-    std::size_t entries = 2;
-    std::vector<EngineRole> engines { EngineRole::Prefill, EngineRole::Decode, EngineRole::Decode,
-        EngineRole::Mixed };
-    std::chrono::milliseconds leaseDuration { 1000 };
-    ModelRouterSettings router;
-};
-
-/// Shares of messages and how long they take.
-struct NetworkFaults {
-    double lost = 0;
-    double repeated = 0;
-    std::chrono::milliseconds longestDelay { 3 };
-    /// How late the other side may notice a cut.
-    std::chrono::milliseconds latestNotice { 3000 };
-};
-
 class World {
 public:
     explicit World(WorldSettings settings)
@@ -46,12 +31,12 @@
             this->startEntry(i);
     }
 
-    NetworkFaults faults;
     RequestLedger ledger;
     EventLog log;
     TimerService clock;
     WorldSettings settings;
     RandomSource random;
+    FakeNetwork network { this->clock, this->random };
     std::vector<std::unique_ptr<FakeEngine>> engines;
     std::vector<std::unique_ptr<FakeAgent>> agents;
     std::vector<std::unique_ptr<FakeEntry>> entries;
@@ -64,13 +49,7 @@
     RequestId submit(std::size_t entry, std::uint64_t number, bool isPoison = false,
         std::chrono::milliseconds firstTokenIn = std::chrono::milliseconds { 1500 })
     {
-        ModelRequest request;
-        request.id = RequestId { this->random.next() };
-        request.model = ModelId { "m" };
-        request.prompt = promptOf(number, isPoison);
-        request.promptTokens = 100;
-        request.maxOutputTokens = 30;
-        request.priority = static_cast<Priority>(this->random.below(3));
+        ModelRequest request = fakeRequest(this->random, number, isPoison);
         request.firstTokenDue = this->clock.now() + firstTokenIn;
         request.deadline = this->clock.now() + std::chrono::seconds { 6 };
         LedgerEntry opened;
@@ -142,6 +121,7 @@
         host.agent = agentId(index);
         host.incarnation = Incarnation { this->random.next() };
         host.leaseDuration = this->settings.leaseDuration;
+        host.grantsAhead = this->settings.grantsAhead;
         this->agents[index]
             = std::make_unique<FakeAgent>(host, this->clock.now(), this->random.next(), this->log);
         this->agents[index]->serial = ++this->lastSerial;
@@ -179,11 +159,12 @@
         std::shared_ptr<Connection> connection = found->second;
         this->connections.erase(found);
         connection->isCut = true;
-        this->clock.subscribeAfter(this->delayUpTo(this->faults.latestNotice), [this, connection] {
-            FakeAgent* process = this->agents[connection->agent].get();
-            if (process && process->serial == connection->agentSerial)
-                process->input([process, connection] { process->host.onDisconnected(connection->id); });
-        });
+        this->clock.subscribeAfter(
+            this->network.delayUpTo(this->network.faults.latestNotice), [this, connection] {
+                FakeAgent* process = this->agents[connection->agent].get();
+                if (process && process->serial == connection->agentSerial)
+                    process->input([process, connection] { process->host.onDisconnected(connection->id); });
+            });
         FakeEntry* process = this->entries[entry].get();
         if (process && process->serial == connection->entrySerial)
             process->input([process, agent] { process->router.onAgentLost(agentId(agent)); });
@@ -206,38 +187,10 @@
         this->settle();
     }
 
-    // What is left.
-
-    std::size_t heldAtEngines() const
-    {
-        std::size_t sum = 0;
-        for (const auto& engine : this->engines)
-            sum += engine->held();
-        return sum;
-    }
-
-    std::uint64_t poisonCrashes() const
-    {
-        std::uint64_t sum = 0;
-        for (const auto& engine : this->engines)
-            sum += engine->poisonCrashes;
-        return sum;
-    }
-
     static AgentId agentId(std::size_t index) { return AgentId { "agent" + std::to_string(index) }; }
 
 private:
-    struct Connection {
-        ConnectionId id;
-        std::size_t entry = 0;
-        std::size_t agent = 0;
-        /// Numbers of the processes at its ends.
-        std::uint64_t entrySerial = 0;
-        std::uint64_t agentSerial = 0;
-        bool isCut = false;
-        TimePoint lastToAgent;
-        TimePoint lastToEntry;
-    };
+    using Connection = FakeConnection;
     using Pair = std::pair<std::size_t, std::size_t>;
 
     void addEngine(std::size_t index)
@@ -261,22 +214,17 @@
 
     void restartEngineLater(std::size_t index)
     {
-        Duration delay = this->delayUpTo(std::chrono::milliseconds { 1500 });
+        Duration delay = this->network.delayUpTo(std::chrono::milliseconds { 1500 });
         this->clock.subscribeAfter(delay, [this, index] { this->engines[index]->restart(); });
     }
 
-    Duration delayUpTo(std::chrono::milliseconds longest)
-    {
-        return std::chrono::microseconds { this->random.below(longest.count() * 1000 + 1) };
-    }
-
     /// Events of one engine come in order.
     void toAgent(std::size_t index, EngineEvent event)
     {
         FakeAgent* process = this->agents[index].get();
         if (!process)
             return;
-        TimePoint due = this->clock.now() + this->delayUpTo(this->faults.longestDelay);
+        TimePoint due = this->clock.now() + this->network.delayUpTo(this->network.faults.longestDelay);
         due = std::max(due, this->lastEngineEvent[index]);
         this->lastEngineEvent[index] = due;
         this->clock.subscribeAt(due, [this, index, serial = process->serial, event = std::move(event)] {
@@ -289,20 +237,21 @@
     /// Commands are separate calls: one may overtake another.
     void toEngine(std::size_t index, const EngineCommand& command)
     {
-        this->clock.subscribeAfter(this->delayUpTo(this->faults.longestDelay), [this, index, command] {
-            if (!this->engines[index]->isUp())
-                return;
-            if (const auto* prefill = std::get_if<EnginePrefill>(&command))
-                this->ledger.onEngineStart(callersPart(prefill->prompt));
-            if (const auto* decode = std::get_if<EngineDecode>(&command))
-                this->ledger.onEngineStart(callersPart(decode->prompt));
-            this->engines[index]->onCommand(command);
-        });
+        this->clock.subscribeAfter(
+            this->network.delayUpTo(this->network.faults.longestDelay), [this, index, command] {
+                if (!this->engines[index]->isUp())
+                    return;
+                if (const auto* prefill = std::get_if<EnginePrefill>(&command))
+                    this->ledger.onEngineStart(callersPart(prefill->prompt));
+                if (const auto* decode = std::get_if<EngineDecode>(&command))
+                    this->ledger.onEngineStart(callersPart(decode->prompt));
+                this->engines[index]->onCommand(command);
+            });
     }
 
     void connectLater(std::size_t entry, std::size_t agent)
     {
-        Duration delay = this->delayUpTo(std::chrono::milliseconds { 300 });
+        Duration delay = this->network.delayUpTo(std::chrono::milliseconds { 300 });
         this->clock.subscribeAfter(delay, [this, entry, agent] { this->connect(entry, agent); });
     }
 
@@ -323,18 +272,6 @@
         entryProcess->input([entryProcess, agent] { entryProcess->router.onAgentConnected(agentId(agent)); });
     }
 
-    /// Delivers once, twice or not at all, in order.
-    template <typename Deliver> void transmit(TimePoint& last, Deliver deliver)
-    {
-        if (this->random.unit() < this->faults.lost)
-            return;
-        int copies = this->random.unit() < this->faults.repeated ? 2 : 1;
-        for (int i = 0; i < copies; ++i) {
-            last = std::max(last, this->clock.now() + this->delayUpTo(this->faults.longestDelay));
-            this->clock.subscribeAt(last, deliver);
-        }
-    }
-
     void perform(std::size_t entry, const SendToAgent& action)
     {
         std::size_t agent = std::stoul(action.agent.raw().substr(5));
@@ -342,7 +279,7 @@
         if (found == this->connections.end())
             return;
         std::shared_ptr<Connection> connection = found->second;
-        this->transmit(connection->lastToAgent, [this, connection, message = action.message] {
+        this->network.transmit(connection->lastToAgent, [this, connection, message = action.message] {
             FakeAgent* process = this->agents[connection->agent].get();
             if (connection->isCut || !process || process->serial != connection->agentSerial)
                 return;
@@ -365,12 +302,13 @@
         for (std::size_t i = 0; i < this->entries.size(); ++i) {
             if (i == from || this->random.unit() < this->lostQuarantineNotices)
                 continue;
-            this->clock.subscribeAfter(this->delayUpTo(std::chrono::milliseconds { 300 }), [this, i, action] {
-                FakeEntry* process = this->entries[i].get();
-                QuarantineNotice notice { { action.fingerprint } };
-                if (process)
-                    process->input([process, notice] { process->router.onMessage(AgentId {}, notice); });
-            });
+            this->clock.subscribeAfter(
+                this->network.delayUpTo(std::chrono::milliseconds { 300 }), [this, i, action] {
+                    FakeEntry* process = this->entries[i].get();
+                    QuarantineNotice notice { { action.fingerprint } };
+                    if (process)
+                        process->input([process, notice] { process->router.onMessage(AgentId {}, notice); });
+                });
         }
     }
 
@@ -380,7 +318,7 @@
             if (connection->id != action.connection || pair.second != agent)
                 continue;
             auto kept = connection;
-            this->transmit(kept->lastToEntry, [this, kept, message = action.message] {
+            this->network.transmit(kept->lastToEntry, [this, kept, message = action.message] {
                 FakeEntry* process = this->entries[kept->entry].get();
                 if (kept->isCut || !process || process->serial != kept->entrySerial)
                     return;
@@ -400,33 +338,30 @@
             std::visit([&](const auto& typed) { this->perform(index, typed); }, action);
     }
 
-    static bool isDue(const FakeProcess& process, TimePoint now)
+    /// One turn of each process that has something to do; false if there is none.
+    template <typename Process, typename CoreOf>
+    bool turnAll(std::vector<std::unique_ptr<Process>>& processes, CoreOf coreOf)
     {
-        if (process.isFrozen)
-            return false;
-        auto next = process.timers.nextDue();
-        return process.hasInput() || (next && *next <= now) || process.timers.now() < now;
+        bool wasBusy = false;
+        for (std::size_t i = 0; i < processes.size(); ++i) {
+            if (!processes[i] || !processes[i]->isDue(this->clock.now()))
+                continue;
+            wasBusy = true;
+            processes[i]->turn(this->clock.now());
+            this->pump(i, coreOf(*processes[i]));
+        }
+        return wasBusy;
     }
 
     void settle()
     {
         bool wasBusy = true;
         while (wasBusy) {
-            wasBusy = false;
-            for (std::size_t i = 0; i < this->entries.size(); ++i) {
-                if (!this->entries[i] || !isDue(*this->entries[i], this->clock.now()))
-                    continue;
-                wasBusy = true;
-                this->entries[i]->turn(this->clock.now());
-                this->pump(i, this->entries[i]->router);
-            }
-            for (std::size_t i = 0; i < this->agents.size(); ++i) {
-                if (!this->agents[i] || !isDue(*this->agents[i], this->clock.now()))
-                    continue;
-                wasBusy = true;
-                this->agents[i]->turn(this->clock.now());
-                this->pump(i, this->agents[i]->host);
-            }
+            bool haveEntriesWorked = this->turnAll(
+                this->entries, [](FakeEntry & entry) -> auto& { return entry.router; });
+            bool haveAgentsWorked = this->turnAll(
+                this->agents, [](FakeAgent & agent) -> auto& { return agent.host; });
+            wasBusy = haveEntriesWorked || haveAgentsWorked;
         }
     }
 
--- /dev/null
+++ b/src/libperidotgrade/core/routing/test_support/world_settings.h
@@ -0,0 +1,22 @@
+// What a run in virtual time consists of.
+#pragma once
+
+#include "peridotgrade/core/routing/model_router.h"
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace peridotgrade::test {
+
+struct WorldSettings {
+    std::uint64_t seed = 1;
+    std::size_t entries = 2;
+    std::vector<EngineRole> engines { EngineRole::Prefill, EngineRole::Decode, EngineRole::Decode,
+        EngineRole::Mixed };
+    std::chrono::milliseconds leaseDuration { 1000 };
+    std::uint32_t grantsAhead = 0;
+    ModelRouterSettings router;
+};
+
+} // namespace peridotgrade::test
