--- a/src/libperidotgrade/core/routing/crash_requests_test.cpp
+++ b/src/libperidotgrade/core/routing/crash_requests_test.cpp
@@ -1,5 +1,5 @@
 // Requests that crash their servers, sent through several entries at once, beside innocent ones.
-#include "test_support/world.h"
+#include "test_support/world_counts.h"
 
 #include <boost/test/unit_test.hpp>
 #include <iostream>
@@ -66,7 +66,7 @@
     CrashRunResult judge()
     {
         CrashRunResult result;
-        result.crashes = this->world.poisonCrashes();
+        result.crashes = poisonCrashes(this->world);
         result.failures = this->world.ledger.failures;
         for (const auto& [id, request] : this->world.ledger.all()) {
             if (isPoison(request.prompt))
