Lose an entry for good in every fifth random run

Cause: the mutation run found nothing without the lapse of leases: every entry came back and its new session freed all. Ruled out: a longer freeze only (streams end by themselves meanwhile). Change: in every fifth seed the last entry's VM is gone at the end and no agent learns of it; only the lease frees.

--- a/src/libperidotgrade/core/routing/random_run_test.cpp
+++ b/src/libperidotgrade/core/routing/random_run_test.cpp
@@ -54,6 +54,7 @@
         settings.seed = seed;
         settings.hasPoison = seed % 2 == 0;
         settings.areQuarantineNoticesLost = seed % 4 == 0;
+        settings.isEntryLostForGood = seed % 5 == 0;
         RandomRunResult result = runAndReport(settings);
         requests += result.requests;
         answered += result.answered;
--- a/src/libperidotgrade/core/routing/test_support/random_run.h
+++ b/src/libperidotgrade/core/routing/test_support/random_run.h
@@ -22,6 +22,8 @@
     std::uint64_t poisonCallers = 1;
     /// Entries learn of quarantines only by crashes of their own: the log is out of reach.
     bool areQuarantineNoticesLost = false;
+    /// The last entry's VM is gone at the end, and no agent is told that its connection is.
+    bool isEntryLostForGood = false;
 };
 
 struct RandomRunResult {
@@ -163,7 +165,10 @@
         switch (this->random.below(6)) {
         case 0:
             this->world.killEntry(entry);
-            this->after(Milliseconds { 2000 }, [this, entry] { this->world.startEntry(entry); });
+            this->after(Milliseconds { 2000 }, [this, entry] {
+                if (!this->isCalm)
+                    this->world.startEntry(entry);
+            });
             return;
         case 1:
             this->world.killAgent(agent);
@@ -207,6 +212,11 @@
     {
         this->isCalm = true;
         this->world.network.faults = NetworkFaults {};
+        if (this->settings.isEntryLostForGood) {
+            this->world.network.faults.latestNotice = Milliseconds { 600000 };
+            this->world.killEntry(this->world.entries.size() - 1);
+            this->world.network.faults.latestNotice = NetworkFaults {}.latestNotice;
+        }
         for (std::size_t i = 0; i < this->world.engines.size(); ++i) {
             this->world.engines[i]->stalledTransfers = 0;
             this->world.engines[i]->restart();
@@ -214,6 +224,9 @@
             this->world.agents[i]->isFrozen = false;
         }
         for (std::size_t i = 0; i < this->world.entries.size(); ++i) {
+            bool isLost = this->settings.isEntryLostForGood && i + 1 == this->world.entries.size();
+            if (isLost)
+                continue;
             this->world.startEntry(i);
             this->world.entries[i]->isFrozen = false;
         }
@@ -236,6 +249,8 @@
                 "agent" + std::to_string(i) + " counts places as held");
         }
         for (std::size_t i = 0; i < this->world.entries.size(); ++i) {
+            if (!this->world.entries[i])
+                continue;
             const auto& router = this->world.entries[i]->router;
             expect(router.openRequests() == 0, "entry" + std::to_string(i) + " has open requests");
             expect(router.holds() == 0, "entry" + std::to_string(i) + " has holds");
