--- a/src/libperidotgrade/core/routing/test_support/fake_answer.h
+++ b/src/libperidotgrade/core/routing/test_support/fake_answer.h
@@ -25,9 +25,16 @@
 
 inline bool isPoison(const std::string& prompt) { return !prompt.empty() && prompt.front() == PoisonMark; }
 
-inline std::string answerPiece(const std::string& callersPrompt, std::uint32_t index)
+/// Which run of an engine made a piece: real engines do not give the same answer twice.
+inline std::string runOf(const std::string& piece)
 {
-    return "<" + callersPrompt + std::to_string(index) + ">";
+    std::size_t start = piece.find('#') + 1;
+    return piece.substr(start, piece.find('>') - start);
+}
+
+inline std::string answerPiece(const std::string& callersPrompt, std::uint32_t index, const std::string& run)
+{
+    return "<" + callersPrompt + std::to_string(index) + "#" + run + ">";
 }
 
 /// How many tokens the whole answer has, at most `maxTokens`.
@@ -39,14 +46,18 @@
     return std::min(maxTokens, 3 + sum % 40);
 }
 
-/// True if `prompt` is the caller's part followed by exactly `count` pieces of its answer.
+/// True if `prompt` is the caller's part followed by exactly `count` pieces of its answer, whoever made them.
 inline bool holdsPieces(const std::string& prompt, std::uint32_t count)
 {
-    std::string expected = callersPart(prompt);
-    std::string callers = expected;
-    for (std::uint32_t i = 0; i < count; ++i)
-        expected += answerPiece(callers, i);
-    return prompt == expected;
+    std::string callers = callersPart(prompt);
+    std::size_t position = callers.size();
+    for (std::uint32_t i = 0; i < count; ++i) {
+        std::string start = "<" + callers + std::to_string(i) + "#";
+        if (prompt.compare(position, start.size(), start) != 0)
+            return false;
+        position = prompt.find('>', position) + 1;
+    }
+    return position == prompt.size();
 }
 
 } // namespace peridotgrade::test
--- a/src/libperidotgrade/core/routing/test_support/fake_engine.h
+++ b/src/libperidotgrade/core/routing/test_support/fake_engine.h
@@ -195,7 +195,7 @@
         tokens.stream = id;
         tokens.firstIndex = stream.nextIndex;
         if (stream.nextIndex < stream.length)
-            tokens.pieces.push_back(answerPiece(stream.callersPrompt, stream.nextIndex++));
+            tokens.pieces.push_back(answerPiece(stream.callersPrompt, stream.nextIndex++, id.raw()));
         tokens.isLast = stream.nextIndex >= stream.length;
         tokens.finishReason = stream.isCutByLength ? FinishReason::Length : FinishReason::Stop;
         if (tokens.isLast)
--- a/src/libperidotgrade/core/routing/test_support/request_ledger.h
+++ b/src/libperidotgrade/core/routing/test_support/request_ledger.h
@@ -4,6 +4,7 @@
 #include "fake_answer.h"
 #include "peridotgrade/core/routing/router_action.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -17,6 +18,8 @@
     std::uint32_t maxTokens = 0;
     std::size_t entry = 0;
     std::uint32_t received = 0;
+    /// Runs of engines that its tokens came from, in order. Invariant: none comes back.
+    std::vector<std::string> runs;
     /// Final actions of the router. Invariant: one at most, none after a cancellation.
     std::uint32_t finals = 0;
     /// The caller cancelled, or its entry died.
@@ -43,8 +46,14 @@
             this->fail(
                 tokens.request, "token index " + std::to_string(tokens.firstIndex) + " is not the next");
         for (const std::string& piece : tokens.pieces) {
-            if (piece != answerPiece(entry->prompt, entry->received++))
+            std::string run = runOf(piece);
+            if (piece != answerPiece(entry->prompt, entry->received++, run))
                 this->fail(tokens.request, "token of another answer: " + piece);
+            if (!entry->runs.empty() && entry->runs.back() == run)
+                continue;
+            if (std::find(entry->runs.begin(), entry->runs.end(), run) != entry->runs.end())
+                this->fail(tokens.request, "token of an attempt that had ended: " + piece);
+            entry->runs.push_back(run);
         }
     }
 
--- a/src/libperidotgrade/core/routing/test_support/world.h
+++ b/src/libperidotgrade/core/routing/test_support/world.h
@@ -234,9 +234,11 @@
         });
     }
 
-    /// Commands are separate calls: one may overtake another.
+    /// Commands are separate calls: one may overtake another or be lost.
     void toEngine(std::size_t index, const EngineCommand& command)
     {
+        if (this->random.unit() < this->network.faults.lost)
+            return;
         this->clock.subscribeAfter(
             this->network.delayUpTo(this->network.faults.longestDelay), [this, index, command] {
                 if (!this->engines[index]->isUp())
--- a/tools/mutations.sh
+++ b/tools/mutations.sh
@@ -19,7 +19,7 @@
 for patch in testsuite/mutations/*.patch; do
   guard=$(head -1 "$patch" | sed 's/^# //')
   patch -s -p1 -d "$copy/tree" < "$patch"
-  ninja -C "$copy/build" -j "$jobs" core_routing_test > "$copy/build.log" 2>&1 || { cat "$copy/build.log"; exit 1; }
+  ninja -C "$copy/build" -j "$jobs" core_routing_test core_hosting_test > "$copy/build.log" 2>&1 || { cat "$copy/build.log"; exit 1; }
   found="nothing"
   sign="-"
   for ((seed = 1; seed <= seeds; seed++)); do
@@ -32,6 +32,9 @@
   if [ "$found" = nothing ] && ! timeout 120 "$copy/build/src/core_routing_test" --color_output=no > "$copy/run.log" 2>&1; then
     found="core_routing_test"
   fi
+  if [ "$found" = nothing ] && ! timeout 120 "$copy/build/src/core_hosting_test" --color_output=no > "$copy/run.log" 2>&1; then
+    found="core_hosting_test"
+  fi
   if [ "$found" = nothing ]; then
     missed=$((missed + 1))
   else
