Let nobody choose an agent's incarnation

A supervisor that restarts it with the same line gives a run without the table of actions the name of the one that had it, and a repeat of a key would run again instead of being told `unknown`.

Change: the option is gone; the seed always comes from the random device and is logged as before.

Ruled out: a second seed for the incarnation alone, as nothing needs a chosen seed at a real agent.

Run: testsuite/run.py action_repeat_and_lost_answer and action_log_outage, passed. No test fails without the change; the random run's no_incarnation_check shows what an equal incarnation costs.

Conclusion: two runs of an agent can always be told apart.

--- a/src/peridot-agent/main.cpp
+++ b/src/peridot-agent/main.cpp
@@ -18,7 +18,6 @@
 struct Options {
     std::string settingsFile;
     std::string checkedFile;
-    std::uint64_t seed = 0;
 };
 
 std::uint64_t randomSeed()
@@ -65,7 +64,6 @@
     app.set_version_flag("--version", PERIDOT_VERSION);
     auto* settingsFlag = app.add_option("--settings", options.settingsFile, "settings file (JSON)");
     auto* checkFlag = app.add_option("--check-settings", options.checkedFile, "checks a settings file only");
-    app.add_option("--seed", options.seed, "seed of all random choices; random without");
     CLI11_PARSE(app, argc, argv);
     if (!*settingsFlag && !*checkFlag) {
         std::cerr << "--settings FILE is needed\n";
@@ -79,6 +77,7 @@
     }
     if (*checkFlag)
         return exit_status::Success;
-    std::uint64_t seed = options.seed != 0 ? options.seed : randomSeed();
-    return serve(std::get<AgentSettings>(std::move(settings)), seed);
+    // Not to be chosen by whoever starts the program: it makes the incarnation, and two runs with the same one
+    // would pass for one run that still has its table of actions.
+    return serve(std::get<AgentSettings>(std::move(settings)), randomSeed());
 }
