--- a/src/peridot-agent/main.cpp
+++ b/src/peridot-agent/main.cpp
@@ -77,7 +77,7 @@
     }
     if (*checkFlag)
         return exit_status::Success;
-    // Not to be chosen by whoever starts the program: it makes the incarnation, and two runs with the same one
-    // would pass for one run that still has its table of actions.
+    // Not to be chosen by whoever starts the program: it makes the incarnation, and two runs with the same
+    // one would pass for one run that still has its table of actions.
     return serve(std::get<AgentSettings>(std::move(settings)), randomSeed());
 }
