Let a drained agent that takes work again be used again

Cause: model hosts drain for a change of role and then resume, telling so with SessionOpened; membership held the drain until another run of the agent connected, so such an engine would have stayed unused.

Change: Membership::onResumed, called where SessionOpened says that the agent is not draining. A word of an agent that is neither listed nor connected makes no member any more, as the invariant of the table says.

Ruled out: clearing the drain on every connection, since a reconnect before the agent's word would open it to new work.

Conclusion: a drain ends by the agent's word or with its process, and the VM list still goes before both.

--- a/src/include/peridotgrade/core/membership/membership.h
+++ b/src/include/peridotgrade/core/membership/membership.h
@@ -27,8 +27,11 @@
     /// The agent's connection is up and it has told which run of it answers.
     void onConnected(const AgentId& agent, Incarnation incarnation);
     void onLost(const AgentId& agent);
-    /// The agent said that it is draining; holds until its process is replaced (a new incarnation connects).
+    /// The agent said that it is draining; holds until it says otherwise or its process is replaced (a new
+    /// incarnation connects).
     void onDraining(const AgentId& agent);
+    /// The agent said that it takes work again, as it does after a change of role.
+    void onResumed(const AgentId& agent);
 
     /// Backend servers that a connection should be kept or tried to, in order of name: those on the list, and
     /// those gone from it while their connection is up, so that what runs there is finished.
--- a/src/libperidotgrade/core/membership/membership.cpp
+++ b/src/libperidotgrade/core/membership/membership.cpp
@@ -68,6 +68,20 @@
             this->members.erase(found);
     }
 
+    void onDraining(const AgentId& agent)
+    {
+        auto found = this->members.find(agent.raw());
+        if (found != this->members.end())
+            found->second.drainingRun = found->second.incarnation;
+    }
+
+    void onResumed(const AgentId& agent)
+    {
+        auto found = this->members.find(agent.raw());
+        if (found != this->members.end())
+            found->second.drainingRun.reset();
+    }
+
     template <typename Predicate> std::vector<VmRecord> select(Predicate predicate) const
     {
         std::vector<VmRecord> selected;
@@ -101,11 +115,9 @@
 
 void Membership::onLost(const AgentId& agent) { this->impl->onLost(agent); }
 
-void Membership::onDraining(const AgentId& agent)
-{
-    Member& member = this->impl->at(agent);
-    member.drainingRun = member.incarnation;
-}
+void Membership::onDraining(const AgentId& agent) { this->impl->onDraining(agent); }
+
+void Membership::onResumed(const AgentId& agent) { this->impl->onResumed(agent); }
 
 std::vector<VmRecord> Membership::contacts() const
 {
--- a/src/libperidotgrade/core/membership/membership_test.cpp
+++ b/src/libperidotgrade/core/membership/membership_test.cpp
@@ -84,6 +84,20 @@
     BOOST_TEST(membership.isUsable(agent));
 }
 
+BOOST_AUTO_TEST_CASE(an_agent_that_takes_work_again_is_usable_again)
+{
+    Membership membership;
+    AgentId agent { "engine-0" };
+    membership.onVmList({ engine("engine-0") });
+    membership.onConnected(agent, FirstRun);
+    membership.onDraining(agent);
+    membership.onResumed(agent);
+    BOOST_TEST(membership.isUsable(agent));
+    membership.onVmList({ engine("engine-0", VmState::Leaving) });
+    membership.onResumed(agent);
+    BOOST_TEST(!membership.isUsable(agent));
+}
+
 BOOST_AUTO_TEST_CASE(entries_are_no_backend_servers)
 {
     Membership membership;
--- a/src/libperidotgrade/entry/entry_shard_impl.cpp
+++ b/src/libperidotgrade/entry/entry_shard_impl.cpp
@@ -114,6 +114,8 @@
     this->membership.onConnected(agent, message.incarnation);
     if (message.draining)
         this->membership.onDraining(agent);
+    else
+        this->membership.onResumed(agent);
     this->models.onMessage(agent, message);
     this->calls.onAgentConnected(agent, message.incarnation);
     this->calls.onMessage(agent, message);
