--- a/src/include/peridotgrade/agent/admin_pages.h
+++ b/src/include/peridotgrade/agent/admin_pages.h
@@ -7,15 +7,17 @@
 #include "peridotgrade/ops/timeline.h"
 
 #include <functional>
+#include <string>
 
 namespace peridotgrade {
 
-/// Serves `/health/live`, `/health/ready`, `/metrics`, `/timeline?request=&subject=` and `PUT /loglevel`.
-/// Thread safe.
+/// Serves `/health/live`, `/health/ready`, `/metrics`, `/timeline?request=&subject=`, `/status` and `PUT
+/// /loglevel`. Thread safe.
 class AdminPages {
 public:
-    /// `isReady` must be thread safe.
-    AdminPages(MetricsRegistry& metrics, Timeline& timeline, Logger& logger, std::function<bool()> isReady);
+    /// `isReady` and `status`, which gives the JSON of `/status`, must be thread safe.
+    AdminPages(MetricsRegistry& metrics, Timeline& timeline, Logger& logger, std::function<bool()> isReady,
+        std::function<std::string()> status);
 
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
 
@@ -27,6 +29,7 @@
     Timeline& timeline;
     Logger& logger;
     const std::function<bool()> isReady;
+    const std::function<std::string()> status;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/agent/engine_backend.h
+++ b/src/include/peridotgrade/agent/engine_backend.h
@@ -34,6 +34,11 @@
     void drain() override;
     bool isDrained() const override;
 
+    /// Grants nothing new while the engine's role or models change.
+    void pause();
+    void resume();
+    bool isIdle() const;
+
     ModelHostCounters counters() const;
 
     /// Called with each state that was read from the engine. To be set before `start`.
--- a/src/include/peridotgrade/core/hosting/model_host.h
+++ b/src/include/peridotgrade/core/hosting/model_host.h
@@ -61,6 +61,13 @@
     /// True when draining and nothing is held or running any more.
     bool isDrained() const;
 
+    /// Takes no new work until `resume`, while the engine's role or models change; sessions are not told,
+    /// since it comes back. What runs is finished.
+    void pause();
+    void resume();
+    /// True when nothing is held or running.
+    bool isIdle() const;
+
     /// The configuration version in force here, told on every answer.
     void setVersion(ConfigVersion version);
 
--- a/src/libperidotgrade/agent/admin_pages.cpp
+++ b/src/libperidotgrade/agent/admin_pages.cpp
@@ -16,12 +16,13 @@
 
 } // namespace
 
-AdminPages::AdminPages(
-    MetricsRegistry& metrics, Timeline& timeline, Logger& logger, std::function<bool()> isReady)
+AdminPages::AdminPages(MetricsRegistry& metrics, Timeline& timeline, Logger& logger,
+    std::function<bool()> isReady, std::function<std::string()> status)
     : metrics(metrics)
     , timeline(timeline)
     , logger(logger)
     , isReady(std::move(isReady))
+    , status(std::move(status))
 {
 }
 
@@ -44,12 +45,16 @@
         return this->isReady() ? plainText(200, "ready\n") : plainText(503, "not ready\n");
     if (path == "/metrics")
         return plainText(200, this->metrics.text());
+    HttpResponse response;
+    if (path == "/status") {
+        response.body = this->status();
+        return response;
+    }
     if (path != "/timeline")
         return plainText(404, "no such page\n");
     TimelineQuery query;
     query.request = request.query("request");
     query.subject = request.query("subject");
-    HttpResponse response;
     response.body = this->timeline.toJson(query);
     return response;
 }
--- a/src/libperidotgrade/agent/agent.cpp
+++ b/src/libperidotgrade/agent/agent.cpp
@@ -3,6 +3,7 @@
 
 #include "peridotgrade/agent/application_backend.h"
 #include "peridotgrade/net/timer_driver.h"
+#include "peridotgrade/operators/node_status.h"
 
 namespace peridotgrade {
 
@@ -34,10 +35,15 @@
     , backend(this->makeBackend())
     , leavingWatch(executor, this->settings.node.platform, this->settings.node.name,
           [this] { this->drain("vm_list"); })
-    , pages(this->metrics, this->timeline, this->logger, [this] { return this->isReady(); })
+    , pages(
+          this->metrics, this->timeline, this->logger, [this] { return this->isReady(); },
+          [this] { return this->status(); })
     , admin(executor, adminSettings(this->settings),
           [this](HttpExchange& exchange) { return this->pages.serve(exchange); })
 {
+    if (this->engine != nullptr)
+        this->changes = std::make_unique<EngineChanges>(
+            executor, *this->engine, AgentId { this->settings.node.name }, seed, this->timeline);
     this->addMetrics();
 }
 
@@ -90,6 +96,7 @@
     auto result
         = std::make_unique<EngineBackend>(this->executor, std::move(engine), this->timeline, std::move(send));
     this->addEngineMetrics(*result);
+    this->engine = result.get();
     return result;
 }
 
@@ -111,6 +118,8 @@
     this->follower.subscribe([this](std::shared_ptr<const ConfigurationInForce> configuration) {
         this->onConfiguration(*configuration);
     });
+    if (this->changes)
+        this->changes->start();
     this->backend->start();
     auto peers = this->connections.start();
     if (auto* error = std::get_if<NetError>(&peers))
@@ -133,6 +142,8 @@
         return;
     this->backend->setVersion(configuration.version);
     this->notices.onVersion(configuration.version);
+    if (this->changes)
+        this->changes->onConfiguration(configuration);
     this->logger.write(LogLevel::Info, "configuration_applied",
         { { "version", std::to_string(configuration.version.raw()) } });
 }
@@ -151,12 +162,22 @@
     this->follower.stop();
     this->connections.stopAccepting();
     this->admin.stopAccepting();
+    if (this->changes)
+        this->changes->stop();
     this->backend->stop();
     this->logger.write(LogLevel::Info, "agent_stopped", {});
 }
 
 bool Agent::Impl::isReady() const { return !this->isLeaving && this->follower.current()->isReady; }
 
+std::string Agent::Impl::status() const
+{
+    std::optional<ReconcilerStatus> engine;
+    if (this->changes)
+        engine = this->changes->status();
+    return nodeStatusJson(this->settings.node.name, "agent", this->follower, engine);
+}
+
 void Agent::Impl::addMetrics()
 {
     addProcessMetrics(this->metrics);
--- a/src/libperidotgrade/agent/agent_impl.h
+++ b/src/libperidotgrade/agent/agent_impl.h
@@ -6,6 +6,7 @@
 #include "peridotgrade/agent/agent_connections.h"
 #include "peridotgrade/agent/backend.h"
 #include "peridotgrade/agent/engine_backend.h"
+#include "peridotgrade/agent/engine_changes.h"
 #include "peridotgrade/agent/leaving_watch.h"
 #include "peridotgrade/agent/peer_notices.h"
 #include "peridotgrade/net/http_server.h"
@@ -40,6 +41,7 @@
     void addMetrics();
     void addEngineMetrics(EngineBackend& engine);
     bool isReady() const;
+    std::string status() const;
 
     const boost::asio::any_io_executor executor;
     const AgentSettings settings;
@@ -52,7 +54,11 @@
     ConfigurationFollower follower;
     AgentConnections connections;
     PeerNotices notices;
+    /// The backend as an engine, or null beside an application server.
+    EngineBackend* engine = nullptr;
     std::unique_ptr<Backend> backend;
+    /// Set beside an engine only.
+    std::unique_ptr<EngineChanges> changes;
     LeavingWatch leavingWatch;
     AdminPages pages;
     HttpServer admin;
--- a/src/libperidotgrade/agent/engine_backend.cpp
+++ b/src/libperidotgrade/agent/engine_backend.cpp
@@ -107,6 +107,21 @@
     return this->impl->shard->inspect([](const ModelHost& host) { return host.isDrained(); });
 }
 
+void EngineBackend::pause()
+{
+    this->impl->shard->step([](ModelHost& host) { host.pause(); });
+}
+
+void EngineBackend::resume()
+{
+    this->impl->shard->step([](ModelHost& host) { host.resume(); });
+}
+
+bool EngineBackend::isIdle() const
+{
+    return this->impl->shard->inspect([](const ModelHost& host) { return host.isIdle(); });
+}
+
 ModelHostCounters EngineBackend::counters() const
 {
     return this->impl->shard->inspect([](const ModelHost& host) { return host.counters(); });
--- a/src/libperidotgrade/core/hosting/host_places.cpp
+++ b/src/libperidotgrade/core/hosting/host_places.cpp
@@ -47,7 +47,7 @@
 std::optional<PlaceRefusalReason> ModelHost::Impl::reasonToRefuse(
     const AskPlace& message, const Reservation& wanted) const
 {
-    if (this->isDraining)
+    if (!this->takesWork())
         return PlaceRefusalReason::Draining;
     if (!this->isReady())
         return PlaceRefusalReason::EngineDown;
@@ -79,7 +79,7 @@
 
 void ModelHost::Impl::grant(Place ask)
 {
-    checkInvariant(!this->isDraining, Invariant::NoNewWorkWhenLeaving, "place granted while draining");
+    checkInvariant(this->takesWork(), Invariant::NoNewWorkWhenLeaving, "place granted while draining");
     ++this->totals.granted;
     this->capacity.take(ask.reservation);
     this->record(EventKind::PlaceGranted, ask.key.attempt, this->settings.agent.raw());
@@ -115,7 +115,7 @@
 
 void ModelHost::Impl::serveAsks()
 {
-    if (!this->isReady() || this->isDraining)
+    if (!this->isReady() || !this->takesWork())
         return;
     for (const Place& ask : this->places.queuedInOrder()) {
         if (ask.isSuspect && this->hasOtherSuspect(ask.key))
--- a/src/libperidotgrade/core/hosting/host_prefills.cpp
+++ b/src/libperidotgrade/core/hosting/host_prefills.cpp
@@ -38,7 +38,7 @@
 
 std::optional<AttemptFailure> ModelHost::Impl::reasonToFail(const PrefillJob& job) const
 {
-    if (this->isDraining)
+    if (!this->takesWork())
         return AttemptFailure::Draining;
     if (!this->isReady() || !this->servesModel(job.request.model))
         return AttemptFailure::EngineError;
--- a/src/libperidotgrade/core/hosting/model_host.cpp
+++ b/src/libperidotgrade/core/hosting/model_host.cpp
@@ -26,6 +26,9 @@
 void ModelHost::onEngineEvent(const EngineEvent& event) { this->impl->onEngineEvent(event); }
 void ModelHost::drain() { this->impl->drain(); }
 bool ModelHost::isDrained() const { return this->impl->isDrained(); }
+void ModelHost::pause() { this->impl->pause(); }
+void ModelHost::resume() { this->impl->resume(); }
+bool ModelHost::isIdle() const { return this->impl->isIdle(); }
 void ModelHost::setVersion(ConfigVersion version) { this->impl->version = version; }
 std::vector<HostAction> ModelHost::takeActions() { return this->impl->takeActions(); }
 const ModelHostCounters& ModelHost::counters() const { return this->impl->currentCounters(); }
@@ -54,12 +57,23 @@
     }
 }
 
-bool ModelHost::Impl::isDrained() const
+bool ModelHost::Impl::isDrained() const { return this->isDraining && this->isIdle(); }
+
+bool ModelHost::Impl::isIdle() const
 {
-    bool isIdle = this->places.granted() == 0 && this->prefills.isEmpty() && this->streams.isEmpty();
-    return this->isDraining && isIdle;
+    return this->places.granted() == 0 && this->prefills.isEmpty() && this->streams.isEmpty();
 }
 
+void ModelHost::Impl::pause()
+{
+    if (this->isPaused)
+        return;
+    this->isPaused = true;
+    this->refuseAllAsks(PlaceRefusalReason::Draining);
+}
+
+void ModelHost::Impl::resume() { this->isPaused = false; }
+
 std::vector<HostAction> ModelHost::Impl::takeActions() { return std::exchange(this->actions, {}); }
 
 const ModelHostCounters& ModelHost::Impl::currentCounters()
@@ -98,7 +112,7 @@
 {
     LiveLoad load;
     load.placesTotal = this->capacity.placesTotal();
-    load.placesFree = this->isReady() && !this->isDraining ? this->capacity.placesFree() : 0;
+    load.placesFree = this->isReady() && this->takesWork() ? this->capacity.placesFree() : 0;
     load.asksQueued = static_cast<std::uint32_t>(this->places.queued());
     Duration backlog = this->prefills.backlog(this->timers.now());
     load.prefillTokensPerSecond = this->engine.prefillTokensPerSecond;
--- a/src/libperidotgrade/core/hosting/model_host_impl.h
+++ b/src/libperidotgrade/core/hosting/model_host_impl.h
@@ -56,6 +56,10 @@
 
     void drain();
     bool isDrained() const;
+    bool isIdle() const;
+    void pause();
+    void resume();
+    bool takesWork() const { return !this->isDraining && !this->isPaused; }
 
     std::vector<HostAction> takeActions();
     const ModelHostCounters& currentCounters();
@@ -125,6 +129,7 @@
     std::vector<HostAction> actions;
     ModelHostCounters totals;
     bool isDraining = false;
+    bool isPaused = false;
 
     std::map<ConnectionId, HostSession> sessions;
 
--- a/src/peridotctl/status_command.cpp
+++ b/src/peridotctl/status_command.cpp
@@ -44,7 +44,9 @@
         if (!flagOf(status, "isReady"))
             return "knows no configuration yet";
         const json::value* engine = status.as_object().if_contains("engine");
-        if (engine == nullptr || flagOf(*engine, "isInForce"))
+        // At version 0 nothing has ever been confirmed and no engine is assigned anything.
+        bool isAssigned = engine != nullptr && numberOf(status, "version") > 0;
+        if (!isAssigned || flagOf(*engine, "isInForce"))
             return {};
         std::string text = "engine waits for " + textOf(*engine, "waitingFor");
         std::uint64_t failures = numberOf(*engine, "failures");
