--- a/src/include/peridotgrade/agent/engine_backend.h
+++ b/src/include/peridotgrade/agent/engine_backend.h
@@ -34,6 +34,10 @@
     void drain() override;
     bool isDrained() const override;
 
+    /// Grants nothing new while the engine's role or models change.
+    void drainForChange();
+    void resume();
+
     ModelHostCounters counters() const;
 
     /// Called with each state that was read from the engine. To be set before `start`.
--- a/src/libperidotgrade/agent/engine_backend.cpp
+++ b/src/libperidotgrade/agent/engine_backend.cpp
@@ -107,6 +107,16 @@
     return this->impl->shard->inspect([](const ModelHost& host) { return host.isDrained(); });
 }
 
+void EngineBackend::drainForChange()
+{
+    this->impl->shard->step([](ModelHost& host) { host.drainForChange(); });
+}
+
+void EngineBackend::resume()
+{
+    this->impl->shard->step([](ModelHost& host) { host.resume(); });
+}
+
 ModelHostCounters EngineBackend::counters() const
 {
     return this->impl->shard->inspect([](const ModelHost& host) { return host.counters(); });
