Ask the socket whether a caller is gone, not the readiness event

Cause: 2 of 6 runs of engine_killed_mid_stream and crash_request hung: the entry logged outcome=cancelled reason=caller_gone took_ms=0 for a caller that was waiting. With two threads in the io_context a wait for readability also completes for bytes that were read before it began (head and body in two packets); available() is 0 then and the session took that for a closed connection, cancelled the request and never answered. Ruled out: the Python caller (it holds its connection), and a single thread: the new test passes there without the change (5 runs). Change: on readiness the session peeks: end of file is gone, would_block waits on. The support module sets the address flags of a restarted server once. Test: http/client_that_waits_is_not_taken_for_gone, 1000 requests in two writes against two server threads: failed 5 of 5 runs before, passes 5 of 5 now (build/src/net_test). Conclusion: a request is cancelled only for a caller that has closed.

--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -279,21 +279,36 @@
                 co_await this->respond(errorResponse(500, "the request was not handled"));
         }
 
-        /// While the handler works, a readable socket without bytes means that the client has closed.
+        /// While the handler works, learns when the client closes its connection.
         void watchClient()
         {
             this->isWatching = true;
+            this->waitReadable();
+        }
+
+        void waitReadable()
+        {
             this->stream.socket().async_wait(tcp::socket::wait_read,
                 [self = this->shared_from_this()](const boost::system::error_code& error) {
-                    if (error || !self->isWatching)
-                        return;
-                    boost::system::error_code failure;
-                    std::size_t waiting = self->stream.socket().available(failure);
-                    if (failure || waiting == 0)
-                        self->markGone();
+                    if (!error && self->isWatching)
+                        self->onReadable();
                 });
         }
 
+        void onReadable()
+        {
+            // With several threads the wait also ends for bytes that were read before it began, so only the
+            // socket itself tells whether the client has closed.
+            char next = 0;
+            boost::system::error_code error;
+            this->stream.socket().non_blocking(true, error);
+            this->stream.socket().receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
+            if (error == asio::error::would_block)
+                this->waitReadable();
+            else if (error)
+                this->markGone();
+        }
+
         static constexpr std::size_t ReadSize = 4096;
 
         beast::tcp_stream stream;
--- a/src/libperidotgrade/net/http_test.cpp
+++ b/src/libperidotgrade/net/http_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -14,13 +15,18 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <thread>
+
 using namespace peridotgrade;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
 namespace {
 
-asio::awaitable<void> serveTestPages(HttpExchange& exchange, bool& isGone)
+constexpr std::size_t SplitRequests = 1000;
+
+asio::awaitable<void> serveTestPages(HttpExchange& exchange, std::atomic<bool>& isGone)
 {
     if (exchange.request().path() == "/stream") {
         HttpResponse head;
@@ -41,6 +47,11 @@
         co_await forever.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         co_return;
     }
+    if (exchange.request().path() == "/pause") {
+        asio::steady_timer shortWait(exchange.executor(), 2ms);
+        exchange.onClientGone([&] { isGone = true; });
+        co_await shortWait.async_wait(asio::use_awaitable);
+    }
     HttpResponse response;
     response.body
         = exchange.request().method + " " + exchange.request().query("q") + " " + exchange.request().body;
@@ -89,6 +100,21 @@
         this->context.run();
     }
 
+    /// Sends a request in two writes, with blocking calls, and gives the start of the answer.
+    std::string sendInTwo(const std::string& head, const std::string& body)
+    {
+        asio::io_context ownContext;
+        asio::ip::tcp::socket socket(ownContext);
+        socket.connect({ asio::ip::make_address(this->endpoint.address), this->endpoint.port });
+        socket.set_option(asio::ip::tcp::no_delay(true));
+        asio::write(socket, asio::buffer(head));
+        asio::write(socket, asio::buffer(body));
+        std::string answer;
+        boost::system::error_code ignored;
+        asio::read(socket, asio::dynamic_buffer(answer), ignored);
+        return answer.substr(0, 12);
+    }
+
     /// Sends raw bytes and reads until the server closes.
     asio::awaitable<std::string> sendRaw(std::string bytes)
     {
@@ -104,7 +130,7 @@
     }
 
     asio::io_context context;
-    bool isGone = false;
+    std::atomic<bool> isGone = false;
     HttpServer server;
     Endpoint endpoint;
 };
@@ -176,6 +202,26 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(client_that_waits_is_not_taken_for_gone)
+{
+    // The client has a thread of its own: the body has to arrive while the server is at work on the head.
+    std::size_t answered = 0;
+    auto work = asio::make_work_guard(this->context);
+    std::thread client([&] {
+        std::string head = "POST /pause HTTP/1.1\r\nConnection: close\r\nContent-Length: 4\r\n\r\n";
+        for (std::size_t round = 0; round < SplitRequests; ++round)
+            answered += this->sendInTwo(head, "body") == "HTTP/1.1 200";
+        this->context.stop();
+    });
+    // Several threads, as in an entry: one may hear of bytes that another has read already.
+    std::thread second([&] { this->context.run(); });
+    this->context.run();
+    second.join();
+    client.join();
+    BOOST_TEST(answered == SplitRequests);
+    BOOST_TEST(!this->isGone);
+}
+
 BOOST_AUTO_TEST_CASE(nothing_listening_is_told_as_not_arrived)
 {
     this->run([&]() -> asio::awaitable<void> {
--- a/testsuite/support/process.py
+++ b/testsuite/support/process.py
@@ -12,6 +12,8 @@
 
     def __init__(self, program, arguments, log_folder, name):
         self.command = [str(program), *map(str, arguments)]
+        # Added when the program is started again, so that it comes back at its address.
+        self.address_flags = []
         self.name = name
         self.log_path = os.path.join(log_folder, f"{name}.log")
         self.ports = {}
@@ -20,7 +22,7 @@
     def start(self, seconds=20):
         """Starts the program and waits for its ready line, which names the ports."""
         with open(self.log_path, "ab") as log:
-            self.child = subprocess.Popen(self.command, stdout=subprocess.PIPE, stderr=log)
+            self.child = subprocess.Popen(self.command + self.address_flags, stdout=subprocess.PIPE, stderr=log)
         line = self._ready_line(seconds)
         self.ports = dict(word.split("=", 1) for word in line.split()[1:])
         return self
--- a/testsuite/support/site.py
+++ b/testsuite/support/site.py
@@ -110,12 +110,19 @@
         self.list_vm(name, agent.ports["peers"], data_centre, service, kind)
         return backend
 
+    def engine_runs_seen(self, backend):
+        """How many runs of its engine the agent has seen."""
+        events = call(backend.agent.ports["admin"], "GET", "/timeline").json()["events"]
+        return sum(event["kind"] == "engine_restarted" for event in events)
+
     def restart_server(self, backend):
-        """Starts a backend server again, at its address, after it has ended."""
+        """Starts a backend server again, at its address, after it has ended; waits until its agent has seen it."""
         backend.server.wait_exit()
+        seen = self.engine_runs_seen(backend)
         ports = backend.server.ports
-        backend.server.command += ["--listen", ports["listen"], "--control", ports["control"]]
+        backend.server.address_flags = ["--listen", ports["listen"], "--control", ports["control"]]
         backend.server.start()
+        wait_for(lambda: self.engine_runs_seen(backend) > seen, f"the agent of {backend.name} sees the new engine")
 
     def restart_agent(self, backend):
         backend.agent.wait_exit()
@@ -161,7 +168,7 @@
 
     def caller(self, entry=None):
         process = self.entries[entry] if entry else next(iter(self.entries.values()))
-        return Caller(process.ports["listen"], WORKSPACE_KEY)
+        return Caller(process.ports["callers"], WORKSPACE_KEY)
 
     def wait_until_serving(self):
         """Waits until every entry answers a completion and, if there is an application server, a read."""
