Add the load tool and the benchmark of an entry's overhead

Ruled out: closed loops for goodput (they hide queues; arrivals are Poisson); a Python load generator, which cannot reach 46,000 tokens a second.

--- /dev/null
+++ b/src/peridot-load/load_run.cpp
@@ -0,0 +1,201 @@
+// The kinds of load runs.
+#include "load_run.h"
+
+#include "entry_cost.h"
+#include "load_caller.h"
+#include "load_report.h"
+
+#include "peridotgrade/net/timer_driver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <iostream>
+
+namespace peridotgrade::load {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    /// One thread, so that nothing here needs a lock.
+    class LoadRun {
+    public:
+        LoadRun(const LoadTarget& target, const LoadShape& shape, const LoadTargets& targets)
+            : target(target)
+            , source(shape)
+            , report(targets)
+        {
+        }
+
+        int openLoop(OpenLoop loop)
+        {
+            asio::co_spawn(this->io, this->arrivals(loop), asio::detached);
+            return this->finish();
+        }
+
+        int closedLoop(ClosedLoop loop)
+        {
+            asio::co_spawn(this->io, this->keepOpen(loop), asio::detached);
+            return this->finish();
+        }
+
+        int comparison(Comparison wanted)
+        {
+            asio::co_spawn(this->io, this->inTurns(wanted), asio::detached);
+            this->io.run();
+            return this->wrong == 0 ? 0 : 1;
+        }
+
+    private:
+        int finish()
+        {
+            this->io.run();
+            return this->report.wrongAnswers() == 0 ? 0 : 1;
+        }
+
+        asio::awaitable<void> sleepUntil(TimePoint due)
+        {
+            asio::steady_timer timer(this->io);
+            timer.expires_at(std::chrono::steady_clock::time_point { due.time_since_epoch() });
+            boost::system::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+
+        asio::awaitable<void> one()
+        {
+            LoadRequest request = this->source.next();
+            ++this->open;
+            LoadResult result = co_await callEntry(this->io.get_executor(), this->target, std::move(request));
+            --this->open;
+            this->report.add(result);
+        }
+
+        asio::awaitable<void> begin()
+        {
+            this->before = co_await readEntryTotals(this->io.get_executor(), this->target.admin);
+            this->beganAt = TimerDriver::now();
+        }
+
+        asio::awaitable<void> end()
+        {
+            std::chrono::duration<double> took = TimerDriver::now() - this->beganAt;
+            auto after = co_await readEntryTotals(this->io.get_executor(), this->target.admin);
+            if (this->before && after)
+                std::cout << costText(*this->before, *after, took) << "\n";
+        }
+
+        asio::awaitable<void> arrivals(OpenLoop loop)
+        {
+            co_await this->begin();
+            TimePoint next = this->beganAt;
+            TimePoint last = this->beganAt + loop.length;
+            while (next < last) {
+                co_await this->sleepUntil(next);
+                asio::co_spawn(this->io, this->one(), asio::detached);
+                next += this->source.nextGap(loop.requestsPerSecond);
+            }
+            // The cost of what is measured here: the time in which requests arrive.
+            co_await this->end();
+            co_await this->waitForOpen();
+            std::cout << this->report.text(TimerDriver::now() - this->beganAt);
+        }
+
+        asio::awaitable<void> waitForOpen()
+        {
+            constexpr std::chrono::milliseconds LookInterval { 20 };
+            while (this->open > 0)
+                co_await this->sleepUntil(TimerDriver::now() + LookInterval);
+        }
+
+        asio::awaitable<void> keepOpen(ClosedLoop loop)
+        {
+            TimePoint startAt = TimerDriver::now();
+            // The streams begin spread over the first seconds, which are not measured.
+            constexpr std::chrono::seconds WarmUp { 3 };
+            for (std::uint32_t number = 0; number < loop.streams; ++number)
+                asio::co_spawn(this->io,
+                    this->oneAfterAnother(
+                        startAt + WarmUp * number / (2 * loop.streams), startAt + WarmUp + loop.length),
+                    asio::detached);
+            co_await this->sleepUntil(startAt + WarmUp);
+            co_await this->begin();
+            co_await this->sleepUntil(startAt + WarmUp + loop.length);
+            std::cout << "open_streams=" << this->open << "\n";
+            co_await this->end();
+            co_await this->waitForOpen();
+            std::cout << this->report.text(TimerDriver::now() - startAt);
+        }
+
+        asio::awaitable<void> oneAfterAnother(TimePoint from, TimePoint until)
+        {
+            co_await this->sleepUntil(from);
+            while (TimerDriver::now() < until)
+                co_await this->one();
+        }
+
+        asio::awaitable<void> inTurns(Comparison wanted)
+        {
+            Samples throughEntry;
+            Samples direct;
+            for (std::uint32_t number = 0; number < wanted.pairs; ++number) {
+                LoadRequest request = this->source.next();
+                LoadRequest same = request;
+                LoadResult entry
+                    = co_await callEntry(this->io.get_executor(), this->target, std::move(request));
+                LoadResult engine = co_await callEngine(
+                    this->io.get_executor(), wanted.engine, this->target.model, std::move(same), number);
+                bool isGood = entry.end == LoadEnd::Answered && engine.end == LoadEnd::Answered;
+                this->wrong += isGood ? 0 : 1;
+                if (entry.firstToken)
+                    throughEntry.add(*entry.firstToken);
+                if (engine.firstToken)
+                    direct.add(*engine.firstToken);
+            }
+            std::cout << "pairs=" << wanted.pairs << " not_answered=" << this->wrong << "\n"
+                      << "first_token_through_entry " << throughEntry.text() << "\n"
+                      << "first_token_direct " << direct.text() << "\n"
+                      << "added p50_ms=" << added(throughEntry, direct, 0.5)
+                      << " p99_ms=" << added(throughEntry, direct, 0.99) << "\n";
+        }
+
+        static double added(const Samples& with, const Samples& without, double probability)
+        {
+            Duration difference = with.quantile(probability) - without.quantile(probability);
+            return std::chrono::duration<double, std::milli> { difference }.count();
+        }
+
+        asio::io_context io { 1 };
+        const LoadTarget target;
+        LoadRequestSource source;
+        LoadReport report;
+        std::optional<EntryTotals> before;
+        TimePoint beganAt;
+        std::uint32_t open = 0;
+        std::uint32_t wrong = 0;
+    };
+
+} // namespace
+
+int runOpenLoop(
+    const LoadTarget& target, const LoadShape& shape, const LoadTargets& targets, const OpenLoop& loop)
+{
+    return LoadRun(target, shape, targets).openLoop(loop);
+}
+
+int runClosedLoop(
+    const LoadTarget& target, const LoadShape& shape, const LoadTargets& targets, const ClosedLoop& loop)
+{
+    return LoadRun(target, shape, targets).closedLoop(loop);
+}
+
+int runComparison(const LoadTarget& target, const LoadShape& shape, const Comparison& comparison)
+{
+    return LoadRun(target, shape, LoadTargets {}).comparison(comparison);
+}
+
+} // namespace peridotgrade::load
