Limit workspaces, bound slow readers, test what callers do wrong

Found by the new case: the error's `param` was a list (brace initialisation of a JSON value), and a caller that does not read was never given up, since the kernel's send buffer grew to take the whole answer of 680 KB (case failed after 60 s). Ruled out: an own queue limit alone; it is not reached then.

--- a/src/include/peridotgrade/net/http_server.h
+++ b/src/include/peridotgrade/net/http_server.h
@@ -57,6 +57,9 @@
     std::chrono::milliseconds idleTimeout { 60'000 };
     /// For one chunk or response to be taken by the client's side of the connection.
     std::chrono::milliseconds writeTimeout { 10'000 };
+    /// Memory that the kernel may hold for a client that does not read; 0 leaves it to the kernel, which may
+    /// let it grow to megabytes, so that the write time-out comes late.
+    std::uint32_t sendBufferBytes = 0;
 };
 
 /// Accepts connections and calls the handler for each request, one at a time on a connection. Requests over a
--- a/src/libperidotgrade/callers/api_error.cpp
+++ b/src/libperidotgrade/callers/api_error.cpp
@@ -100,7 +100,9 @@
     details["message"] = error.message;
     details["type"] = error.type;
     details["code"] = error.code;
-    details["param"] = error.param.empty() ? json::value {} : json::value { error.param };
+    details["param"] = nullptr;
+    if (!error.param.empty())
+        details["param"] = error.param;
     details["outcome"] = std::string_view { nameOf(error.outcome) };
     if (error.retryAfter)
         details["retry_after_ms"] = error.retryAfter->count();
--- a/src/libperidotgrade/callers/callers_test.cpp
+++ b/src/libperidotgrade/callers/callers_test.cpp
@@ -91,6 +91,14 @@
     BOOST_CHECK_EQUAL(response.field(OutcomeFieldName), "unknown");
 }
 
+BOOST_AUTO_TEST_CASE(fieldAtFaultIsTextInTheErrorBody)
+{
+    auto named = boost::json::parse(errorBody(invalidRequest("message", "model")));
+    BOOST_CHECK(named.at("error").at("param") == "model");
+    auto unnamed = boost::json::parse(errorBody(invalidRequest("message")));
+    BOOST_CHECK(unnamed.at("error").at("param").is_null());
+}
+
 BOOST_AUTO_TEST_CASE(actionsNeedATimeOrderedKeyAndReadsHaveNone)
 {
     auto action = parseCall(callOf("POST", "/apps/care-app/accounts/7?x=1", Key));
--- a/src/libperidotgrade/entry/call_service.cpp
+++ b/src/libperidotgrade/entry/call_service.cpp
@@ -50,9 +50,10 @@
 
 } // namespace
 
-CallService::CallService(EntryContext& context, EntryMetrics& metrics)
+CallService::CallService(EntryContext& context, EntryMetrics& metrics, Admission& admission)
     : context(context)
     , metrics(metrics)
+    , admission(admission)
 {
 }
 
@@ -79,6 +80,17 @@
         co_return;
     }
 
+    constexpr std::uint32_t NoTokens = 0;
+    auto limited = this->admission.admit(caller.workspace, NoTokens, caller.arrivedAt);
+    if (limited) {
+        this->metrics.countRefusal(limited->reason);
+        this->metrics.countOutcome(limited->outcome);
+        ApiError error = apiErrorFrom(*limited);
+        HttpResponse response = errorResponse(error, shownId);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+
     this->metrics.calls.add();
     TimelineEvent arrived;
     arrived.kind = EventKind::RequestArrived;
--- a/src/libperidotgrade/entry/call_service.h
+++ b/src/libperidotgrade/entry/call_service.h
@@ -1,6 +1,7 @@
 // Serves application calls to callers.
 #pragma once
 
+#include "admission.h"
 #include "caller_request.h"
 #include "entry_metrics.h"
 
@@ -14,7 +15,7 @@
 /// Turns an application call into a call request at one of the shards, and the answer into HTTP.
 class CallService {
 public:
-    CallService(EntryContext& context, EntryMetrics& metrics);
+    CallService(EntryContext& context, EntryMetrics& metrics, Admission& admission);
 
     boost::asio::awaitable<void> serve(HttpExchange& exchange, CallerRequest caller);
 
@@ -23,6 +24,7 @@
 
     EntryContext& context;
     EntryMetrics& metrics;
+    Admission& admission;
     std::atomic<std::size_t> turn = 0;
 };
 
--- a/src/libperidotgrade/entry/caller_api.cpp
+++ b/src/libperidotgrade/entry/caller_api.cpp
@@ -35,11 +35,11 @@
 
 } // namespace
 
-CallerApi::CallerApi(EntryContext& context, EntryMetrics& metrics)
+CallerApi::CallerApi(EntryContext& context, EntryMetrics& metrics, Admission& admission)
     : context(context)
     , metrics(metrics)
-    , completions(context, metrics)
-    , calls(context, metrics)
+    , completions(context, metrics, admission)
+    , calls(context, metrics, admission)
 {
 }
 
--- a/src/libperidotgrade/entry/caller_api.h
+++ b/src/libperidotgrade/entry/caller_api.h
@@ -13,7 +13,7 @@
 /// Refuses what comes from nobody known or while the entry cannot serve, and hands on the rest.
 class CallerApi {
 public:
-    CallerApi(EntryContext& context, EntryMetrics& metrics);
+    CallerApi(EntryContext& context, EntryMetrics& metrics, Admission& admission);
 
     boost::asio::awaitable<void> handle(HttpExchange& exchange);
 
--- a/src/libperidotgrade/entry/completion_answer.h
+++ b/src/libperidotgrade/entry/completion_answer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "answer_channel.h"
+#include "answer_end.h"
 #include "answer_timing.h"
 #include "caller_request.h"
 #include "entry_metrics.h"
@@ -15,13 +16,6 @@
 
 namespace peridotgrade {
 
-/// How sending ended, for the log line.
-struct AnswerEnd {
-    std::optional<Outcome> outcome;
-    std::string detail;
-    std::uint32_t outputTokens = 0;
-};
-
 /// Reads a channel to its end and writes to the exchange, as a stream or at the end as a whole.
 class CompletionAnswer {
 public:
--- a/src/libperidotgrade/entry/completion_service.cpp
+++ b/src/libperidotgrade/entry/completion_service.cpp
@@ -38,9 +38,10 @@
 
 } // namespace
 
-CompletionService::CompletionService(EntryContext& context, EntryMetrics& metrics)
+CompletionService::CompletionService(EntryContext& context, EntryMetrics& metrics, Admission& admission)
     : context(context)
     , metrics(metrics)
+    , admission(admission)
 {
 }
 
@@ -88,34 +89,27 @@
     if (!isServed(configuration->configuration, request.model)) {
         Refusal refusal;
         refusal.reason = RefusalReason::ModelNotServed;
-        this->metrics.countRefusal(refusal.reason);
-        this->metrics.countOutcome(refusal.outcome);
-        ApiError error = apiErrorFrom(refusal);
-        error.param = "model";
-        HttpResponse response = errorResponse(error, shownId);
-        co_await exchange.respond(std::move(response));
+        co_await this->refuse(exchange, refusal, shownId);
+        co_return;
+    }
+    auto limited = this->admission.admit(caller.workspace, request.maxTokens, caller.arrivedAt);
+    if (limited) {
+        co_await this->refuse(exchange, *limited, shownId);
         co_return;
     }
 
     this->metrics.modelRequests.add();
-    TimelineEvent arrived;
-    arrived.kind = EventKind::RequestArrived;
-    arrived.at = caller.arrivedAt;
-    arrived.attempt.request = id;
-    arrived.detail = caller.ownId;
-    this->context.timeline.record(std::move(arrived));
-
+    this->recordArrival(caller, id);
     CompletionWriter writer(request, id, TimerDriver::wallNow());
     AnswerTiming timing(caller.arrivedAt, this->context.settings.targets, this->metrics);
     auto channel = std::make_shared<AnswerChannel>(exchange.executor(), MaxQueuedBytes);
     exchange.onClientGone([channel] { channel->markGone(); });
-    bool isStreaming = request.isStreaming;
     ModelRequest submitted = this->modelRequest(request, caller, id);
     shard.submit(std::move(submitted), channel);
 
     CompletionAnswer answer(exchange, *channel, writer, timing, this->metrics, shownId);
     AnswerEnd end;
-    if (isStreaming)
+    if (request.isStreaming)
         end = co_await answer.stream();
     else
         end = co_await answer.whole();
@@ -123,14 +117,42 @@
         shard.cancel(id);
         this->metrics.cancelled.add();
     }
+    if (end.outputTokens < request.maxTokens)
+        this->admission.giveBack(caller.workspace, request.maxTokens - end.outputTokens);
+    this->logEnd(request, caller, id, end, timing.firstTokenAfter());
+}
+
+asio::awaitable<void> CompletionService::refuse(HttpExchange& exchange, Refusal refusal, std::string shownId)
+{
+    this->metrics.countRefusal(refusal.reason);
+    this->metrics.countOutcome(refusal.outcome);
+    ApiError error = apiErrorFrom(refusal);
+    if (refusal.reason == RefusalReason::ModelNotServed)
+        error.param = "model";
+    HttpResponse response = errorResponse(error, shownId);
+    co_await exchange.respond(std::move(response));
+}
+
+void CompletionService::recordArrival(const CallerRequest& caller, RequestId id)
+{
+    TimelineEvent arrived;
+    arrived.kind = EventKind::RequestArrived;
+    arrived.at = caller.arrivedAt;
+    arrived.attempt.request = id;
+    arrived.detail = caller.ownId;
+    this->context.timeline.record(std::move(arrived));
+}
+
+void CompletionService::logEnd(const CompletionRequest& request, const CallerRequest& caller, RequestId id,
+    const AnswerEnd& end, std::optional<Duration> firstTokenAfter)
+{
     std::string_view outcome = end.outcome ? nameOf(*end.outcome) : std::string_view { "cancelled" };
     auto took = TimerDriver::now() - caller.arrivedAt;
     this->context.logger.write(LogLevel::Info, "request_ended", id,
         { { "caller_request", caller.ownId }, { "workspace", caller.workspace.id.raw() },
             { "model", request.model.raw() }, { "outcome", std::string { outcome } },
             { "reason", end.detail }, { "tokens", std::to_string(end.outputTokens) },
-            { "first_token_ms", millisecondsText(timing.firstTokenAfter()) },
-            { "took_ms", millisecondsText(took) } });
+            { "first_token_ms", millisecondsText(firstTokenAfter) }, { "took_ms", millisecondsText(took) } });
 }
 
 asio::awaitable<void> CompletionService::listModels(HttpExchange& exchange)
--- a/src/libperidotgrade/entry/completion_service.h
+++ b/src/libperidotgrade/entry/completion_service.h
@@ -1,9 +1,12 @@
 // Serves completions to callers.
 #pragma once
 
+#include "admission.h"
 #include "caller_request.h"
 #include "entry_metrics.h"
 
+#include "answer_end.h"
+
 #include "peridotgrade/callers/completion_request.h"
 #include "peridotgrade/entry/entry_context.h"
 #include "peridotgrade/net/http_server.h"
@@ -12,19 +15,21 @@
 
 namespace peridotgrade {
 
-class AnswerChannel;
-
 /// Turns a completion request into a model request at one of the shards, and the answer into HTTP.
 class CompletionService {
 public:
-    CompletionService(EntryContext& context, EntryMetrics& metrics);
+    CompletionService(EntryContext& context, EntryMetrics& metrics, Admission& admission);
 
     boost::asio::awaitable<void> serve(HttpExchange& exchange, CompletionShape shape, CallerRequest caller);
     /// `GET /v1/models`
     boost::asio::awaitable<void> listModels(HttpExchange& exchange);
 
 private:
-    class Answer;
+    /// A request that no router takes over.
+    boost::asio::awaitable<void> refuse(HttpExchange& exchange, Refusal refusal, std::string shownId);
+    void recordArrival(const CallerRequest& caller, RequestId id);
+    void logEnd(const CompletionRequest& request, const CallerRequest& caller, RequestId id,
+        const AnswerEnd& end, std::optional<Duration> firstTokenAfter);
 
     EntryShard& nextShard();
     ModelRequest modelRequest(
@@ -32,6 +37,7 @@
 
     EntryContext& context;
     EntryMetrics& metrics;
+    Admission& admission;
     std::atomic<std::size_t> turn = 0;
 };
 
--- a/src/libperidotgrade/entry/entry_node.cpp
+++ b/src/libperidotgrade/entry/entry_node.cpp
@@ -23,6 +23,7 @@
     constexpr std::size_t TimelineCapacity = 32'768;
     // For the platform's balancer to see that the entry is not ready, before it stops to listen.
     constexpr std::chrono::milliseconds NoticeTime { 1000 };
+    constexpr std::uint32_t CallerSendBufferBytes = 64 * 1024;
     constexpr std::chrono::milliseconds DrainCheckInterval { 20 };
 
     ConfigurationFollowerSettings followerSettings(const EntrySettings& settings, std::uint64_t seed)
@@ -58,9 +59,9 @@
     , entryMetrics(this->metrics)
     , claims(this->strand, this->context, seed + 1)
     , quarantines(this->strand, this->context, seed + 2)
-    , vmList(this->strand, this->context)
+    , vmList(this->strand, this->context, this->admission)
     , peers(this->strand, this->context, this->clock, this->quarantines)
-    , callerApi(this->context, this->entryMetrics)
+    , callerApi(this->context, this->entryMetrics, this->admission)
     , operators(
           operatorSettings(this->settings), this->follower, [this] { return this->planningView(); },
           this->timeline)
@@ -100,6 +101,7 @@
     callers.maxConnections = this->settings.limits.maxConnections;
     callers.readTimeout = this->settings.limits.readTimeout;
     callers.writeTimeout = this->settings.limits.writeTimeout;
+    callers.sendBufferBytes = CallerSendBufferBytes;
     this->callerServer = std::make_unique<HttpServer>(this->io.get_executor(), callers,
         [this](HttpExchange& exchange) { return this->callerApi.handle(exchange); });
     HttpServerSettings admin;
--- a/src/libperidotgrade/entry/entry_node_impl.h
+++ b/src/libperidotgrade/entry/entry_node_impl.h
@@ -62,6 +62,7 @@
     ConfigurationFollower follower;
     EntryContext context;
     EntryMetrics entryMetrics;
+    Admission admission;
     ClaimsFeed claims;
     QuarantineFeed quarantines;
     VmListFeed vmList;
--- a/src/libperidotgrade/entry/vm_list_feed.cpp
+++ b/src/libperidotgrade/entry/vm_list_feed.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace peridotgrade {
 
 namespace asio = boost::asio;
@@ -16,9 +18,10 @@
     constexpr std::chrono::milliseconds PollTimeout { 5000 };
 } // namespace
 
-VmListFeed::VmListFeed(asio::any_io_executor strand, EntryContext& context)
+VmListFeed::VmListFeed(asio::any_io_executor strand, EntryContext& context, Admission& admission)
     : strand(std::move(strand))
     , context(context)
+    , admission(admission)
     , client(this->strand, context.settings.node.platform)
     , pause(this->strand)
 {
@@ -68,6 +71,9 @@
         std::lock_guard lock(this->mutex);
         this->last = vms;
     }
+    auto isLiveEntry
+        = [](const VmRecord& vm) { return vm.kind == VmKind::Entry && vm.state == VmState::Live; };
+    this->admission.setEntries(static_cast<std::size_t>(std::count_if(vms.begin(), vms.end(), isLiveEntry)));
     for (auto& shard : this->context.shards)
         shard->onVmList(vms);
     this->context.hasVmList = true;
--- a/src/libperidotgrade/entry/vm_list_feed.h
+++ b/src/libperidotgrade/entry/vm_list_feed.h
@@ -1,6 +1,8 @@
 // Polls the platform's VM list for all shards.
 #pragma once
 
+#include "admission.h"
+
 #include "peridotgrade/entry/entry_context.h"
 #include "peridotgrade/platform/vm_list_client.h"
 
@@ -13,7 +15,7 @@
 /// Each list read goes to every shard; while the list is out of reach the last one holds. Runs on one strand.
 class VmListFeed {
 public:
-    VmListFeed(boost::asio::any_io_executor strand, EntryContext& context);
+    VmListFeed(boost::asio::any_io_executor strand, EntryContext& context, Admission& admission);
 
     void start();
     void stop();
@@ -26,6 +28,7 @@
 
     const boost::asio::any_io_executor strand;
     EntryContext& context;
+    Admission& admission;
     VmListClient client;
     boost::asio::steady_timer pause;
     mutable std::mutex mutex;
--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -71,6 +71,9 @@
         {
             boost::system::error_code ignored;
             this->stream.socket().set_option(tcp::no_delay(true), ignored);
+            auto sendBuffer = static_cast<int>(this->shared->settings.sendBufferBytes);
+            if (sendBuffer > 0)
+                this->stream.socket().set_option(asio::socket_base::send_buffer_size(sendBuffer), ignored);
             while (co_await this->readRequest()) {
                 ++this->shared->openExchanges;
                 co_await this->serve();
