Read the entry's callers port by the name that it prints

Cause: the entry's ready line went from listen= to callers= and back while both sides adapted to each other; 14 cases failed with KeyError: 'callers'. Ruled out: accepting both names, which would hide the next mismatch. Change: the support module reads listen=, which peridot-entry prints.

--- a/testsuite/support/site.py
+++ b/testsuite/support/site.py
@@ -168,7 +168,7 @@
 
     def caller(self, entry=None):
         process = self.entries[entry] if entry else next(iter(self.entries.values()))
-        return Caller(process.ports["callers"], WORKSPACE_KEY)
+        return Caller(process.ports["listen"], WORKSPACE_KEY)
 
     def wait_until_serving(self):
         """Waits until every entry answers a completion and, if there is an application server, a read."""
