--- a/src/libperidotgrade/entry/entry_shard_impl.cpp
+++ b/src/libperidotgrade/entry/entry_shard_impl.cpp
@@ -21,6 +21,7 @@
         ActionRouterSettings result;
         result.entry = settings.entry;
         result.dataCentre = settings.dataCentre;
+        result.claimRetention = settings.logRetention;
         return result;
     }
 
@@ -113,6 +114,8 @@
     this->membership.onConnected(agent, message.incarnation);
     if (message.draining)
         this->membership.onDraining(agent);
+    else
+        this->membership.onResumed(agent);
     this->models.onMessage(agent, message);
     this->calls.onAgentConnected(agent, message.incarnation);
     this->calls.onMessage(agent, message);
