Let an answer that has begun wait for an engine to come back

Ruled out: counting the search as attempts or retries (nothing runs meanwhile; maxRetries would end it too early). Change: where there is no place or prefill engine, an answer that has begun looks again with backoff for maxResumeTime, within its deadline; agents that were lost may be tried again. Requests that have not begun are refused as before. Not run: the case over real processes. Conclusion: in the core the answer is whole once an engine is back in time.

--- a/src/include/peridotgrade/core/routing/model_router.h
+++ b/src/include/peridotgrade/core/routing/model_router.h
@@ -31,6 +31,9 @@
     /// The same for an answer that is resumed: its caller already reads, and what was spent on it would be
     /// lost.
     std::chrono::milliseconds maxResumeQueueTime { 1500 };
+    /// How long an answer that has begun looks for a place to go on, within its deadline. While it only looks
+    /// nothing runs, so that is neither an attempt nor a retry.
+    std::chrono::milliseconds maxResumeTime { 10000 };
     /// Tries after the first for one request, within the retry budget.
     std::uint32_t maxRetries = 3;
     double retryBudgetShare = 0.1;
--- a/src/libperidotgrade/core/routing/model_request_test.cpp
+++ b/src/libperidotgrade/core/routing/model_request_test.cpp
@@ -125,6 +125,27 @@
     this->checkQuiet();
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_that_has_begun_waits_for_an_engine_to_come_back)
+{
+    WorldSettings settings;
+    settings.engines = { EngineRole::Mixed, EngineRole::Mixed };
+    World small(settings);
+    small.runFor(500ms);
+    std::size_t begun = 0;
+    for (std::uint64_t i = 0; i < 10; ++i) {
+        RequestId id = small.submit(0, 400 + i);
+        small.runFor(80ms);
+        const LedgerEntry& request = small.ledger.all().at(id);
+        bool hasBegun = request.received > 0 && request.finals == 0;
+        for (const auto& engine : small.engines)
+            engine->crash();
+        small.runFor(5s);
+        begun += hasBegun ? 1 : 0;
+        BOOST_TEST(request.isAnswered == hasBegun);
+    }
+    BOOST_TEST(begun >= 5U);
+}
+
 BOOST_AUTO_TEST_CASE(a_drain_cuts_nothing_off_and_takes_nothing_new)
 {
     std::vector<RequestId> ids;
--- a/src/libperidotgrade/core/routing/request_state.h
+++ b/src/libperidotgrade/core/routing/request_state.h
@@ -62,6 +62,8 @@
     /// Text delivered so far.
     std::string sentText;
     std::optional<TimePoint> firstTokenAt;
+    /// While an answer that has begun looks for a place: when it gives up.
+    std::optional<TimePoint> resumeUntil;
     /// Tokens of a prefill that has not led to a token yet.
     std::uint32_t prefillTokensAtStake = 0;
     /// An engine has worked on it in an attempt that ended.
--- a/src/libperidotgrade/core/routing/router_core.h
+++ b/src/libperidotgrade/core/routing/router_core.h
@@ -69,6 +69,8 @@
     Priority priorityOf(const RequestState& state) const;
     std::chrono::milliseconds queueTimeOf(const RequestState& state, std::chrono::milliseconds slack) const;
     void onAsksUnanswered(RequestState& state);
+    /// There is no place or prefill engine: an answer that has begun looks again, others are refused.
+    void waitOrRefuse(RequestState& state, RefusalReason reason);
     /// All asks are answered, and none with a place.
     void onNoPlace(RequestState& state);
     void takePlace(RequestState& state, const AttemptHold& granted);
--- a/src/libperidotgrade/core/routing/router_placing.cpp
+++ b/src/libperidotgrade/core/routing/router_placing.cpp
@@ -34,7 +34,8 @@
     }
     if (!this->checkStanding(state))
         return;
-    ++this->totals.attempts;
+    if (!state.resumeUntil)
+        ++this->totals.attempts;
     state.askRounds = 0;
     bool hasPrefillEngines = !this->candidates(state, true).empty();
     if (this->chooser->asksPlaceFirst() || !hasPrefillEngines) {
@@ -112,14 +113,14 @@
 void RouterCore::askPlaces(RequestState& state)
 {
     if (!this->isServed(state.request.model)) {
-        this->refuse(state, RefusalReason::ModelNotServed);
+        this->waitOrRefuse(state, RefusalReason::ModelNotServed);
         return;
     }
     std::vector<EngineView> engines = this->candidates(state, false);
     std::vector<std::size_t> choices = this->chooser->decodeChoices(this->placementRequest(state), engines,
         this->timers.now(), this->random, std::max<std::uint32_t>(1, this->settings.asksAtOnce));
     if (choices.empty()) {
-        this->refuse(state, RefusalReason::NoCapacity);
+        this->waitOrRefuse(state, RefusalReason::NoCapacity);
         return;
     }
     state.phase = RequestPhase::Placing;
@@ -175,6 +176,22 @@
     this->onNoPlace(state);
 }
 
+void RouterCore::waitOrRefuse(RequestState& state, RefusalReason reason)
+{
+    TimePoint now = this->timers.now();
+    if (!state.resumeUntil)
+        state.resumeUntil = now + this->settings.maxResumeTime;
+    if (state.nextIndex == 0 || now >= *state.resumeUntil) {
+        this->refuse(state, reason);
+        return;
+    }
+    this->releaseAll(state);
+    // Engines that were lost may be back.
+    state.avoided.clear();
+    state.phase = RequestPhase::Waiting;
+    this->setPhaseTimer(state, state.backoff.next(this->random), &RouterCore::startAttempt);
+}
+
 void RouterCore::onNoPlace(RequestState& state)
 {
     bool hasOthers = !this->candidates(state, false).empty();
@@ -183,8 +200,8 @@
         return;
     }
     this->releaseAll(state);
-    if (this->candidates(state, false).empty()) {
-        this->refuse(state, RefusalReason::NoCapacity);
+    if (state.nextIndex > 0 || this->candidates(state, false).empty()) {
+        this->waitOrRefuse(state, RefusalReason::NoCapacity);
         return;
     }
     this->retryOrRefuse(state, RefusalReason::NoCapacity);
@@ -211,7 +228,7 @@
     PlacementRequest placement = this->placementRequest(state);
     auto choice = this->chooser->prefillChoice(placement, engines, this->timers.now(), this->random);
     if (!choice) {
-        this->refuse(state, RefusalReason::NoCapacity);
+        this->waitOrRefuse(state, RefusalReason::NoCapacity);
         return;
     }
     AgentId agent = engines[*choice].agent;
--- a/src/libperidotgrade/core/routing/router_streaming.cpp
+++ b/src/libperidotgrade/core/routing/router_streaming.cpp
@@ -76,6 +76,8 @@
 void RouterCore::onFirstTokenOfAttempt(RequestState& state)
 {
     state.prefillTokensAtStake = 0;
+    state.resumeUntil.reset();
+    state.backoff.reset();
     if (!state.prefill)
         return;
     this->handover.record(
