Read a failed prefill's key from the job that was taken out

Change: the removed job's own key is used. mutations.sh gives all copied files new times: with old ones stale objects were linked, and a run of it ended in 'no end' for all guards.

--- a/src/libperidotgrade/core/hosting/host_prefills.cpp
+++ b/src/libperidotgrade/core/hosting/host_prefills.cpp
@@ -93,9 +93,10 @@
 
 void ModelHost::Impl::failPrefill(const HoldKey& key, AttemptFailure reason)
 {
+    // `key` may be the job's own, which is gone from the queue after this.
     auto job = this->prefills.remove(key);
     if (job)
-        this->fail(job->connection, key.attempt, reason);
+        this->fail(job->connection, job->key.attempt, reason);
 }
 
 void ModelHost::Impl::handle(const EnginePrefillDone& event)
--- a/tools/mutations.sh
+++ b/tools/mutations.sh
@@ -7,9 +7,10 @@
 seeds=${SEEDS:-200}
 jobs=${JOBS:-3}
 copy=$PWD/build-mutations
+# New times for all files (-m): objects of an earlier run may be newer than a header that has changed.
 rm -rf "$copy/tree"
 mkdir -p "$copy/tree"
-git ls-files src CMakeLists.txt CMakePresets.json | tar -c -T - | tar -x -C "$copy/tree"
+git ls-files src CMakeLists.txt CMakePresets.json | tar -c -T - | tar -x -m -C "$copy/tree"
 cmake -S "$copy/tree" -B "$copy/build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
   -DCMAKE_CXX_COMPILER_LAUNCHER=ccache > /dev/null
 
