Spend no retry budget where no other server is left

Cause: reading through the reads: a failed read took one retry from the budget before it looked for another server, so a service reduced to one server used its budget up on nothing, and had none when the others came back.

Change: the server is chosen first. Ruled out: giving the retry back, since the budget's balance is capped.

Run: core_actions_test 55 cases, passed; before, a_failure_with_no_other_server_spends_no_budget failed (0 retries, 1 expected).

Conclusion: the budget is spent on attempts only.

--- a/src/libperidotgrade/core/actions/action_router_test.cpp
+++ b/src/libperidotgrade/core/actions/action_router_test.cpp
@@ -282,4 +282,21 @@
     BOOST_TEST(router.counters().retries == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(a_failure_with_no_other_server_spends_no_budget)
+{
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        submit(id, IdempotencyKey {});
+        router.onAgentLost(First);
+        collect();
+        BOOST_TEST(isLastRefusal(RefusalReason::BackendLost, Outcome::Unknown));
+        router.onAgentConnected(First, Run);
+    }
+    addSecond();
+    submit(21, IdempotencyKey {});
+    router.onAgentLost(First);
+    collect();
+    BOOST_TEST((sent.back().agent == Second));
+    BOOST_TEST(router.counters().retries == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/core/actions/read_flow.cpp
+++ b/src/libperidotgrade/core/actions/read_flow.cpp
@@ -31,7 +31,10 @@
     read->second.request = std::move(request);
     read->second.deadline = this->context.timers.subscribeAt(
         read->second.request.deadline, [this, id] { this->onDeadline(id); });
-    if (!this->tryOnce(read->second))
+    auto run = this->chooseFor(read->second);
+    if (run)
+        this->tryAt(read->second, *run);
+    else
         this->giveUp(read, RefusalReason::NoCapacity);
 }
 
@@ -42,23 +45,28 @@
         this->forget(read);
 }
 
-bool ReadFlow::tryOnce(Read& read)
+std::optional<AgentRun> ReadFlow::chooseFor(const Read& read) const
 {
     const CallRequest& request = read.request;
-    auto run = this->context.agents.choose(
+    if (this->context.timeLeft(request.deadline).count() <= 0)
+        return std::nullopt;
+    return this->context.agents.choose(
         request.service, this->context.settings.dataCentre, read.tried, this->context.random);
+}
+
+void ReadFlow::tryAt(Read& read, const AgentRun& run)
+{
+    const CallRequest& request = read.request;
     auto timeLeft = this->context.timeLeft(request.deadline);
-    if (!run || timeLeft.count() <= 0)
-        return false;
-    read.tried.push_back(*run);
+    read.tried.push_back(run);
     auto number = static_cast<std::uint32_t>(read.tried.size());
-    read.open.push_back({ *run, number });
+    read.open.push_back({ run, number });
 
     StartRead start;
     start.attempt = { request.id, number };
     start.call = request.call;
     start.timeLeft = timeLeft;
-    this->context.send(run->agent, std::move(start));
+    this->context.send(run.agent, std::move(start));
 
     // Each try gets an equal share of what is left, so that the last one still has time to answer.
     auto triesLeft = this->context.settings.maxReadRetries + 2
@@ -66,7 +74,6 @@
     this->context.timers.cancel(read.hedge);
     read.hedge = this->context.timers.subscribeAfter(
         timeLeft / triesLeft, [this, id = request.id] { this->onSilence(id); });
-    return true;
 }
 
 bool ReadFlow::maySpendRetry(const Read& read)
@@ -81,7 +88,10 @@
     auto read = this->reads.find(request);
     if (read == this->reads.end())
         return;
-    if (this->maySpendRetry(read->second) && this->tryOnce(read->second)) {
+    // Without another server there is nothing to spend the budget on.
+    auto run = this->chooseFor(read->second);
+    if (run && this->maySpendRetry(read->second)) {
+        this->tryAt(read->second, *run);
         ++this->context.counters.retries;
         return;
     }
--- a/src/libperidotgrade/core/actions/read_flow.h
+++ b/src/libperidotgrade/core/actions/read_flow.h
@@ -43,7 +43,8 @@
 
     using Reads = std::map<RequestId, Read>;
 
-    bool tryOnce(Read& read);
+    std::optional<AgentRun> chooseFor(const Read& read) const;
+    void tryAt(Read& read, const AgentRun& run);
     void tryAgain(RequestId request);
     void onSilence(RequestId request);
     void onTryFailed(RequestId request, std::uint32_t number);
