--- a/src/include/peridotgrade/core/config/reconciler.h
+++ b/src/include/peridotgrade/core/config/reconciler.h
@@ -6,6 +6,7 @@
 #include "peridotgrade/core/base/timeline_event.h"
 #include "peridotgrade/core/base/timer_service.h"
 #include "peridotgrade/core/config/assigned_order.h"
+#include "peridotgrade/core/config/configuration_record.h"
 #include "peridotgrade/core/config/engine_state.h"
 #include "peridotgrade/core/config/site_configuration.h"
 
@@ -72,8 +73,9 @@
     void start();
 
     /// The assignment at `version`, which the fold has in force; it may begin after `startIn`. Lower versions
-    /// than the last one are ignored.
-    void onTarget(ConfigVersion version, std::optional<EngineAssignment> assignment, Duration startIn);
+    /// than the last one are ignored. `plan` names the version's plan in events.
+    void onTarget(ConfigVersion version, std::optional<EngineAssignment> assignment, Duration startIn,
+        const PlanId& plan = {});
 
     void onState(std::uint64_t read, EngineState state);
     void onStateFailed(std::uint64_t read);
@@ -117,6 +119,7 @@
 
     /// Invariant: never falls.
     ConfigVersion wanted;
+    PlanId plan;
     std::optional<EngineAssignment> assignment;
     TimePoint startAt;
     TimePoint retryAt;
--- a/src/include/peridotgrade/platform/configuration_follower.h
+++ b/src/include/peridotgrade/platform/configuration_follower.h
@@ -17,6 +17,8 @@
 /// The configuration in force at one moment; shared by threads without copying.
 struct ConfigurationInForce {
     ConfigVersion version;
+    /// The plan that made this version; empty at version 0.
+    PlanId plan;
     std::uint64_t digest = 0;
     /// False until the node knows a version, from the log or from a peer.
     bool isReady = false;
--- a/src/libperidotgrade/agent/agent.cpp
+++ b/src/libperidotgrade/agent/agent.cpp
@@ -145,7 +145,13 @@
     if (this->changes)
         this->changes->onConfiguration(configuration);
     this->logger.write(LogLevel::Info, "configuration_applied",
-        { { "version", std::to_string(configuration.version.raw()) } });
+        { { "version", std::to_string(configuration.version.raw()) }, { "plan", configuration.plan.raw() } });
+    TimelineEvent event;
+    event.kind = EventKind::ConfigurationApplied;
+    event.at = TimerDriver::now();
+    event.subject = configuration.plan.raw();
+    event.detail = "version " + std::to_string(configuration.version.raw());
+    this->timeline.record(std::move(event));
 }
 
 void Agent::Impl::drain(const std::string& reason)
--- a/src/libperidotgrade/core/config/reconciler.cpp
+++ b/src/libperidotgrade/core/config/reconciler.cpp
@@ -69,11 +69,13 @@
         = this->timers.subscribeAfter(this->settings.stateInterval, [this] { this->requestState(); });
 }
 
-void Reconciler::onTarget(ConfigVersion version, std::optional<EngineAssignment> target, Duration startIn)
+void Reconciler::onTarget(ConfigVersion version, std::optional<EngineAssignment> target, Duration startIn,
+    const PlanId& planOfVersion)
 {
     if (version <= this->wanted)
         return;
     this->wanted = version;
+    this->plan = planOfVersion;
     bool isSame = this->assignment == target;
     this->assignment = std::move(target);
     if (!isSame) {
@@ -316,8 +318,8 @@
     TimelineEvent event;
     event.kind = kind;
     event.at = this->timers.now();
-    event.subject = "version " + std::to_string(this->wanted.raw());
-    event.detail = detail;
+    event.subject = this->plan.raw();
+    event.detail = "version " + std::to_string(this->wanted.raw()) + ": " + detail;
     this->events.record(std::move(event));
 }
 
--- a/src/libperidotgrade/platform/configuration_follower.cpp
+++ b/src/libperidotgrade/platform/configuration_follower.cpp
@@ -102,6 +102,8 @@
             auto made = std::make_shared<ConfigurationInForce>();
             made->version = this->fold.version();
             made->digest = this->fold.digest();
+            if (!this->fold.history().empty())
+                made->plan = this->fold.history().back().plan;
             made->isReady = this->fold.isReady();
             made->configuration = this->fold.configuration();
             this->inForce = made;
--- a/src/libperidotgrade/platform/engine_reconciler.cpp
+++ b/src/libperidotgrade/platform/engine_reconciler.cpp
@@ -95,7 +95,7 @@
             assignment = found->second;
             startIn = std::max<Duration>(startIn, assignment->notBefore - TimerDriver::wallNow());
         }
-        this->reconciler.onTarget(configuration.version, std::move(assignment), startIn);
+        this->reconciler.onTarget(configuration.version, std::move(assignment), startIn, configuration.plan);
     }
 
     const boost::asio::any_io_executor executor;
--- a/testsuite/operators_day/case.py
+++ b/testsuite/operators_day/case.py
@@ -111,7 +111,9 @@
     assert operator.run("history", key="nobody").returncode == UNAUTHORIZED
     history = json.loads(operator.run("--json", "history").stdout)["history"]
     assert [entry["operator"] for entry in history] == ["desk-operator"] * 4, history
-    assert "engine_order_done" in operator.run("timeline").stdout
+    of_plan = operator.run("timeline", "--plan", history[1]["plan"]).stdout
+    for event in ("plan_made", "plan_confirmed", "configuration_applied", "engine_order_sent", "engine_order_done"):
+        assert event in of_plan, of_plan
 
 
 def run(build):
