--- a/src/include/peridotgrade/agent/engine_backend.h
+++ b/src/include/peridotgrade/agent/engine_backend.h
@@ -35,9 +35,8 @@
     bool isDrained() const override;
 
     /// Grants nothing new while the engine's role or models change.
-    void pause();
+    void drainForChange();
     void resume();
-    bool isIdle() const;
 
     ModelHostCounters counters() const;
 
--- a/src/include/peridotgrade/core/hosting/model_host.h
+++ b/src/include/peridotgrade/core/hosting/model_host.h
@@ -25,6 +25,9 @@
     std::chrono::milliseconds listInterval { 2000 };
     /// Prefills that run at the engine at once; more only slow each other down.
     std::uint32_t prefillsAtOnce = 1;
+    /// Places granted beyond the free ones, because running streams end while the prefill of a new request
+    /// still runs. Such a place reserves nothing until one is free; its decode waits for that.
+    std::uint32_t grantsAhead = 0;
 };
 
 /// Gauges and totals, for metrics.
@@ -56,18 +59,16 @@
     void onMessage(ConnectionId connection, const EntryMessage& message);
     void onEngineEvent(const EngineEvent& event);
 
-    /// Takes no new work from now on; tells all sessions. What runs is finished.
+    /// Takes no new work from now on; tells all sessions. What runs is finished, and so are prefills that
+    /// were accepted and places that were granted before. For a backend server that is leaving.
     void drain();
+    /// The same for a change of role or version, after which the engine takes work again.
+    void drainForChange();
+    /// Ends a drainForChange and tells all sessions; false if the backend server is leaving.
+    bool resume();
     /// True when draining and nothing is held or running any more.
     bool isDrained() const;
 
-    /// Takes no new work until `resume`, while the engine's role or models change; sessions are not told,
-    /// since it comes back. What runs is finished.
-    void pause();
-    void resume();
-    /// True when nothing is held or running.
-    bool isIdle() const;
-
     /// The configuration version in force here, told on every answer.
     void setVersion(ConfigVersion version);
 
--- a/src/libperidotgrade/agent/engine_backend.cpp
+++ b/src/libperidotgrade/agent/engine_backend.cpp
@@ -107,9 +107,9 @@
     return this->impl->shard->inspect([](const ModelHost& host) { return host.isDrained(); });
 }
 
-void EngineBackend::pause()
+void EngineBackend::drainForChange()
 {
-    this->impl->shard->step([](ModelHost& host) { host.pause(); });
+    this->impl->shard->step([](ModelHost& host) { host.drainForChange(); });
 }
 
 void EngineBackend::resume()
@@ -117,11 +117,6 @@
     this->impl->shard->step([](ModelHost& host) { host.resume(); });
 }
 
-bool EngineBackend::isIdle() const
-{
-    return this->impl->shard->inspect([](const ModelHost& host) { return host.isIdle(); });
-}
-
 ModelHostCounters EngineBackend::counters() const
 {
     return this->impl->shard->inspect([](const ModelHost& host) { return host.counters(); });
--- a/src/libperidotgrade/agent/engine_changes.cpp
+++ b/src/libperidotgrade/agent/engine_changes.cpp
@@ -21,7 +21,7 @@
         this->engine.order(order, std::move(onAnswer));
     };
     result.startDrain = [this] {
-        this->engine.pause();
+        this->engine.drainForChange();
         this->isPaused = true;
     };
     result.stopDrain = [this] {
@@ -34,7 +34,7 @@
 void EngineChanges::onState(const EngineState& state)
 {
     // Each state read is a moment to look whether the last request has ended.
-    if (this->isPaused && this->engine.isIdle())
+    if (this->isPaused && this->engine.isDrained())
         this->reconciler.onDrained();
     this->reconciler.onEngineState(state);
 }
--- a/src/libperidotgrade/core/hosting/host_prefills.cpp
+++ b/src/libperidotgrade/core/hosting/host_prefills.cpp
@@ -38,7 +38,7 @@
 
 std::optional<AttemptFailure> ModelHost::Impl::reasonToFail(const PrefillJob& job) const
 {
-    if (!this->takesWork())
+    if (this->isDraining)
         return AttemptFailure::Draining;
     if (!this->isReady() || !this->servesModel(job.request.model))
         return AttemptFailure::EngineError;
@@ -106,6 +106,7 @@
         return;
     }
     stream->isRunning = false;
+    stream->hasAnswered = true;
     PrefillJob* job = this->prefills.find(*stream->owner);
     if (!job)
         return;
--- a/src/libperidotgrade/core/hosting/model_host.cpp
+++ b/src/libperidotgrade/core/hosting/model_host.cpp
@@ -25,10 +25,9 @@
 
 void ModelHost::onEngineEvent(const EngineEvent& event) { this->impl->onEngineEvent(event); }
 void ModelHost::drain() { this->impl->drain(); }
+void ModelHost::drainForChange() { this->impl->drainForChange(); }
+bool ModelHost::resume() { return this->impl->resume(); }
 bool ModelHost::isDrained() const { return this->impl->isDrained(); }
-void ModelHost::pause() { this->impl->pause(); }
-void ModelHost::resume() { this->impl->resume(); }
-bool ModelHost::isIdle() const { return this->impl->isIdle(); }
 void ModelHost::setVersion(ConfigVersion version) { this->impl->version = version; }
 std::vector<HostAction> ModelHost::takeActions() { return this->impl->takeActions(); }
 const ModelHostCounters& ModelHost::counters() const { return this->impl->currentCounters(); }
@@ -45,6 +44,26 @@
 }
 
 void ModelHost::Impl::drain()
+{
+    this->isLeaving = true;
+    this->drainForChange();
+}
+
+bool ModelHost::Impl::resume()
+{
+    if (this->isLeaving)
+        return false;
+    if (!std::exchange(this->isDraining, false))
+        return true;
+    this->record(EventKind::DrainFinished, AttemptId {}, this->settings.agent.raw(), "resumed");
+    for (const auto& [connection, session] : this->sessions) {
+        if (session.isLive)
+            this->sendOpened(session);
+    }
+    return true;
+}
+
+void ModelHost::Impl::drainForChange()
 {
     if (this->isDraining)
         return;
@@ -57,23 +76,12 @@
     }
 }
 
-bool ModelHost::Impl::isDrained() const { return this->isDraining && this->isIdle(); }
-
-bool ModelHost::Impl::isIdle() const
+bool ModelHost::Impl::isDrained() const
 {
-    return this->places.granted() == 0 && this->prefills.isEmpty() && this->streams.isEmpty();
+    bool isIdle = this->places.granted() == 0 && this->prefills.isEmpty() && this->streams.isEmpty();
+    return this->isDraining && isIdle;
 }
 
-void ModelHost::Impl::pause()
-{
-    if (this->isPaused)
-        return;
-    this->isPaused = true;
-    this->refuseAllAsks(PlaceRefusalReason::Draining);
-}
-
-void ModelHost::Impl::resume() { this->isPaused = false; }
-
 std::vector<HostAction> ModelHost::Impl::takeActions() { return std::exchange(this->actions, {}); }
 
 const ModelHostCounters& ModelHost::Impl::currentCounters()
@@ -112,7 +120,7 @@
 {
     LiveLoad load;
     load.placesTotal = this->capacity.placesTotal();
-    load.placesFree = this->isReady() && this->takesWork() ? this->capacity.placesFree() : 0;
+    load.placesFree = this->isReady() && !this->isDraining ? this->capacity.placesFree() : 0;
     load.asksQueued = static_cast<std::uint32_t>(this->places.queued());
     Duration backlog = this->prefills.backlog(this->timers.now());
     load.prefillTokensPerSecond = this->engine.prefillTokensPerSecond;
--- a/src/libperidotgrade/core/hosting/model_host_impl.h
+++ b/src/libperidotgrade/core/hosting/model_host_impl.h
@@ -55,11 +55,9 @@
     void handle(const EngineUp& event);
 
     void drain();
+    void drainForChange();
+    bool resume();
     bool isDrained() const;
-    bool isIdle() const;
-    void pause();
-    void resume();
-    bool takesWork() const { return !this->isDraining && !this->isPaused; }
 
     std::vector<HostAction> takeActions();
     const ModelHostCounters& currentCounters();
@@ -75,6 +73,7 @@
     void onLapseTimer(ConnectionId connection, SessionEpoch epoch);
     /// Releases all that is held under the session and refuses its epoch from now on.
     void endSession(HostSession& session, EventKind why);
+    void sendOpened(const HostSession& session);
     void endOtherSessionsOf(const EntryId& entry, ConnectionId but);
     std::vector<HoldKey> keysOf(SessionEpoch epoch) const;
     /// Frees everything that the attempt holds or asks for here.
@@ -90,6 +89,9 @@
     void refuse(const Place& ask, PlaceRefusalReason reason);
     void onAskTimeout(const HoldKey& key);
     void serveAsks();
+    /// Gives room that became free to places granted ahead, and starts their decodes.
+    void reserveGrantedAhead();
+    void onDecodeTooLate(const HoldKey& key);
     void refuseAllAsks(PlaceRefusalReason reason);
     bool hasOtherSuspect(const HoldKey& than) const;
     bool servesModel(const ModelId& model) const;
@@ -106,6 +108,7 @@
     void startDecode(Place& place, const StartDecode& message);
     void requestListing();
     void onListTimer();
+    void listIfUp();
     void onListingTimeout(std::uint64_t request);
     void cancelStream(const EngineStreamId& id);
     void armCancelTimer();
@@ -128,8 +131,9 @@
     EventSink& events;
     std::vector<HostAction> actions;
     ModelHostCounters totals;
+    /// Invariant: true if `isLeaving` is.
     bool isDraining = false;
-    bool isPaused = false;
+    bool isLeaving = false;
 
     std::map<ConnectionId, HostSession> sessions;
 
