Divide a short service by shares in the entry; one limiter for rates

Cause: two classes were named Admission, this part's and the entry's, and rate limits stood twice.

Ruled out: keeping both; the entry's WorkspaceLimiter has the limits, with tests of the same facts (division over entries, debt of tokens, the time that is told: entriesShareTheRateOfTheSite, rateOfTokensHoldsForRequestsLargerThanIts Burst, servedAgainAfterTheTimeThatWasTold), so the token bucket and its two tests went. An unknown workspace is refused by the callers' interface before it gets here, so that case went as well.

Change: WorkspaceShares in core/admission; the entry takes a share for each completion and gives it back when the request has ended in whatever way. Application calls take none.

--- a/src/libperidotgrade/core/config/admission_test.cpp
+++ b/src/libperidotgrade/core/admission/workspace_shares_test.cpp
@@ -1,6 +1,6 @@
-// Tests of admission: three workspaces that overload one service, limits, lending and calling back.
+// Tests of shares: three workspaces that overload one service, lending and calling back.
+#include "peridotgrade/core/admission/workspace_shares.h"
 #include "peridotgrade/core/base/random_source.h"
-#include "peridotgrade/core/config/admission.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -25,14 +25,11 @@
 struct OverloadFixture {
     OverloadFixture()
     {
-        const std::array<double, Workspaces> shares { 1, 1, 2 };
+        const std::array<double, Workspaces> weights { 1, 1, 2 };
         for (std::size_t i = 0; i < Workspaces; ++i) {
-            Workspace workspace;
-            workspace.id = idOf(i);
-            workspace.share = shares[i];
-            this->configuration.workspaces[workspace.id] = workspace;
+            this->workspaces[i].id = idOf(i);
+            this->workspaces[i].share = weights[i];
         }
-        this->admission.configure(this->configuration, 1, this->now);
     }
 
     static WorkspaceId idOf(std::size_t index)
@@ -48,8 +45,7 @@
         for (TimePoint end = this->now + time; this->now < end; this->now += Step) {
             while (!this->running.empty() && this->running.top().end <= this->now) {
                 answered[this->running.top().workspace] += 1;
-                this->admission.finished(
-                    { idOf(this->running.top().workspace), "m" }, { 10, false }, this->now);
+                this->shares.finished({ idOf(this->running.top().workspace), "m" }, false, this->now);
                 this->running.pop();
             }
             for (std::size_t i = 0; i < Workspaces; ++i) {
@@ -62,14 +58,14 @@
 
     void offer(std::size_t index)
     {
-        auto result = this->admission.admit(idOf(index), "m", this->now);
+        auto result = this->shares.admit(this->workspaces[index], "m", this->now);
         if (std::holds_alternative<Refusal>(result)) {
             ++this->refusedHere;
             return;
         }
         if (this->running.size() >= Places) {
             ++this->refusedByServer;
-            this->admission.finished(std::get<AdmissionTicket>(result), { 0, true }, this->now);
+            this->shares.finished(std::get<ShareTicket>(result), true, this->now);
             return;
         }
         Duration length = std::chrono::milliseconds { 500 + this->random.below(1'000) };
@@ -78,8 +74,8 @@
 
     RandomSource random { 7 };
     TimePoint now { 1s };
-    SiteConfiguration configuration;
-    Admission admission;
+    std::array<Workspace, Workspaces> workspaces;
+    WorkspaceShares shares;
     std::priority_queue<Running, std::vector<Running>, std::greater<>> running;
     std::size_t refusedHere = 0;
     std::size_t refusedByServer = 0;
@@ -87,7 +83,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(admission, OverloadFixture)
+BOOST_FIXTURE_TEST_SUITE(workspace_shares, OverloadFixture)
 
 BOOST_AUTO_TEST_CASE(three_workspaces_that_overload_a_service_get_their_shares)
 {
@@ -124,33 +120,4 @@
     BOOST_TEST(answered[0] > 0.9 * 5 * 60);
 }
 
-BOOST_AUTO_TEST_CASE(a_limit_is_divided_by_the_shards_and_told_with_a_time)
-{
-    this->configuration.workspaces[idOf(0)].requestsPerSecond = 40;
-    this->admission.configure(this->configuration, 4, this->now);
-    auto answered = this->run({ 100, 0, 0 }, 30s);
-    BOOST_TEST(answered[0] > 280);
-    BOOST_TEST(answered[0] < 330);
-    while (std::holds_alternative<AdmissionTicket>(this->admission.admit(idOf(0), "m", this->now))) { }
-    auto refusal = std::get<Refusal>(this->admission.admit(idOf(0), "m", this->now));
-    BOOST_TEST((refusal.reason == RefusalReason::WorkspaceLimit));
-    BOOST_TEST((refusal.retryAfter == 100ms));
-}
-
-BOOST_AUTO_TEST_CASE(tokens_beyond_a_limit_are_paid_back_before_more_is_let_in)
-{
-    this->configuration.workspaces[idOf(0)].outputTokensPerSecond = 100;
-    this->admission.configure(this->configuration, 1, this->now);
-    auto ticket = std::get<AdmissionTicket>(this->admission.admit(idOf(0), "m", this->now));
-    this->admission.finished(ticket, { 500, false }, this->now);
-    BOOST_TEST(std::holds_alternative<Refusal>(this->admission.admit(idOf(0), "m", this->now + 2s)));
-    BOOST_TEST(std::holds_alternative<AdmissionTicket>(this->admission.admit(idOf(0), "m", this->now + 4s)));
-}
-
-BOOST_AUTO_TEST_CASE(an_unknown_workspace_is_refused)
-{
-    BOOST_TEST(
-        std::holds_alternative<Refusal>(this->admission.admit(WorkspaceId { "nobody" }, "m", this->now)));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/entry/admission.h
+++ b/src/libperidotgrade/entry/admission.h
@@ -1,14 +1,19 @@
-// Admission of callers' requests by the limits of their workspaces.
+// Admission of callers' requests by the limits and shares of their workspaces.
 #pragma once
 
+#include "held_share.h"
 #include "peridotgrade/core/admission/workspace_limiter.h"
+#include "peridotgrade/core/admission/workspace_shares.h"
 #include "peridotgrade/core/base/outcome.h"
 
+#include <memory>
 #include <mutex>
+#include <string>
+#include <variant>
 
 namespace peridotgrade {
 
-/// The entry's one limiter, for all threads.
+/// The entry's one limiter and its shares, for all threads.
 class Admission {
 public:
     /// Nothing if the request is admitted, else its refusal.
@@ -30,6 +35,19 @@
         this->limiter.giveBack(workspace, outputTokens);
     }
 
+    /// The request's part of what the pool (a model) can do, held until it is destroyed; or the refusal if
+    /// the pool is short and the workspace has no share left.
+    std::variant<std::unique_ptr<HeldShare>, Refusal> takeShare(
+        const Workspace& workspace, const std::string& pool, TimePoint now)
+    {
+        std::lock_guard lock(this->mutex);
+        auto result = this->shares.admit(workspace, pool, now);
+        if (auto* refusal = std::get_if<Refusal>(&result))
+            return std::move(*refusal);
+        return std::make_unique<HeldShare>(
+            this->shares, this->mutex, std::move(std::get<ShareTicket>(result)));
+    }
+
     void setEntries(std::size_t count)
     {
         std::lock_guard lock(this->mutex);
@@ -39,6 +57,7 @@
 private:
     std::mutex mutex;
     WorkspaceLimiter limiter;
+    WorkspaceShares shares;
 };
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/entry/completion_service.cpp
+++ b/src/libperidotgrade/entry/completion_service.cpp
@@ -29,6 +29,11 @@
         return false;
     }
 
+    bool isRefusedForCapacity(const AnswerEnd& end)
+    {
+        return end.detail == nameOf(RefusalReason::NoCapacity);
+    }
+
     std::string millisecondsText(std::optional<Duration> value)
     {
         if (!value)
@@ -97,6 +102,12 @@
         co_await this->refuse(exchange, *limited, shownId);
         co_return;
     }
+    auto share = this->admission.takeShare(caller.workspace, request.model.raw(), caller.arrivedAt);
+    if (auto* refusal = std::get_if<Refusal>(&share)) {
+        this->admission.giveBack(caller.workspace, request.maxTokens);
+        co_await this->refuse(exchange, *refusal, shownId);
+        co_return;
+    }
 
     this->metrics.modelRequests.add();
     this->recordArrival(caller, id);
@@ -117,6 +128,8 @@
         shard.cancel(id);
         this->metrics.cancelled.add();
     }
+    if (isRefusedForCapacity(end))
+        std::get<std::unique_ptr<HeldShare>>(share)->markRefusedForCapacity();
     if (end.outputTokens < request.maxTokens)
         this->admission.giveBack(caller.workspace, request.maxTokens - end.outputTokens);
     this->logEnd(request, caller, id, end, timing.firstTokenAfter());
