--- a/src/include/peridotgrade/core/hosting/model_host.h
+++ b/src/include/peridotgrade/core/hosting/model_host.h
@@ -25,6 +25,9 @@
     std::chrono::milliseconds listInterval { 2000 };
     /// Prefills that run at the engine at once; more only slow each other down.
     std::uint32_t prefillsAtOnce = 1;
+    /// Places granted beyond the free ones, because running streams end while the prefill of a new request
+    /// still runs. Such a place reserves nothing until one is free; its decode waits for that.
+    std::uint32_t grantsAhead = 0;
 };
 
 /// Gauges and totals, for metrics.
@@ -56,8 +59,13 @@
     void onMessage(ConnectionId connection, const EntryMessage& message);
     void onEngineEvent(const EngineEvent& event);
 
-    /// Takes no new work from now on; tells all sessions. What runs is finished.
+    /// Takes no new work from now on; tells all sessions. What runs is finished, and so are prefills that
+    /// were accepted and places that were granted before. For a backend server that is leaving.
     void drain();
+    /// The same for a change of role or version, after which the engine takes work again.
+    void drainForChange();
+    /// Ends a drainForChange and tells all sessions; false if the backend server is leaving.
+    bool resume();
     /// True when draining and nothing is held or running any more.
     bool isDrained() const;
 
