--- a/src/include/peridotgrade/net/http_server.h
+++ b/src/include/peridotgrade/net/http_server.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <variant>
+#include <vector>
 
 namespace peridotgrade {
 
@@ -60,6 +61,8 @@
     /// Memory that the kernel may hold for a client that does not read; 0 leaves it to the kernel, which may
     /// let it grow to megabytes, so that the write time-out comes late.
     std::uint32_t sendBufferBytes = 0;
+    /// Added to the answers to requests that no handler saw: malformed, too large or too slow ones.
+    std::vector<HttpField> refusalFields;
 };
 
 /// Accepts connections and calls the handler for each request, one at a time on a connection. Requests over a
--- a/src/libperidotgrade/entry/completion_answer.cpp
+++ b/src/libperidotgrade/entry/completion_answer.cpp
@@ -6,6 +6,18 @@
 namespace asio = boost::asio;
 
 namespace {
+    constexpr std::chrono::milliseconds RetryWhenEnginesAreBack { 1000 };
+
+    /// The configuration has engines for every model that gets this far; that none is usable now will pass.
+    Refusal servedModelRefusal(Refusal refusal)
+    {
+        if (refusal.reason != RefusalReason::ModelNotServed)
+            return refusal;
+        refusal.reason = RefusalReason::NoCapacity;
+        refusal.retryAfter = RetryWhenEnginesAreBack;
+        return refusal;
+    }
+
     AnswerEnd callerGone() { return AnswerEnd { std::nullopt, "caller_gone", 0 }; }
 } // namespace
 
@@ -110,6 +122,7 @@
 
 asio::awaitable<AnswerEnd> CompletionAnswer::refuse(Refusal refusal)
 {
+    refusal = servedModelRefusal(refusal);
     this->metrics.countOutcome(refusal.outcome);
     this->metrics.countRefusal(refusal.reason);
     ApiError error = apiErrorFrom(refusal);
--- a/src/libperidotgrade/entry/entry_node.cpp
+++ b/src/libperidotgrade/entry/entry_node.cpp
@@ -103,6 +103,7 @@
     callers.readTimeout = this->settings.limits.readTimeout;
     callers.writeTimeout = this->settings.limits.writeTimeout;
     callers.sendBufferBytes = CallerSendBufferBytes;
+    callers.refusalFields = { { std::string { OutcomeFieldName }, std::string { nameOf(Outcome::NotRun) } } };
     this->callerServer = std::make_unique<HttpServer>(this->io.get_executor(), callers,
         [this](HttpExchange& exchange) { return this->callerApi.handle(exchange); });
     HttpServerSettings admin;
--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -285,7 +285,9 @@
             bool isHeader = error == http::error::header_limit || error == http::error::buffer_overflow;
             std::uint16_t status = isHeader ? 431 : statusFor(netError);
             this->keepAlive = false;
-            co_await this->respond(errorResponse(status, netError.detail));
+            HttpResponse response = errorResponse(status, netError.detail);
+            response.fields = this->shared->settings.refusalFields;
+            co_await this->respond(std::move(response));
         }
 
         void takeRequest()
--- a/testsuite/callers/case.py
+++ b/testsuite/callers/case.py
@@ -62,7 +62,8 @@
     assert " 400 " in raw(address, b"\x16\x03\x01 this is not HTTP\r\n\r\n").splitlines()[0]
     assert " 431 " in raw(address, b"GET / HTTP/1.1\r\nA: " + b"x" * 40_000 + b"\r\n\r\n").splitlines()[0]
     head = b"POST /v1/completions HTTP/1.1\r\nHost: e\r\nContent-Length: 99999999\r\n\r\n"
-    assert " 413 " in raw(address, head).splitlines()[0]
+    too_large = raw(address, head)
+    assert " 413 " in too_large.splitlines()[0] and "X-Peridot-Outcome: not-run" in too_large, too_large
     # Half a request and then silence: the read time-out answers, others are served meanwhile.
     assert " 408 " in raw(address, b"POST /v1/completions HTTP/1.1\r\nHost: e\r\nContent-Le").splitlines()[0]
     assert site.caller().complete(MODEL, "still there?", 2).status == 200
@@ -132,6 +133,18 @@
     assert site.caller().complete(MODEL, "others are served", 1).status == 200
 
 
+def engines_gone_checks(site):
+    """A model that is configured and whose engines are all gone is not an unknown model."""
+    for backend in site.backends.values():
+        if backend.kind == "engine":
+            backend.agent.kill()
+    caller = site.caller()
+    wait_for(lambda: caller.complete(MODEL, "hello", 1).status != 200, "the entry sees that the agents are gone")
+    answer = caller.complete(MODEL, "hello", 1)
+    assert answer.status == 503 and answer.json()["error"]["code"] == "no_capacity", answer
+    assert answer.outcome == "not-run" and "retry-after" in answer.headers, answer
+
+
 def admin_checks(site):
     admin = next(iter(site.entries.values())).ports["admin"]
     assert call(admin, "GET", "/health/live").status == 200 and call(admin, "GET", "/health/ready").status == 200
@@ -159,4 +172,5 @@
         slow_reader_checks(site)
         limit_checks(site)
         admin_checks(site)
+        engines_gone_checks(site)
         assert not site.violations(), site.violations()
