Test that an engine's restart ends the order in flight

Ruled out: a longer random run; the guard saves a wait of seconds and breaks no invariant when it is missing.

--- a/src/libperidotgrade/core/config/reconciler_test.cpp
+++ b/src/libperidotgrade/core/config/reconciler_test.cpp
@@ -156,6 +156,21 @@
     BOOST_TEST(this->reconciler.status().isInForce);
 }
 
+BOOST_AUTO_TEST_CASE(an_engine_that_restarts_gets_the_order_in_flight_again_at_once)
+{
+    this->answer = OrderAnswer::Lost;
+    this->obeys = false;
+    this->reconciler.onTarget(ConfigVersion { 3 }, wish("v1"), 0s);
+    this->run(2s);
+    BOOST_REQUIRE(this->orders.size() == 1u);
+    this->engine.incarnation = Incarnation { 2 };
+    this->answer = OrderAnswer::Taken;
+    this->obeys = true;
+    this->run(1s);
+    BOOST_TEST(this->orders.size() == 2u);
+    BOOST_TEST(this->reconciler.status().failures == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(a_strangers_order_is_seen_and_undone)
 {
     this->reconciler.onTarget(ConfigVersion { 3 }, wish("v1"), 0s);
