Settle claims at once when the log cannot be read back

Cause: testsuite/action_log_outage failed once under load: with the log out of reach a caller got no answer for 60 s. A claim whose append's answer was lost, or came after the log was known to be out, waited for a read until its deadline.

Change: when the log goes out of reach, every claim that is not under way is given up, and one under way when its append ends; the caller is told not-run with Retry-After.

Ruled out: a sealing round first, as the agent may be out of reach too and the promise does not need it.

Conclusion: the longest wait is that for the append's own timeout.

--- a/src/libperidotgrade/core/actions/action_flow.cpp
+++ b/src/libperidotgrade/core/actions/action_flow.cpp
@@ -192,8 +192,10 @@
     this->isLogAvailable = isAvailable;
     if (isAvailable)
         return;
+    // A claim that may be in the log is given up as well: only this entry would act on it, and it cannot be
+    // read. An append under way is waited for; its end settles it.
     auto unsent = this->select([](const Conversation& conversation) {
-        return conversation.stage == ActionStage::Batched || conversation.stage == ActionStage::AppendRefused;
+        return conversation.awaitsOwnClaim() && conversation.stage != ActionStage::Appending;
     });
     for (const IdempotencyKey& key : unsent)
         this->endNotRun(*this->find(key), RefusalReason::LogUnavailable);
--- a/src/libperidotgrade/core/actions/action_flow_claims.cpp
+++ b/src/libperidotgrade/core/actions/action_flow_claims.cpp
@@ -133,6 +133,10 @@
 
 void ActionFlow::onClaimAppendEnded(Conversation& conversation, AppendResult result)
 {
+    if (!this->isLogAvailable) {
+        this->endNotRun(conversation, RefusalReason::LogUnavailable);
+        return;
+    }
     switch (result) {
     case AppendResult::Appended:
         conversation.stage = ActionStage::Appended;
@@ -149,10 +153,6 @@
 
 void ActionFlow::onAppendRefused(Conversation& conversation)
 {
-    if (!this->isLogAvailable) {
-        this->endNotRun(conversation, RefusalReason::LogUnavailable);
-        return;
-    }
     conversation.stage = ActionStage::AppendRefused;
     Duration wait = conversation.appendBackoff.next(this->context.random);
     conversation.pause = this->context.timers.subscribeAfter(wait, [this, key = conversation.key] {
--- a/src/libperidotgrade/core/actions/action_router_test.cpp
+++ b/src/libperidotgrade/core/actions/action_router_test.cpp
@@ -193,6 +193,29 @@
     BOOST_TEST(sentCount<StartRead>() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(a_claim_that_cannot_be_read_back_is_given_up_at_once)
+{
+    submitAndBatch(1);
+    router.setLogAvailable(false);
+    collect();
+    BOOST_TEST(refused.empty());
+    router.onAppendResult(appends.back().append, AppendResult::Unknown);
+    collect();
+    BOOST_TEST(isLastRefusal(RefusalReason::LogUnavailable, Outcome::NotRun));
+
+    router.setLogAvailable(true);
+    submit(2, keyAt(DayStart, 2));
+    advance(milliseconds { 5 });
+    router.onAppendResult(appends.back().append, AppendResult::Unknown);
+    router.setLogAvailable(false);
+    collect();
+    BOOST_TEST(refused.size() == 2u);
+    // Both claims got into the log after all: nobody acts on them.
+    for (const AppendClaims& append : appends)
+        read(append.records.front());
+    BOOST_TEST(sent.empty());
+}
+
 BOOST_AUTO_TEST_CASE(keys_too_old_or_from_the_future_are_refused)
 {
     submit(1, keyAt(DayStart - minutes { 31 }, 1));
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -12,7 +12,9 @@
   found=build-fuzz/found/$target
   mkdir -p "$found"
   if [ "${1:-}" = --ci ]; then
-    arguments=(-runs=20000 -seed=1 -max_len=4096 -timeout=10 -artifact_prefix="$found/" "$corpus")
+    rm -rf "$found"
+    mkdir -p "$found"
+    arguments=(-runs=20000 -seed=1 -max_len=4096 -timeout=10 -artifact_prefix="$found/" "$found" "$corpus")
     log=$found.log
     if ! "build-fuzz/src/fuzz/$target" "${arguments[@]}" > "$log" 2>&1; then
       cat "$log"
