Leave deleted files out of the linter's changed list

Ruled out: filtering missing files in the loop; git's own filter says it best. Change: the list starts at the merge base and leaves deleted files out.

--- a/tools/check_tidy.sh
+++ b/tools/check_tidy.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 cmake --preset release > /dev/null
 if [ "${1:-}" = --changed ]; then
-  mapfile -t files < <({ git diff --name-only main -- 'src/*.cpp'; git ls-files -o --exclude-standard 'src/*.cpp'; } | grep -v generated | sort -u)
+  mapfile -t files < <({ git diff --name-only --diff-filter=d "$(git merge-base main HEAD)" -- 'src/*.cpp'; git ls-files -o --exclude-standard 'src/*.cpp'; } | grep -v generated | sort -u)
 else
   mapfile -t files < <(git ls-files 'src/*.cpp' | grep -vE '^src/(generated|fuzz)/')
 fi
