--- a/src/include/peridotgrade/core/hosting/model_host.h
+++ b/src/include/peridotgrade/core/hosting/model_host.h
@@ -25,9 +25,6 @@
     std::chrono::milliseconds listInterval { 2000 };
     /// Prefills that run at the engine at once; more only slow each other down.
     std::uint32_t prefillsAtOnce = 1;
-    /// Places granted beyond the free ones, because running streams end while the prefill of a new request
-    /// still runs. Such a place reserves nothing until one is free; its decode waits for that.
-    std::uint32_t grantsAhead = 0;
 };
 
 /// Gauges and totals, for metrics.
--- a/src/libperidotgrade/core/hosting/host_places.cpp
+++ b/src/libperidotgrade/core/hosting/host_places.cpp
@@ -74,20 +74,14 @@
 {
     if (ask.isSuspect && this->hasOtherSuspect(ask.key))
         return false;
-    std::size_t ahead = this->places.grantedAhead().size();
-    if (ahead > 0 || !this->capacity.fits(ask.reservation))
-        return ahead < this->settings.grantsAhead;
-    return true;
+    return this->capacity.fits(ask.reservation);
 }
 
 void ModelHost::Impl::grant(Place ask)
 {
     checkInvariant(!this->isDraining, Invariant::NoNewWorkWhenLeaving, "place granted while draining");
     ++this->totals.granted;
-    // Room goes to places that were granted ahead before it goes to new ones.
-    ask.isReserved = this->places.grantedAhead().empty() && this->capacity.fits(ask.reservation);
-    if (ask.isReserved)
-        this->capacity.take(ask.reservation);
+    this->capacity.take(ask.reservation);
     this->record(EventKind::PlaceGranted, ask.key.attempt, this->settings.agent.raw());
     PlaceGranted granted;
     granted.attempt = ask.key.attempt;
@@ -121,16 +115,13 @@
 
 void ModelHost::Impl::serveAsks()
 {
-    if (!this->isReady())
-        return;
-    this->reserveGrantedAhead();
-    if (this->isDraining)
+    if (!this->isReady() || this->isDraining)
         return;
     for (const Place& ask : this->places.queuedInOrder()) {
         if (ask.isSuspect && this->hasOtherSuspect(ask.key))
             continue;
         // Later asks do not overtake: a large one would starve behind a stream of small ones.
-        if (!this->canGrantNow(ask))
+        if (!this->capacity.fits(ask.reservation))
             return;
         if (auto removed = this->places.removeAsk(ask.key))
             this->grant(std::move(*removed));
@@ -154,40 +145,8 @@
         this->fail(session.connection, message.attempt, AttemptFailure::NoPlaceHeld);
         return;
     }
-    if (place->isDecoding() || place->waitingDecode)
-        return;
-    if (place->isReserved) {
+    if (!place->isDecoding())
         this->startDecode(*place, message);
-        return;
-    }
-    place->waitingDecode = message;
-    place->decodeDue = this->timers.now() + message.timeLeft;
-    this->timers.subscribeAt(place->decodeDue, [this, key = place->key] { this->onDecodeTooLate(key); });
-}
-
-void ModelHost::Impl::reserveGrantedAhead()
-{
-    for (const HoldKey& key : this->places.grantedAhead()) {
-        Place* place = this->places.findGranted(key);
-        if (!this->capacity.fits(place->reservation))
-            return;
-        this->capacity.take(place->reservation);
-        place->isReserved = true;
-        if (auto waiting = std::exchange(place->waitingDecode, std::nullopt)) {
-            Duration left = place->decodeDue - this->timers.now();
-            waiting->timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(left);
-            this->startDecode(*place, *waiting);
-        }
-    }
-}
-
-void ModelHost::Impl::onDecodeTooLate(const HoldKey& key)
-{
-    Place* place = this->places.findGranted(key);
-    if (!place || !place->waitingDecode)
-        return;
-    this->fail(place->connection, key.attempt, AttemptFailure::TooLate);
-    this->release(key);
 }
 
 void ModelHost::Impl::startDecode(Place& place, const StartDecode& message)
--- a/src/libperidotgrade/core/hosting/host_sessions.cpp
+++ b/src/libperidotgrade/core/hosting/host_sessions.cpp
@@ -164,7 +164,7 @@
         this->record(EventKind::PlaceReleased, key.attempt, this->settings.agent.raw());
         if (place->isDecoding())
             this->cancelStream(place->stream);
-        else if (place->isReserved)
+        else
             this->capacity.giveBack(place->reservation);
     }
     if (auto job = this->prefills.remove(key); job && job->state != PrefillState::Queued)
--- a/src/libperidotgrade/core/hosting/model_host_impl.h
+++ b/src/libperidotgrade/core/hosting/model_host_impl.h
@@ -89,9 +89,6 @@
     void refuse(const Place& ask, PlaceRefusalReason reason);
     void onAskTimeout(const HoldKey& key);
     void serveAsks();
-    /// Gives room that became free to places granted ahead, and starts their decodes.
-    void reserveGrantedAhead();
-    void onDecodeTooLate(const HoldKey& key);
     void refuseAllAsks(PlaceRefusalReason reason);
     bool hasOtherSuspect(const HoldKey& than) const;
     bool servesModel(const ModelId& model) const;
--- a/src/libperidotgrade/core/hosting/model_host_test.cpp
+++ b/src/libperidotgrade/core/hosting/model_host_test.cpp
@@ -1,4 +1,4 @@
-// The model host by itself: places granted ahead of room, repeated and late messages.
+// The model host by itself: queued asks, leases, cancellations, late messages.
 #include "peridotgrade/core/hosting/model_host.h"
 
 #include <boost/test/unit_test.hpp>
@@ -14,8 +14,7 @@
     TimerService timers;
     RandomSource random { 1 };
     NullEventSink events;
-    ModelHost host { ModelHostSettings { .agent = AgentId { "a" }, .grantsAhead = 1 }, timers, random,
-        events };
+    ModelHost host { ModelHostSettings { .agent = AgentId { "a" } }, timers, random, events };
     SessionEpoch epoch;
 
     Fixture()
@@ -58,7 +57,7 @@
         return found;
     }
 
-    void ask(std::uint64_t request)
+    void ask(std::uint64_t request, std::chrono::milliseconds maxQueueTime = 0ms)
     {
         AskPlace message;
         message.epoch = this->epoch;
@@ -66,6 +65,7 @@
         message.model = ModelId { "m" };
         message.promptTokens = 100;
         message.maxOutputTokens = 100;
+        message.maxQueueTime = maxQueueTime;
         this->host.onMessage(Connection, message);
     }
 
@@ -84,45 +84,36 @@
 
 BOOST_FIXTURE_TEST_SUITE(model_host, Fixture)
 
-BOOST_AUTO_TEST_CASE(a_place_granted_ahead_decodes_when_there_is_room)
+BOOST_AUTO_TEST_CASE(a_queued_ask_gets_the_place_that_becomes_free)
 {
     this->ask(1);
     this->startDecode(1);
     auto first = this->commands<EngineDecode>();
     BOOST_REQUIRE(first.size() == 1U);
-    this->ask(2);
-    BOOST_TEST(this->sent<PlaceGranted>().size() == 1U);
-    this->ask(3);
-    this->timers.advance(this->timers.now());
-    BOOST_TEST(this->sent<PlaceRefused>().size() == 1U);
-    this->startDecode(2);
-    BOOST_TEST(this->commands<EngineDecode>().empty());
-    BOOST_TEST(this->host.counters().placesHeld == 1U);
+    this->ask(2, 100ms);
+    BOOST_TEST(this->sent<PlaceGranted>().empty());
     EngineTokens last;
     last.stream = first[0].stream;
     last.isLast = true;
     this->host.onEngineEvent(last);
-    BOOST_TEST(this->commands<EngineDecode>().size() == 1U);
+    BOOST_TEST(this->sent<PlaceGranted>().size() == 1U);
     BOOST_TEST(this->host.counters().placesHeld == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(a_decode_that_waits_too_long_for_room_fails)
+BOOST_AUTO_TEST_CASE(an_ask_that_waits_too_long_is_refused)
 {
     this->ask(1);
-    this->startDecode(1);
-    this->ask(2);
-    this->startDecode(2);
-    this->host.takeActions();
-    this->timers.advance(TimePoint { 600ms });
-    auto failed = this->sent<AttemptFailed>();
-    BOOST_REQUIRE(failed.size() == 1U);
-    BOOST_TEST((failed[0].reason == AttemptFailure::TooLate));
+    this->ask(2, 100ms);
+    this->timers.advance(TimePoint { 99ms });
+    BOOST_TEST(this->sent<PlaceRefused>().empty());
+    this->timers.advance(TimePoint { 100ms });
+    BOOST_TEST(this->sent<PlaceRefused>().size() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(a_release_before_room_reserves_nothing)
+BOOST_AUTO_TEST_CASE(a_released_ask_reserves_nothing)
 {
     this->ask(1);
-    this->ask(2);
+    this->ask(2, 100ms);
     this->host.onMessage(Connection, ReleaseAttempt { this->epoch, attempt(2) });
     BOOST_TEST(this->host.counters().placesHeld == 1U);
     this->host.onMessage(Connection, ReleaseAttempt { this->epoch, attempt(1) });
--- a/src/libperidotgrade/core/hosting/place.h
+++ b/src/libperidotgrade/core/hosting/place.h
@@ -6,9 +6,6 @@
 #include "peridotgrade/core/hosting/engine_command.h"
 #include "peridotgrade/core/hosting/host_action.h"
 #include "peridotgrade/core/messages/place_messages.h"
-#include "peridotgrade/core/messages/stream_messages.h"
-
-#include <optional>
 
 namespace peridotgrade {
 
@@ -20,12 +17,7 @@
     Priority priority = Priority::Normal;
     bool isSuspect = false;
     Reservation reservation;
-    /// False for an ask, and for a place granted ahead until there is room for it.
-    bool isReserved = false;
-    /// The decode of a place granted ahead, until there is room for it.
-    std::optional<StartDecode> waitingDecode;
-    TimePoint decodeDue;
-    /// Order of arrival among asks, then of grants.
+    /// Order of arrival among asks.
     std::uint64_t arrival = 0;
     /// Empty until the decode is started.
     EngineStreamId stream;
--- a/src/libperidotgrade/core/hosting/place_table.cpp
+++ b/src/libperidotgrade/core/hosting/place_table.cpp
@@ -27,7 +27,6 @@
 void PlaceTable::addGranted(Place place)
 {
     HoldKey key = place.key;
-    place.arrival = ++this->lastArrival;
     bool isNew = this->places.emplace(key, std::move(place)).second;
     checkInvariant(isNew, Invariant::InternalConsistency, "an attempt holds two places");
 }
@@ -84,19 +83,6 @@
     return keys;
 }
 
-std::vector<HoldKey> PlaceTable::grantedAhead() const
-{
-    std::map<std::uint64_t, HoldKey> inOrder;
-    for (const auto& [key, place] : this->places) {
-        if (!place.isReserved)
-            inOrder.emplace(place.arrival, key);
-    }
-    std::vector<HoldKey> keys;
-    for (const auto& [arrival, key] : inOrder)
-        keys.push_back(key);
-    return keys;
-}
-
 bool PlaceTable::hasOtherSuspect(const HoldKey& than) const
 {
     return std::any_of(this->places.begin(), this->places.end(),
--- a/src/libperidotgrade/core/hosting/place_table.h
+++ b/src/libperidotgrade/core/hosting/place_table.h
@@ -27,8 +27,6 @@
     /// Everything held or asked under an epoch.
     std::vector<HoldKey> keysOf(SessionEpoch epoch) const;
     std::vector<HoldKey> grantedKeys() const;
-    /// Places granted ahead for which there was no room yet, in order of grant.
-    std::vector<HoldKey> grantedAhead() const;
 
     bool hasOtherSuspect(const HoldKey& than) const;
     std::size_t granted() const { return this->places.size(); }
--- a/src/libperidotgrade/core/routing/test_support/random_run.h
+++ b/src/libperidotgrade/core/routing/test_support/random_run.h
@@ -73,7 +73,6 @@
         world.seed = seed;
         world.router.streamStallTimeout = Milliseconds { 700 };
         world.router.maxRetries = 4;
-        world.grantsAhead = seed % 3 == 0 ? 2 : 0;
         world.router.retryBudgetReserve = 50;
         return world;
     }
--- a/src/libperidotgrade/core/routing/test_support/world.h
+++ b/src/libperidotgrade/core/routing/test_support/world.h
@@ -121,7 +121,6 @@
         host.agent = agentId(index);
         host.incarnation = Incarnation { this->random.next() };
         host.leaseDuration = this->settings.leaseDuration;
-        host.grantsAhead = this->settings.grantsAhead;
         this->agents[index]
             = std::make_unique<FakeAgent>(host, this->clock.now(), this->random.next(), this->log);
         this->agents[index]->serial = ++this->lastSerial;
--- a/src/libperidotgrade/core/routing/test_support/world_settings.h
+++ b/src/libperidotgrade/core/routing/test_support/world_settings.h
@@ -15,7 +15,6 @@
     std::vector<EngineRole> engines { EngineRole::Prefill, EngineRole::Decode, EngineRole::Decode,
         EngineRole::Mixed };
     std::chrono::milliseconds leaseDuration { 1000 };
-    std::uint32_t grantsAhead = 0;
     ModelRouterSettings router;
 };
 
