--- a/src/libperidotgrade/core/routing/test_support/world.h
+++ b/src/libperidotgrade/core/routing/test_support/world.h
@@ -121,7 +121,6 @@
         host.agent = agentId(index);
         host.incarnation = Incarnation { this->random.next() };
         host.leaseDuration = this->settings.leaseDuration;
-        host.grantsAhead = this->settings.grantsAhead;
         this->agents[index]
             = std::make_unique<FakeAgent>(host, this->clock.now(), this->random.next(), this->log);
         this->agents[index]->serial = ++this->lastSerial;
@@ -234,9 +233,11 @@
         });
     }
 
-    /// Commands are separate calls: one may overtake another.
+    /// Commands are separate calls: one may overtake another or be lost.
     void toEngine(std::size_t index, const EngineCommand& command)
     {
+        if (this->random.unit() < this->network.faults.lost)
+            return;
         this->clock.subscribeAfter(
             this->network.delayUpTo(this->network.faults.longestDelay), [this, index, command] {
                 if (!this->engines[index]->isUp())
