--- a/src/libperidotgrade/core/config/implied_intents.cpp
+++ b/src/libperidotgrade/core/config/implied_intents.cpp
@@ -16,6 +16,8 @@
         ServiceId service;
         ModelId model;
 
+        // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+        // NOLINTNEXTLINE(modernize-use-nullptr)
         friend auto operator<=>(const ModelKey&, const ModelKey&) = default;
     };
 
--- a/src/libperidotgrade/core/hosting/hold_key.h
+++ b/src/libperidotgrade/core/hosting/hold_key.h
@@ -11,6 +11,8 @@
     SessionEpoch epoch;
     AttemptId attempt;
 
+    // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const HoldKey&, const HoldKey&) = default;
 };
 
--- a/src/libperidotgrade/core/hosting/place_table.h
+++ b/src/libperidotgrade/core/hosting/place_table.h
@@ -36,6 +36,8 @@
     struct QueueOrder {
         Priority priority = Priority::Normal;
         std::uint64_t arrival = 0;
+        // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+        // NOLINTNEXTLINE(modernize-use-nullptr)
         friend auto operator<=>(const QueueOrder&, const QueueOrder&) = default;
     };
 
--- a/src/standins/common/program.h
+++ b/src/standins/common/program.h
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <string>
 
+// The name is the library's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 namespace CLI {
 class App;
 }
