Read the VM list only where it changed, and agents only their own VM

Cause: each process read the whole list once a second; at 4,190 VMs of 141 B that is 591 KB/s a node against a bound of 2 KB/s for all control (docs/CAPACITY.md). Ruled out: polling less often: a leaving backend server must get no new work after a few seconds. Change: If-None-Match with the last ETag; a 304 keeps the last list. Agents ask for their own VM (?name=). The stand-in platform answers both.

--- a/src/include/peridotgrade/platform/vm_list_client.h
+++ b/src/include/peridotgrade/platform/vm_list_client.h
@@ -27,15 +27,18 @@
 /// Reads a VM list from the platform's JSON.
 std::variant<std::vector<VmRecord>, VmListError> parseVmList(const std::string& json);
 
-/// Reads the VM list. Calls run on the given executor.
+/// Reads the VM list, or the one VM of a name. A list that has not changed since the last poll is not sent
+/// again
+/// (`If-None-Match`). Calls run on the given executor, one at a time.
 class VmListClient {
 public:
-    VmListClient(boost::asio::any_io_executor executor, Endpoint platform);
+    /// With a `vmName` only that VM is asked for; empty asks for all.
+    VmListClient(boost::asio::any_io_executor executor, Endpoint platform, std::string vmName = {});
     ~VmListClient();
     VmListClient(const VmListClient&) = delete;
     VmListClient& operator=(const VmListClient&) = delete;
 
-    /// Reads the whole list once.
+    /// The list as it is now.
     boost::asio::awaitable<std::variant<std::vector<VmRecord>, VmListError>> poll(
         std::chrono::milliseconds timeout);
 
--- a/src/libperidotgrade/agent/leaving_watch.cpp
+++ b/src/libperidotgrade/agent/leaving_watch.cpp
@@ -28,7 +28,7 @@
     Impl(asio::any_io_executor executor, Endpoint platform, std::string vmName,
         std::function<void()> onLeaving)
         : strand(asio::make_strand(std::move(executor)))
-        , list(this->strand, std::move(platform))
+        , list(this->strand, std::move(platform), vmName)
         , vmName(std::move(vmName))
         , onLeaving(std::move(onLeaving))
     {
--- a/src/libperidotgrade/platform/vm_list_client.cpp
+++ b/src/libperidotgrade/platform/vm_list_client.cpp
@@ -4,6 +4,8 @@
 #include "peridotgrade/net/http_client.h"
 
 #include <boost/json/parse.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 
 #include <optional>
 #include <string_view>
@@ -16,6 +18,7 @@
 namespace {
 
     constexpr std::uint16_t StatusOk = 200;
+    constexpr std::uint16_t StatusNotModified = 304;
 
     std::string textIn(const json::object& object, std::string_view key)
     {
@@ -89,16 +92,22 @@
 
 class VmListClient::Impl {
 public:
-    Impl(asio::any_io_executor executor, Endpoint platform)
+    Impl(asio::any_io_executor executor, Endpoint platform, const std::string& vmName)
         : http(std::move(executor), std::move(platform))
+        , target(vmName.empty() ? "/vms"
+                                : "/vms?name=" + boost::urls::encode(vmName, boost::urls::unreserved_chars))
     {
     }
 
     HttpClient http;
+    const std::string target;
+    /// Tag of `last`; empty before the first list.
+    std::string tag;
+    std::vector<VmRecord> last;
 };
 
-VmListClient::VmListClient(asio::any_io_executor executor, Endpoint platform)
-    : impl(std::make_shared<Impl>(std::move(executor), std::move(platform)))
+VmListClient::VmListClient(asio::any_io_executor executor, Endpoint platform, std::string vmName)
+    : impl(std::make_shared<Impl>(std::move(executor), std::move(platform), vmName))
 {
 }
 
@@ -109,7 +118,9 @@
 {
     auto keep = this->impl;
     HttpRequest request;
-    request.target = "/vms";
+    request.target = keep->target;
+    if (!keep->tag.empty())
+        request.fields.push_back(HttpField { "If-None-Match", keep->tag });
     auto result = co_await keep->http.send(std::move(request), timeout);
     if (auto* error = std::get_if<NetError>(&result)) {
         VmListError unreachable;
@@ -117,12 +128,19 @@
         co_return unreachable;
     }
     const HttpResponse& response = std::get<HttpResponse>(result);
+    if (response.status == StatusNotModified)
+        co_return keep->last;
     if (response.status != StatusOk) {
         VmListError refused;
         refused.detail = "status " + std::to_string(response.status);
         co_return refused;
     }
-    co_return parseVmList(response.body);
+    auto list = parseVmList(response.body);
+    if (const auto* records = std::get_if<std::vector<VmRecord>>(&list)) {
+        keep->last = *records;
+        keep->tag = std::string { response.field("ETag") };
+    }
+    co_return list;
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/platform/vm_list_client_test.cpp
+++ b/src/libperidotgrade/platform/vm_list_client_test.cpp
@@ -1,6 +1,11 @@
 // Tests of the VM list's reader.
 #include "peridotgrade/platform/vm_list_client.h"
 
+#include "peridotgrade/net/http_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace peridotgrade;
@@ -21,4 +26,42 @@
         BOOST_TEST(std::holds_alternative<VmListError>(parseVmList(text)));
 }
 
+BOOST_AUTO_TEST_CASE(an_unchanged_list_is_kept_without_being_sent_again)
+{
+    namespace asio = boost::asio;
+    asio::io_context context;
+    std::vector<std::string> targets;
+    int unchanged = 0;
+    HttpServerSettings settings;
+    settings.listen = { "127.0.0.1", 0 };
+    HttpServer server(context.get_executor(), settings, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        targets.push_back(exchange.request().target);
+        HttpResponse response;
+        bool isKnown = exchange.request().field("If-None-Match") == "\"7\"";
+        unchanged += isKnown;
+        response.status = isKnown ? 304 : 200;
+        response.fields.push_back(HttpField { "ETag", "\"7\"" });
+        if (!isKnown)
+            response.body
+                = R"({"vms":[{"name":"e 1","address":"127.0.0.1:9","kind":"engine","state":"live"}]})";
+        co_await exchange.respond(std::move(response));
+    });
+    VmListClient client(context.get_executor(), std::get<Endpoint>(server.start()), "e 1");
+    std::vector<std::size_t> sizes;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            for (int poll = 0; poll < 3; ++poll) {
+                auto list = co_await client.poll(std::chrono::seconds { 5 });
+                sizes.push_back(std::get<std::vector<VmRecord>>(list).size());
+            }
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+    BOOST_TEST(unchanged == 2);
+    BOOST_TEST((sizes == std::vector<std::size_t> { 1, 1, 1 }));
+    BOOST_TEST(targets.front() == "/vms?name=e%201");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/standins/platform/main.cpp
+++ b/src/standins/platform/main.cpp
@@ -54,11 +54,8 @@
         co_return;
     }
     HttpResponse response = errorResponse(404, "not_found", path);
-    if (path == "/vms") {
-        boost::json::object body;
-        body["vms"] = platform.vms.visible();
-        response = jsonResponse(200, body);
-    }
+    if (path == "/vms")
+        response = platform.vms.answer(exchange.request());
     co_await exchange.respond(std::move(response));
 }
 
--- a/src/standins/platform/vm_list.cpp
+++ b/src/standins/platform/vm_list.cpp
@@ -1,6 +1,8 @@
 // Editions of the VM list.
 #include "vm_list.h"
 
+#include <boost/json/serialize.hpp>
+
 #include <stdexcept>
 
 namespace peridotgrade::standins {
@@ -48,6 +50,27 @@
     return this->editions.front().vms;
 }
 
+HttpResponse VmList::answer(const HttpRequest& request)
+{
+    std::string name = request.query("name");
+    json::array shown;
+    for (const json::value& vm : this->visible()) {
+        if (name.empty() || hasName(vm, json::string(name)))
+            shown.push_back(vm);
+    }
+    json::object body;
+    body["vms"] = std::move(shown);
+    HttpResponse response;
+    response.body = json::serialize(body);
+    std::string tag = '"' + std::to_string(std::hash<std::string> {}(response.body)) + '"';
+    if (request.field("If-None-Match") == tag) {
+        response.status = 304;
+        response.body.clear();
+    }
+    response.fields.push_back(HttpField { "ETag", std::move(tag) });
+    return response;
+}
+
 void VmList::add(const json::value& vm)
 {
     checkVm(vm);
--- a/src/standins/platform/vm_list.h
+++ b/src/standins/platform/vm_list.h
@@ -4,6 +4,8 @@
 #include "../common/control_port.h"
 #include "../common/now.h"
 
+#include "peridotgrade/net/http_message.h"
+
 #include <boost/json/array.hpp>
 
 #include <cstdint>
@@ -21,6 +23,9 @@
 
     boost::json::array visible();
 
+    /// Answers `GET /vms`, whole or for one `name`; 304 where the caller's `If-None-Match` still holds.
+    HttpResponse answer(const HttpRequest& request);
+
 private:
     struct Edition {
         StandinClock::time_point since;
