--- a/src/bench/goodput/site_run.h
+++ b/src/bench/goodput/site_run.h
@@ -3,6 +3,7 @@
 
 #include "run_result.h"
 #include "site_settings.h"
+#include "virtual_network.h"
 
 #include "peridotgrade/core/hosting/model_host.h"
 #include "peridotgrade/core/quarantine/quarantine.h"
@@ -25,6 +26,7 @@
         , arrivalRandom(this->settings.seed)
         , networkRandom(this->settings.seed + 1)
         , entryRandom(this->settings.seed + 3)
+        , network(this->timers, this->networkRandom, this->settings.networkDelay, this->settings.crossDelay)
         , workload(this->settings.workload, this->settings.seed + 2)
     {
         this->result.idealShare = this->capacity.idealShare(this->settings.load);
@@ -159,22 +161,6 @@
 
     static ConnectionId connection(std::uint32_t entry) { return ConnectionId { entry + 1 }; }
 
-    Duration delay(const DataCentreId& from, const DataCentreId& to)
-    {
-        Duration base = from == to ? this->settings.networkDelay : this->settings.crossDelay;
-        return base + Duration { static_cast<Duration::rep>(this->networkRandom.unit() * base.count() / 2) };
-    }
-
-    /// Delivers in order of sending on each directed link, as a connection does.
-    template <typename Deliver>
-    void send(std::uint64_t link, const DataCentreId& from, const DataCentreId& to, Deliver deliver)
-    {
-        ++this->result.messages;
-        TimePoint& last = this->linkLast[link];
-        last = std::max(last, this->timers.now() + this->delay(from, to));
-        this->timers.subscribeAt(last, std::move(deliver));
-    }
-
     void drainRouter(std::uint32_t e)
     {
         for (RouterAction& action : this->entries[e]->router->takeActions()) {
@@ -198,7 +184,7 @@
             this->nodes[n]->host->onMessage(connection(e), message);
             this->drainHost(n);
         };
-        this->send(
+        this->network.send(
             e * 100'000ull + n, this->entries[e]->dataCentre, this->nodes[n]->dataCentre, std::move(deliver));
     }
 
@@ -217,7 +203,7 @@
                 this->entries[e]->router->onMessage(this->nodes[n]->agent, message);
                 this->drainRouter(e);
             };
-            this->send((1ull << 40) + n * 100'000ull + e, this->nodes[n]->dataCentre,
+            this->network.send((1ull << 40) + n * 100'000ull + e, this->nodes[n]->dataCentre,
                 this->entries[e]->dataCentre, std::move(deliver));
         }
     }
@@ -384,6 +370,7 @@
 
     void collect()
     {
+        this->result.messages = this->network.messages();
         for (const auto& node : this->nodes) {
             this->result.prefillTokens += node->engine->counters().prefillTokens;
             this->result.prefillTokensWasted += node->engine->counters().prefillTokensWasted;
@@ -399,10 +386,10 @@
     RandomSource arrivalRandom;
     RandomSource networkRandom;
     RandomSource entryRandom;
+    VirtualNetwork network;
     Workload workload;
     std::vector<std::unique_ptr<Node>> nodes;
     std::vector<std::unique_ptr<EntryNode>> entries;
-    std::unordered_map<std::uint64_t, TimePoint> linkLast;
     std::unordered_map<RequestId, Watch> watches;
     std::uint64_t lastRequest = 0;
     bool isArriving = true;
--- /dev/null
+++ b/src/bench/goodput/virtual_network.h
@@ -0,0 +1,54 @@
+// The network of the goodput benchmark: delays between data centres, in virtual time.
+#pragma once
+
+#include "peridotgrade/core/base/ids.h"
+#include "peridotgrade/core/base/random_source.h"
+#include "peridotgrade/core/base/timer_service.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <unordered_map>
+
+namespace peridotgrade::bench {
+
+/// Delivers messages after a delay with jitter, in order of sending on each directed link, as a connection
+/// does.
+class VirtualNetwork {
+public:
+    VirtualNetwork(TimerService& timers, RandomSource& random, Duration delay, Duration crossDelay)
+        : timers(timers)
+        , random(random)
+        , delay(delay)
+        , crossDelay(crossDelay)
+    {
+    }
+
+    template <typename Deliver>
+    void send(std::uint64_t link, const DataCentreId& from, const DataCentreId& to, Deliver deliver)
+    {
+        ++this->sent;
+        TimePoint& last = this->lastDelivery[link];
+        last = std::max(last, this->timers.now() + this->drawDelay(from, to));
+        this->timers.subscribeAt(last, std::move(deliver));
+    }
+
+    std::uint64_t messages() const { return this->sent; }
+
+private:
+    Duration drawDelay(const DataCentreId& from, const DataCentreId& to)
+    {
+        Duration base = from == to ? this->delay : this->crossDelay;
+        double jitter = this->random.unit() * static_cast<double>(base.count()) / 2;
+        return base + Duration { static_cast<Duration::rep>(jitter) };
+    }
+
+    TimerService& timers;
+    RandomSource& random;
+    const Duration delay;
+    const Duration crossDelay;
+    std::uint64_t sent = 0;
+    /// When the last message of each link arrives. Invariant: never falls.
+    std::unordered_map<std::uint64_t, TimePoint> lastDelivery;
+};
+
+} // namespace peridotgrade::bench
