Promise no more of the log than an hour; one script for removed guards

Cause: logRetention defaulted to 24 h while the stand-in platform keeps 1 h; a default that promises more than the log keeps lets claims outlive their records (found by the actions' tests, left open). tools/mutations_actions.sh and mutations_config.sh were the same script twice (duplicates). Ruled out: requiring the key in every settings file, which breaks none of the promises and all of the samples.

--- a/src/include/peridotgrade/ops/settings/entry_settings.h
+++ b/src/include/peridotgrade/ops/settings/entry_settings.h
@@ -48,7 +48,7 @@
     EntryLimits limits;
     std::vector<OperatorCredential> operators;
     /// How long the log keeps records; snapshots are appended well before.
-    std::chrono::milliseconds logRetention { 24 * 60 * 60 * 1'000 };
+    std::chrono::milliseconds logRetention { std::chrono::minutes { 60 } };
 
     /// The operator whose key has this SHA-256, or null.
     const OperatorCredential* operatorOfKey(std::string_view keySha256) const;
--- a/src/include/peridotgrade/platform/configuration_follower.h
+++ b/src/include/peridotgrade/platform/configuration_follower.h
@@ -29,7 +29,7 @@
     Endpoint platform;
     /// Spreads retries and snapshots of many processes.
     std::uint64_t seed = 0;
-    std::chrono::milliseconds logRetention { 24 * 60 * 60 * 1'000 };
+    std::chrono::milliseconds logRetention { std::chrono::minutes { 60 } };
     /// Entries append snapshots; agents only read.
     bool appendsSnapshots = false;
     /// Time of day, for the snapshots' schedule.
--- a/tools/mutations_actions.sh
+++ b/tools/mutations_actions.sh
@@ -1,34 +1,6 @@
 #!/usr/bin/env bash
-# Takes guards of the actions' part out, one at a time and on a scratch copy, and expects the randomised run to notice.
-# Usage: tools/mutations_actions.sh [RUNS] [NAME...]   RUNS: seeds tried for each, from 1 on.
+# Removed guards of the actions' part. Usage: tools/mutations_actions.sh [RUNS] [NAME...]
 set -euo pipefail
-cd "$(dirname "$0")/.."
 runs=${1:-4000}
 shift || true
-names=("$@")
-if [ ${#names[@]} -eq 0 ]; then
-  for patch in testsuite/mutations/actions/*.patch; do names+=("$(basename "$patch" .patch)"); done
-fi
-scratch=build-mutations/actions
-mkdir -p "$scratch"
-git ls-files -co --exclude-standard CMakeLists.txt CMakePresets.json src testsuite/mutations/actions | tar -cf - -T - | tar -xf - -C "$scratch"
-export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
-cmake -S "$scratch" --preset release -B "$scratch/build" > /dev/null
-test=$scratch/build/src/core_actions_test
-missed=0
-for name in "${names[@]}"; do
-  patch=testsuite/mutations/actions/$name.patch
-  patch -s -p1 -d "$scratch" < "$patch"
-  ninja -C "$scratch/build" -j "${JOBS:-$(nproc)}" core_actions_test > /dev/null
-  log=$scratch/$name.log
-  if PERIDOT_ACTION_SEED=1 PERIDOT_ACTION_RUNS=$runs "$test" --run_test=random_run > "$log" 2>&1; then
-    echo "$name: NOT FOUND in $runs seeds"
-    missed=1
-  else
-    found=$(grep -aoE 'seed [0-9]+: .*|invariant=[a-z_]+' "$log" | head -1 | sed 's/\x1b.*//')
-    seed=$(grep -aoE 'seed [0-9]+' "$log" | tail -1)
-    echo "$name: found: $found (last seed named: $seed)"
-  fi
-  patch -s -R -p1 -d "$scratch" < "$patch"
-done
-exit $missed
+exec "$(dirname "$0")/mutate_part.sh" actions core_actions_test PERIDOT_ACTION_ "$runs" "$@"
