Open listening sockets in one place

Cause: the HTTP server and the frame server opened their acceptors with the same twenty lines (duplicates). Change: listenOn serves both; behaviour is the same.

--- a/src/libperidotgrade/net/frame_server.cpp
+++ b/src/libperidotgrade/net/frame_server.cpp
@@ -2,6 +2,7 @@
 #include "peridotgrade/net/frame_server.h"
 
 #include "frame_socket.h"
+#include "listen_on.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -32,22 +33,10 @@
 
     std::variant<Endpoint, NetError> start()
     {
-        boost::system::error_code error;
-        tcp::endpoint endpoint(asio::ip::make_address(this->listen.address, error), this->listen.port);
-        if (!error)
-            this->acceptor.open(endpoint.protocol(), error);
-        if (!error)
-            this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            this->acceptor.bind(endpoint, error);
-        if (!error)
-            this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-        if (error)
-            return NetError { NetErrorKind::CannotListen, false,
-                toString(this->listen) + ": " + error.message() };
-        auto bound = this->acceptor.local_endpoint();
-        asio::post(this->strand, [self = this->shared_from_this()] { self->accept(); });
-        return Endpoint { bound.address().to_string(), bound.port() };
+        auto bound = listenOn(this->acceptor, this->listen);
+        if (std::holds_alternative<Endpoint>(bound))
+            asio::post(this->strand, [self = this->shared_from_this()] { self->accept(); });
+        return bound;
     }
 
     void stop()
--- a/src/libperidotgrade/net/http_server.cpp
+++ b/src/libperidotgrade/net/http_server.cpp
@@ -2,6 +2,7 @@
 #include "peridotgrade/net/http_server.h"
 
 #include "http_session.h"
+#include "listen_on.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -33,22 +34,10 @@
 
     std::variant<Endpoint, NetError> start()
     {
-        boost::system::error_code error;
-        const Endpoint& listen = this->shared->settings.listen;
-        tcp::endpoint endpoint(asio::ip::make_address(listen.address, error), listen.port);
-        if (!error)
-            this->acceptor.open(endpoint.protocol(), error);
-        if (!error)
-            this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            this->acceptor.bind(endpoint, error);
-        if (!error)
-            this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-        if (error)
-            return NetError { NetErrorKind::CannotListen, false, toString(listen) + ": " + error.message() };
-        auto bound = this->acceptor.local_endpoint();
-        asio::co_spawn(this->strand, this->acceptLoop(this->shared_from_this()), asio::detached);
-        return Endpoint { bound.address().to_string(), bound.port() };
+        auto bound = listenOn(this->acceptor, this->shared->settings.listen);
+        if (std::holds_alternative<Endpoint>(bound))
+            asio::co_spawn(this->strand, this->acceptLoop(this->shared_from_this()), asio::detached);
+        return bound;
     }
 
     void stopAccepting()
