--- /dev/null
+++ b/testsuite/engine_frozen/case.py
@@ -0,0 +1,25 @@
+"""An engine is frozen while it decodes: the answer goes on elsewhere, and when it wakes nothing is held or doubled."""
+import itertools
+
+from support.site import MODEL, small_site
+
+PROMPT = "Letter to the franchise in Celje !!length 600!!"
+TOKENS = 400
+
+
+def run(build):
+    with small_site(build, prefills=1, decodes=2) as site:
+        truth = site.answer_to(PROMPT, TOKENS)
+        stream = site.caller().stream(MODEL, PROMPT, TOKENS)
+        text = "".join(itertools.islice(stream, 5))
+        frozen = site.decoding_backend()
+        frozen.server.freeze()
+        try:
+            text += stream.rest()
+        finally:
+            frozen.server.thaw()
+        assert stream.error is None and stream.is_done, (stream.error, len(text))
+        assert text == truth, (len(text), len(truth))
+        site.wait_until_memory_free()
+        site.wait_until_serving()
+        assert not site.violations(), site.violations()
--- a/testsuite/support/site.py
+++ b/testsuite/support/site.py
@@ -8,6 +8,7 @@
 from support.caller import Caller
 from support.http_calls import call, wait_for
 from support.process import Process, new_folder
+from support.relay import Relay
 
 WORKSPACE_KEY = "parish-office-key"
 OPERATOR_KEY = "desk-operator-key"
@@ -31,6 +32,7 @@
         self.server = server
         self.agent = agent
         self.role = None
+        self.relay = None
 
     def control(self, **switches):
         answer = call(self.server.ports["control"], "POST", "/control", switches)
@@ -54,6 +56,8 @@
         self.backends = {}
         self.entries = {}
         self.settings_of_agents = settings_of_agents
+        # With relays, entries reach each agent through a relay that a case can cut or stall.
+        self.has_relays = False
         self.platform = self.start("standin-platform", "platform", "--vm-lag-ms", 50)
 
     def __enter__(self):
@@ -107,7 +111,12 @@
         self.settings_file(name, settings)
         backend = BackendServer(name, data_centre, service, kind, server, agent)
         self.backends[name] = backend
-        self.list_vm(name, agent.ports["peers"], data_centre, service, kind)
+        address = agent.ports["peers"]
+        if self.has_relays:
+            backend.relay = Relay(address)
+            self.relays.append(backend.relay)
+            address = backend.relay.address
+        self.list_vm(name, address, data_centre, service, kind)
         return backend
 
     def engine_runs_seen(self, backend):
@@ -222,9 +231,11 @@
         return found
 
 
-def small_site(build, prefills=1, decodes=2, applications=0, entries=1, flags=(), **settings_of_agents):
+def small_site(build, prefills=1, decodes=2, applications=0, entries=1, flags=(), has_relays=False,
+               **settings_of_agents):
     """A configured site that serves."""
     site = Site(build, **settings_of_agents)
+    site.has_relays = has_relays
     try:
         for number in range(prefills):
             site.add_engine(f"prefill-{number + 1}", "prefill", *flags)
