--- a/src/peridot-agent/main.cpp
+++ b/src/peridot-agent/main.cpp
@@ -44,7 +44,8 @@
     Agent agent(context.get_executor(), std::move(settings), seed);
     auto started = agent.start();
     if (const auto* error = std::get_if<NetError>(&started)) {
-        std::cerr << error->detail << "\n";
+        std::cerr << "peridot-agent: cannot listen on " << error->detail
+                  << "; free the address or change peerListen or adminListen in the settings\n";
         return exit_status::AddressInUse;
     }
     drainOnSignal(context, agent, drainTimeout);
@@ -66,13 +67,13 @@
     auto* checkFlag = app.add_option("--check-settings", options.checkedFile, "checks a settings file only");
     CLI11_PARSE(app, argc, argv);
     if (!*settingsFlag && !*checkFlag) {
-        std::cerr << "--settings FILE is needed\n";
+        std::cerr << "peridot-agent: give --settings FILE; see --help\n";
         return exit_status::BadSettings;
     }
 
     auto settings = readAgentSettings(*checkFlag ? options.checkedFile : options.settingsFile);
     if (const auto* error = std::get_if<SettingsError>(&settings)) {
-        std::cerr << error->message() << "\n";
+        std::cerr << "peridot-agent: " << error->message() << "\n";
         return exit_status::BadSettings;
     }
     if (*checkFlag)
