--- a/tools/test.sh
+++ b/tools/test.sh
@@ -4,6 +4,8 @@
 cd "$(dirname "$0")/.."
 ./tools/install_packages.sh
 jobs=$(nproc)
+# Objects are found in the cache wherever the project lies.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 
 step() { echo; echo "== $* =="; }
 
