--- a/src/peridot-agent/main.cpp
+++ b/src/peridot-agent/main.cpp
@@ -2,12 +2,12 @@
 #include "drain.h"
 
 #include "peridotgrade/agent/agent.h"
+#include "peridotgrade/ops/random_seed.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <iostream>
-#include <random>
 #include <thread>
 #include <vector>
 
@@ -20,12 +20,6 @@
     std::string checkedFile;
 };
 
-std::uint64_t randomSeed()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 void runThreads(boost::asio::io_context& context, std::uint32_t count)
 {
     std::vector<std::thread> threads;
@@ -80,5 +74,5 @@
         return exit_status::Success;
     // Not to be chosen by whoever starts the program: it makes the incarnation, and two runs with the same
     // one would pass for one run that still has its table of actions.
-    return serve(std::get<AgentSettings>(std::move(settings)), randomSeed());
+    return serve(std::get<AgentSettings>(std::move(settings)), drawSeed());
 }
--- a/src/peridot-entry/main.cpp
+++ b/src/peridot-entry/main.cpp
@@ -1,26 +1,20 @@
 // Entry point of peridot-entry.
 #include "peridotgrade/entry/entry_node.h"
+#include "peridotgrade/ops/random_seed.h"
 #include "peridotgrade/ops/settings/entry_settings.h"
 #include "peridotgrade/ops/settings/settings_error.h"
 
 #include <CLI/CLI.hpp>
 
 #include <iostream>
-#include <random>
 
 using namespace peridotgrade;
 
 namespace {
 
-std::uint64_t randomSeed()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 int serve(EntrySettings settings)
 {
-    EntryNode node(std::move(settings), randomSeed());
+    EntryNode node(std::move(settings), drawSeed());
     auto addresses = node.start();
     if (auto* error = std::get_if<NetError>(&addresses)) {
         std::cerr << "peridot-entry: cannot listen on " << error->detail
