--- /dev/null
+++ b/src/include/peridotgrade/core/serving/output_estimate.h
@@ -0,0 +1,30 @@
+// How many tokens an answer will have, from the caller's hint and what earlier answers came to.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace peridotgrade {
+
+/// Corrects callers' hints by a factor learned for each route. The bound is the caller's own limit. Not
+/// thread safe.
+class OutputEstimate {
+public:
+    /// Tokens to reserve for an answer whose caller expects `hintTokens` (0 if it gave no hint) and allows at
+    /// most `maxTokens`.
+    std::uint32_t reserveFor(
+        const std::string& route, std::uint32_t hintTokens, std::uint32_t maxTokens) const;
+    /// A whole answer had `outputTokens`.
+    void record(const std::string& route, std::uint32_t hintTokens, std::uint32_t outputTokens);
+
+private:
+    struct Learned {
+        double ratio = 1;
+        double meanTokens = 0;
+        std::uint32_t samples = 0;
+    };
+    std::map<std::string, Learned> routes;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/core/serving/retry_share.h
@@ -0,0 +1,46 @@
+// An entry's part of the retries that all entries together may add to a service.
+#pragma once
+
+#include "peridotgrade/core/base/time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+
+namespace peridotgrade {
+
+/// What all entries together may add to a service.
+struct RetryBounds {
+    /// Further sends for each request within the window.
+    double ratio = 0;
+    /// Further sends beyond that, for all entries together.
+    double extra = 0;
+    std::chrono::milliseconds window { 10000 };
+};
+
+/// Lets an entry spend the ratio on its own requests and its part of the fixed allowance, counted over a
+/// sliding window. The parts of all entries sum to one at most, so the sum over entries stays within the
+/// bounds whatever their number. One for each service. Not thread safe.
+class RetryShare {
+public:
+    /// Half of the bounds: a part may change hands within a window, and be spent by both.
+    static constexpr double SafetyFactor = 0.5;
+
+    explicit RetryShare(RetryBounds bounds);
+
+    /// This entry's part of the fixed allowance, 0 to 1.
+    void setPart(double value) { this->part = value; }
+    void recordRequest(TimePoint now);
+    /// Takes one further send; false if there is none left.
+    bool trySpend(TimePoint now);
+
+private:
+    void forgetOld(TimePoint now);
+
+    RetryBounds bounds;
+    double part = 0;
+    std::deque<TimePoint> requests;
+    std::deque<TimePoint> spent;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/core/serving/server_standing.h
@@ -0,0 +1,48 @@
+// How far a backend server can be trusted, from what our own requests saw there.
+#pragma once
+
+#include "peridotgrade/core/base/time.h"
+#include "peridotgrade/core/serving/server_record.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+
+namespace peridotgrade {
+
+/// What one call at a server came to.
+enum class CallResult : std::uint8_t {
+    Answered,
+    /// The server answered with an error of its own.
+    ServerError,
+    /// No connection, a broken one, or no answer in time.
+    Unreachable,
+};
+
+/// Keeps a failure average and an ejection time for each server. A server that cannot be reached is left out
+/// for a time that doubles with each further failure; one that answers with more errors than its peers is
+/// used less. Not thread safe.
+class ServerStanding {
+public:
+    /// First ejection; long enough for one restart of a connection, short against a restart of a server.
+    static constexpr std::chrono::milliseconds FirstEjection { 400 };
+    /// Longest ejection: a server that is back gets work again within this time.
+    static constexpr std::chrono::milliseconds LongestEjection { 3000 };
+
+    void record(const ServerId& server, CallResult result, TimePoint now);
+    void forget(const ServerId& server) { this->standings.erase(server); }
+
+    bool isEjected(const ServerId& server, TimePoint now) const;
+    /// Share of recent calls that failed, 0 to 1.
+    double failureShare(const ServerId& server) const;
+
+private:
+    struct Standing {
+        double failures = 0;
+        std::uint32_t unreachableInRow = 0;
+        TimePoint ejectedUntil {};
+    };
+    std::map<ServerId, Standing> standings;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/gateway/duty_keeper.h
@@ -0,0 +1,53 @@
+// The entry's membership in the group that shares out duties and retries.
+#pragma once
+
+#include "peridotgrade/core/serving/stage_plan.h"
+#include "peridotgrade/gateway/gateway_state.h"
+#include "platform/store_client.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace peridotgrade {
+
+/// Joins a group over partitions of the store. Each partition is an equal part of the retries that all
+/// entries together may add, so the parts sum to one whatever the number of entries. The holder of the first
+/// partition orders engines between prefill and decode, and nobody else does.
+class DutyKeeper {
+public:
+    DutyKeeper(GatewayState& state, StoreClient& store);
+    void start();
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<bool> join();
+    boost::asio::awaitable<void> orderStages();
+    boost::asio::awaitable<void> orderOne(ServiceId service, StageOrder order);
+    void noteMembership(const GroupMembership& membership);
+    bool mayAct() const;
+    std::vector<const ServerRecord*> enginesOf(const ServiceId& service, std::vector<ServerRecord>& planned) const;
+
+    struct PendingOrder {
+        ServerStage stage;
+        TimePoint until;
+    };
+
+    GatewayState& state;
+    StoreClient& store;
+    const std::string member;
+    StagePlan plan;
+    std::uint64_t generation = 0;
+    double part = 0;
+    bool isHolder = false;
+    /// When this entry got the duty, and when the store last confirmed it; on the clock that goes on while
+    /// the machine is suspended.
+    TimePoint holderSince {};
+    TimePoint confirmedAt {};
+    /// Orders that may still take effect: the engine counts as what it was ordered to be.
+    std::map<ServerId, PendingOrder> pending;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/gateway/gateway_metrics.h
@@ -0,0 +1,34 @@
+// Counters and latencies of a gateway.
+#pragma once
+
+#include "peridotgrade/ops/metrics.h"
+
+#include <chrono>
+#include <string>
+
+namespace peridotgrade {
+
+/// The metrics by name, so that the parts that count need not know how they are shown. Thread safe.
+class GatewayMetrics {
+public:
+    explicit GatewayMetrics(MetricsRegistry& registry);
+
+    void countRequest(const std::string& kind);
+    void countOutcome(const std::string& outcome);
+    void countRefusal(const std::string& reason);
+    void countReservation(const std::string& result);
+    void countRetry(const std::string& service);
+    void addFirstEvent(std::chrono::nanoseconds time) { this->firstEvent.add(time); }
+    void addAnswer(std::chrono::nanoseconds time) { this->answer.add(time); }
+    void addPlaceWait(std::chrono::nanoseconds time) { this->placeWait.add(time); }
+    void addPrefill(std::chrono::nanoseconds time) { this->prefill.add(time); }
+
+private:
+    MetricsRegistry& registry;
+    Distribution& firstEvent;
+    Distribution& answer;
+    Distribution& placeWait;
+    Distribution& prefill;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/gateway/gateway_node.h
@@ -0,0 +1,30 @@
+// A gateway process: listeners, followers, duties, and the way it stops.
+#pragma once
+
+#include "peridotgrade/gateway/gateway_settings.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace peridotgrade {
+
+/// Serves callers on the platform's machines until SIGTERM. One thread; see docs/PLATFORM.md.
+class GatewayNode {
+public:
+    /// `settingsFile` is read again on SIGHUP.
+    GatewayNode(GatewaySettings settings, std::string settingsFile, std::uint64_t seed);
+    ~GatewayNode();
+
+    /// Listens; an error names the address that cannot be used.
+    std::optional<std::string> start();
+    /// Returns when the process has stopped; false if requests had to be cut off.
+    bool run();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/gateway/gateway_settings.h
@@ -0,0 +1,63 @@
+// Settings of a gateway: an entry on the platform's machines.
+#pragma once
+
+#include "peridotgrade/core/serving/retry_share.h"
+#include "peridotgrade/net/endpoint.h"
+#include "peridotgrade/ops/logger.h"
+#include "peridotgrade/ops/settings/settings_error.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace peridotgrade {
+
+struct GatewaySettings {
+    std::string nodeName;
+    std::string dataCentre;
+    Endpoint callersListen;
+    Endpoint readinessListen;
+    Endpoint metricsListen;
+    Endpoint store;
+    LogLevel logLevel = LogLevel::Info;
+    /// Most lines a second, so that logs stay bounded under load; what is over it is counted and told.
+    std::uint32_t maxLogLinesPerSecond = 400;
+    /// Partitions of each topic of the store.
+    std::uint32_t storePartitions = 1;
+    RetryBounds retries;
+    /// From SIGTERM to the end of the process.
+    std::chrono::milliseconds stopWithin { 8000 };
+    /// After a change of the holder of a duty the new one waits this long before it acts.
+    std::chrono::milliseconds dutyLease { 3000 };
+    /// The shortest life of a group member that the store accepts.
+    std::chrono::milliseconds shortestMembership { 1000 };
+};
+
+/// Collects settings and checks what concerns several of them.
+class GatewaySettingsBuilder {
+public:
+    GatewaySettingsBuilder& node(std::string name, std::string dataCentre);
+    GatewaySettingsBuilder& listen(Endpoint callers, Endpoint readiness, Endpoint metrics);
+    GatewaySettingsBuilder& store(Endpoint address, std::uint32_t partitions);
+    GatewaySettingsBuilder& logs(LogLevel level, std::uint32_t maxLinesPerSecond);
+    GatewaySettingsBuilder& retries(RetryBounds bounds);
+    GatewaySettingsBuilder& stopWithin(std::chrono::milliseconds value);
+    GatewaySettingsBuilder& duty(
+        std::chrono::milliseconds lease, std::chrono::milliseconds shortestMembership);
+    std::variant<GatewaySettings, SettingsError> build() const;
+
+private:
+    GatewaySettings settings;
+};
+
+/// Reads and checks a settings file. The error names file, key and fix.
+std::variant<GatewaySettings, SettingsError> readGatewaySettings(const std::string& path);
+/// The same for a text; `file` is named in errors.
+std::variant<GatewaySettings, SettingsError> parseGatewaySettings(
+    const std::string& text, const std::string& file);
+/// JSON Schema of the file; its descriptions are the manual.
+std::string_view gatewaySettingsSchema();
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -0,0 +1,59 @@
+// Requests to language models with separate prefill and decode engines.
+#pragma once
+
+#include "peridotgrade/core/serving/event_framer.h"
+#include "peridotgrade/gateway/gateway_state.h"
+#include "peridotgrade/gateway/place_broker.h"
+#include "peridotgrade/gateway/request_context.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <set>
+
+namespace peridotgrade {
+
+/// Serves one generation: memory at a decode engine first, then the prefill, then the stream. A place before
+/// the prefill, since a prompt that was read for a full engine is read in vain.
+class GenerationCall {
+public:
+    GenerationCall(GatewayState& state, RequestContext& context, const EngineSpec& engine,
+        std::shared_ptr<PlaceBroker> places);
+    boost::asio::awaitable<void> serve();
+
+private:
+    enum class Next : std::uint8_t { Done, Again };
+
+    /// One way through place, prefill and stream.
+    boost::asio::awaitable<Next> attempt();
+    boost::asio::awaitable<std::optional<KvLocation>> prefill(const ReservedPlace& place);
+    boost::asio::awaitable<Next> stream(const ReservedPlace& place, KvLocation kvCache);
+    boost::asio::awaitable<Next> forward(ServerAnswer& answer, const ServerId& server);
+    boost::asio::awaitable<bool> deliver(ServerAnswer& answer, std::string bytes);
+    boost::asio::awaitable<Next> respondWhole(ServerAnswer& answer, const ServerId& server);
+    boost::asio::awaitable<void> reject(std::string_view reason);
+    boost::asio::awaitable<void> giveUp();
+    void freeLater(const KvLocation& kvCache);
+
+    bool isFresh() const;
+    bool canResume() const;
+    TimePoint placeDue() const;
+    std::uint32_t tokensNeeded() const;
+    Duration readTimeout() const;
+
+    GatewayState& state;
+    RequestContext& context;
+    const EngineSpec& engine;
+    std::shared_ptr<PlaceBroker> places;
+    EventFramer framer;
+    std::uint32_t rounds = 0;
+    /// Runs that an engine may have begun.
+    std::uint32_t runs = 0;
+    std::uint32_t prefillSends = 0;
+    bool hasBegun = false;
+    std::optional<Duration> firstEvent;
+    std::string lastServer;
+    std::string lastDetail;
+    std::string_view failure = "no_capacity";
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/gateway/interrupt.h
@@ -0,0 +1,39 @@
+// Ends what a request is waiting for when its caller is gone.
+#pragma once
+
+#include <functional>
+#include <utility>
+
+namespace peridotgrade {
+
+/// Carries a caller's departure to whatever the request does at the moment: a wait, a connection being
+/// opened or read. The one who waits registers how to end that; raising ends it and refuses later ones. Not
+/// thread safe.
+class Interrupt {
+public:
+    bool isRaised() const { return this->raised; }
+
+    void raise()
+    {
+        if (std::exchange(this->raised, true))
+            return;
+        if (auto callback = std::exchange(this->onRaise, nullptr))
+            callback();
+    }
+
+    /// Replaces what is to be ended; it ends at once if the interrupt was raised before.
+    void attach(std::function<void()> callback)
+    {
+        if (this->raised)
+            callback();
+        else
+            this->onRaise = std::move(callback);
+    }
+    void detach() { this->onRaise = nullptr; }
+
+private:
+    bool raised = false;
+    std::function<void()> onRaise;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -0,0 +1,42 @@
+// Requests to services whose servers answer in one piece.
+#pragma once
+
+#include "peridotgrade/gateway/gateway_state.h"
+#include "peridotgrade/gateway/request_context.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <set>
+
+namespace peridotgrade {
+
+/// Serves one request: chooses a server, sends, and sends again elsewhere where the kind of request, the
+/// route's attempts and the retry budget allow it.
+class PlainCall {
+public:
+    PlainCall(GatewayState& state, RequestContext& context);
+    boost::asio::awaitable<void> serve();
+
+private:
+    enum class Next : std::uint8_t { Done, TryOther };
+
+    const ServerRecord* chooseServer();
+    boost::asio::awaitable<Next> attempt(const ServerRecord& record);
+    boost::asio::awaitable<Next> passOn(ServerAnswer& answer, const ServerId& server);
+    boost::asio::awaitable<void> giveUp();
+    bool mayRunAgain() const;
+    Duration attemptTime() const;
+
+    GatewayState& state;
+    RequestContext& context;
+    std::set<ServerId> tried;
+    /// Attempts that a server may have begun.
+    std::uint32_t runs = 0;
+    std::uint32_t sends = 0;
+    /// What is answered if nothing better comes.
+    std::optional<HttpResponse> lastAnswer;
+    std::string lastDetail;
+    std::string lastServer;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/gateway/server_clients.h
@@ -0,0 +1,30 @@
+// The clients of all backend servers that an entry knows.
+#pragma once
+
+#include "platform/server_client.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <map>
+#include <memory>
+
+namespace peridotgrade {
+
+/// Keeps one client, and so one pool of connections, for each run of a server. Not thread safe.
+class ServerClients {
+public:
+    explicit ServerClients(boost::asio::any_io_executor executor)
+        : executor(std::move(executor))
+    {
+    }
+
+    /// The client for that record; a new one if the server has a new address or start.
+    std::shared_ptr<ServerClient> of(const ServerRecord& record);
+    void forget(const ServerId& server) { this->clients.erase(server); }
+
+private:
+    boost::asio::any_io_executor executor;
+    std::map<ServerId, std::shared_ptr<ServerClient>> clients;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/gateway/store_watch.h
@@ -0,0 +1,55 @@
+// Follows the operator's configuration and the list of servers in the platform's store.
+#pragma once
+
+#include "peridotgrade/gateway/gateway_state.h"
+#include "platform/store_client.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace peridotgrade {
+
+/// How a topic is followed.
+struct WatchedTopic {
+    std::string name;
+    /// How long a read waits for records; zero asks at an interval instead.
+    std::chrono::milliseconds wait { 0 };
+    /// Pause between reads that do not wait.
+    std::chrono::milliseconds interval { 0 };
+};
+
+/// Lists a keyed topic and reads on from its end, with a deadline on every call, and lists again after every
+/// failure: what was missed then shows in the listing. Tells its owner of records, and when the store is lost
+/// and back.
+class StoreWatch {
+public:
+    struct Callbacks {
+        std::function<void(const StoreListing&)> onListing;
+        std::function<void(const std::vector<StoreRecord>&)> onRecords;
+        std::function<void()> onLost;
+        std::function<void()> onBack;
+    };
+
+    StoreWatch(GatewayState& state, StoreClient& store, WatchedTopic topic, Callbacks callbacks);
+    /// Runs until the gateway stops.
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::awaitable<bool> listAnew();
+    boost::asio::awaitable<bool> readOn();
+    void noteFailure(const StoreError& error);
+    void noteSuccess();
+
+    GatewayState& state;
+    StoreClient& store;
+    WatchedTopic topic;
+    Callbacks callbacks;
+    std::optional<LogOffset> next;
+    std::uint32_t failuresInRow = 0;
+};
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/include/peridotgrade/net/http_channel.h
@@ -0,0 +1,67 @@
+// One connection to a server that carries requests one after the other, and a pool of them.
+#pragma once
+
+#include "peridotgrade/core/base/time.h"
+#include "peridotgrade/net/endpoint.h"
+#include "peridotgrade/net/http_message.h"
+#include "peridotgrade/net/net_error.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace peridotgrade {
+
+/// A connection on which a request is written while its response is read, since servers may answer before
+/// they have read all of it. Not thread safe: all calls run on the executor that it was made with.
+class HttpChannel {
+public:
+    virtual ~HttpChannel() = default;
+
+    /// Starts to write a request; its failure shows when the response is read.
+    virtual void send(HttpRequest request) = 0;
+    /// Status and fields of the next response; the body is empty.
+    virtual boost::asio::awaitable<std::variant<HttpResponse, NetError>> readHead(Duration timeout) = 0;
+    /// The next part of the body; empty at its end.
+    virtual boost::asio::awaitable<std::variant<std::string, NetError>> readBody(Duration timeout) = 0;
+    /// Ends the connection; what is under way fails.
+    virtual void close() = 0;
+
+    /// True if the last response came over a connection that had carried a request before and no byte of it
+    /// had arrived: the server may just have closed an idle connection.
+    virtual bool isReused() const = 0;
+    /// False until a byte of the current response has arrived.
+    virtual bool hasAnswerBegun() const = 0;
+};
+
+/// Connections to one server. Not thread safe.
+class HttpChannelPool : public std::enable_shared_from_this<HttpChannelPool> {
+public:
+    using Opened = std::variant<std::shared_ptr<HttpChannel>, NetError>;
+
+    HttpChannelPool(boost::asio::any_io_executor executor, Endpoint server);
+    ~HttpChannelPool();
+    HttpChannelPool(const HttpChannelPool&) = delete;
+    HttpChannelPool& operator=(const HttpChannelPool&) = delete;
+
+    /// A kept connection that was idle for at most `maxIdle`, or a new one.
+    boost::asio::awaitable<Opened> open(Duration maxIdle, Duration connectTimeout);
+    /// Keeps the connection for later requests if its last exchange is complete in both directions and the
+    /// server allows it; closes it otherwise.
+    void giveBack(std::shared_ptr<HttpChannel> channel);
+    /// Closes the kept connections.
+    void clear();
+    std::uint64_t connectionsOpened() const;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl;
+};
+
+} // namespace peridotgrade
--- a/src/include/peridotgrade/net/timer_driver.h
+++ b/src/include/peridotgrade/net/timer_driver.h
@@ -24,6 +24,9 @@
 
     static TimePoint now();
     static WallTime wallNow();
+    /// Goes on while the machine is suspended, which `now` does not: for leases that others count, too. Not
+    /// to be mixed with times of `now`.
+    static TimePoint bootNow();
 
     /// Replaces what was armed before, if `due` is earlier; nothing disarms.
     void arm(std::optional<TimePoint> due);
--- a/src/include/peridotgrade/ops/logger.h
+++ b/src/include/peridotgrade/ops/logger.h
@@ -24,12 +24,29 @@
     std::string value;
 };
 
-/// Writes events to standard error through log4cplus. Every line carries time, level, node and event; those
+/// Where log lines go.
+enum class LogTarget : std::uint8_t {
+    /// Written at once, and waited for.
+    StandardError,
+    /// Never waited for: what a slow reader leaves no room for is dropped and counted.
+    StandardOutput,
+};
+
+struct LoggerOptions {
+    std::string node;
+    LogLevel level = LogLevel::Info;
+    LogTarget target = LogTarget::StandardError;
+    /// Lines over it within a second are dropped and counted; 0 sets no bound.
+    std::uint32_t maxLinesPerSecond = 0;
+};
+
+/// Writes events to standard error or output through log4cplus. Every line carries time, level, node and event; those
 /// that belong to a request carry its id. The level can be changed while the process runs. One logger for a
 /// process; thread safe.
 class Logger {
 public:
     Logger(const std::string& node, LogLevel level);
+    explicit Logger(const LoggerOptions& options);
     ~Logger();
     Logger(const Logger&) = delete;
     Logger& operator=(const Logger&) = delete;
--- /dev/null
+++ b/src/libperidotgrade/core/serving/engine_use.cpp
@@ -0,0 +1,80 @@
+// Implementation of the choice of a decode engine.
+#include "peridotgrade/core/serving/engine_use.h"
+
+#include "peridotgrade/core/base/invariant.h"
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+namespace {
+    // What a data centre away is worth, in tokens: two thirds of a request, so that the own one is preferred
+    // but not filled first.
+    constexpr std::uint64_t OtherDataCentreTokens = 2000;
+} // namespace
+
+void EngineUse::reserve(const ServerId& server, std::uint32_t tokens)
+{
+    this->engines[server].tokens += tokens;
+}
+
+void EngineUse::release(const ServerId& server, std::uint32_t tokens)
+{
+    auto found = this->engines.find(server);
+    // The server may have left, and its figures with it.
+    if (found == this->engines.end())
+        return;
+    found->second.tokens -= std::min<std::uint64_t>(tokens, found->second.tokens);
+    found->second.refusedUntil = {};
+}
+
+void EngineUse::noteRefusal(const ServerId& server, std::uint32_t tokens, TimePoint now)
+{
+    Engine& engine = this->engines[server];
+    bool isOld = engine.refusedUntil <= now;
+    engine.refusedTokens = isOld ? tokens : std::min(engine.refusedTokens, tokens);
+    engine.refusedUntil = now + RefusalLifetime;
+}
+
+std::optional<ServerId> EngineUse::choose(const std::vector<const ServerRecord*>& candidates,
+    const DataCentreId& ownDataCentre, std::uint32_t tokens, TimePoint now, RandomSource& random) const
+{
+    std::optional<ServerId> best;
+    std::uint64_t bestCost = 0;
+    std::uint32_t equals = 0;
+    for (const ServerRecord* candidate : candidates) {
+        auto found = this->engines.find(candidate->id);
+        bool hasFigures = found != this->engines.end();
+        if (hasFigures && now < found->second.refusedUntil && tokens >= found->second.refusedTokens)
+            continue;
+        std::uint64_t cost = hasFigures ? found->second.tokens : 0;
+        if (candidate->dataCentre != ownDataCentre)
+            cost += OtherDataCentreTokens;
+        if (!best || cost < bestCost) {
+            best = candidate->id;
+            bestCost = cost;
+            equals = 1;
+        } else if (cost == bestCost && random.below(++equals) == 0) {
+            best = candidate->id;
+        }
+    }
+    return best;
+}
+
+std::optional<TimePoint> EngineUse::nextRefusalEnd(TimePoint now) const
+{
+    std::optional<TimePoint> next;
+    for (const auto& [id, engine] : this->engines) {
+        if (engine.refusedUntil > now && (!next || engine.refusedUntil < *next))
+            next = engine.refusedUntil;
+    }
+    return next;
+}
+
+std::uint64_t EngineUse::tokensAt(const ServerId& server) const
+{
+    auto found = this->engines.find(server);
+    return found == this->engines.end() ? 0 : found->second.tokens;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/serving/event_framer.cpp
@@ -0,0 +1,67 @@
+// Implementation of the framing of event streams.
+#include "peridotgrade/core/serving/event_framer.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace peridotgrade {
+
+namespace {
+
+    constexpr std::string_view EventEnd = "\n\n";
+    constexpr std::string_view EventEndCrLf = "\r\n\r\n";
+
+    /// Position after the first whole event; nothing if none is whole.
+    std::optional<std::size_t> endOfEvent(std::string_view bytes)
+    {
+        std::size_t plain = bytes.find(EventEnd);
+        std::size_t withReturn = bytes.find(EventEndCrLf);
+        if (plain == std::string_view::npos && withReturn == std::string_view::npos)
+            return std::nullopt;
+        if (plain < withReturn)
+            return plain + EventEnd.size();
+        return withReturn + EventEndCrLf.size();
+    }
+
+    std::optional<std::uint64_t> idOf(std::string_view line)
+    {
+        constexpr std::string_view Key = "id:";
+        if (!line.starts_with(Key))
+            return std::nullopt;
+        line.remove_prefix(Key.size());
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        auto [end, status] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (status != std::errc {})
+            return std::nullopt;
+        return id;
+    }
+
+} // namespace
+
+std::string EventFramer::push(std::string_view bytes)
+{
+    this->pending += bytes;
+    std::size_t whole = 0;
+    while (auto end = endOfEvent(std::string_view { this->pending }.substr(whole))) {
+        this->noteEvent(std::string_view { this->pending }.substr(whole, *end));
+        whole += *end;
+    }
+    std::string result = this->pending.substr(0, whole);
+    this->pending.erase(0, whole);
+    return result;
+}
+
+void EventFramer::noteEvent(std::string_view event)
+{
+    ++this->wholeEvents;
+    while (!event.empty()) {
+        std::size_t end = std::min(event.find('\n'), event.size());
+        if (auto id = idOf(event.substr(0, end)))
+            this->lastEventId = id;
+        event.remove_prefix(std::min(end + 1, event.size()));
+    }
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/serving/server_directory.cpp
@@ -0,0 +1,178 @@
+// Implementation of the directory of backend servers.
+#include "peridotgrade/core/serving/server_directory.h"
+
+#include "peridotgrade/core/base/name_table.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace peridotgrade {
+
+std::string_view nameOf(ServerStage stage)
+{
+    constexpr std::array<std::string_view, 3> Names { "none", "prefill", "decode" };
+    return nameAt(Names, stage);
+}
+
+std::string_view nameOf(DirectoryChange::Kind kind)
+{
+    constexpr std::array<std::string_view, 5> Names { "appeared", "changed", "draining", "gone",
+        "kept_in_outage" };
+    return nameAt(Names, kind);
+}
+
+namespace {
+
+    /// True if `next` says something newer than `current` of the same server.
+    bool isNewer(const ServerRecord& next, const ServerRecord& current)
+    {
+        if (next.startedAt != current.startedAt)
+            return next.startedAt > current.startedAt;
+        return next.sequence >= current.sequence;
+    }
+
+    bool isSameToRouting(const ServerRecord& one, const ServerRecord& other)
+    {
+        return one.service == other.service && one.address == other.address && one.stage == other.stage
+            && one.isDraining == other.isDraining && one.startedAt == other.startedAt;
+    }
+
+} // namespace
+
+std::vector<DirectoryChange> ServerDirectory::apply(const std::vector<ListedServer>& records, TimePoint now)
+{
+    std::vector<DirectoryChange> changes;
+    for (const ListedServer& listed : records)
+        this->applyOne(listed, now, changes);
+    return changes;
+}
+
+std::vector<DirectoryChange> ServerDirectory::replace(
+    const std::vector<ListedServer>& records, LogOffset end, TimePoint now)
+{
+    if (end < this->known)
+        return {};
+    this->known = end;
+    std::vector<DirectoryChange> changes = this->apply(records, now);
+    std::set<ServerId> listed;
+    for (const ListedServer& each : records)
+        listed.insert(each.id);
+    std::vector<ServerId> missing;
+    for (const auto& [id, entry] : this->entries) {
+        if (!listed.contains(id) && !entry.goneAt)
+            missing.push_back(id);
+    }
+    for (const ServerId& id : missing)
+        this->remove(id, now, changes);
+    return changes;
+}
+
+void ServerDirectory::applyOne(
+    const ListedServer& listed, TimePoint now, std::vector<DirectoryChange>& changes)
+{
+    auto [last, isNew] = this->lastOffsets.try_emplace(listed.id, listed.offset);
+    if (!isNew && listed.offset < last->second)
+        return;
+    last->second = listed.offset;
+    this->known = std::max(this->known, LogOffset { listed.offset.raw() + 1 });
+    if (!listed.record) {
+        this->remove(listed.id, now, changes);
+        return;
+    }
+    const ServerRecord& record = *listed.record;
+    auto found = this->entries.find(listed.id);
+    if (found == this->entries.end()) {
+        this->entries.emplace(listed.id, Entry { record, std::nullopt });
+        changes.push_back({ DirectoryChange::Kind::Appeared, listed.id });
+        return;
+    }
+    Entry& entry = found->second;
+    if (!isNewer(record, entry.record))
+        return;
+    entry.goneAt.reset();
+    bool isSame = isSameToRouting(record, entry.record);
+    bool startsDraining = record.isDraining && !entry.record.isDraining;
+    entry.record = record;
+    if (!isSame) {
+        changes.push_back(
+            { startsDraining ? DirectoryChange::Kind::Draining : DirectoryChange::Kind::Changed, listed.id });
+    }
+}
+
+void ServerDirectory::remove(const ServerId& id, TimePoint now, std::vector<DirectoryChange>& changes)
+{
+    auto found = this->entries.find(id);
+    if (found == this->entries.end())
+        return;
+    if (this->isOutageRecent(now) && !found->second.record.isDraining) {
+        // Servers could not report while the store was away, so a lapsed entry says little.
+        found->second.goneAt = (this->isStoreLost ? now : *this->storeBackAt) + OutageGrace;
+        changes.push_back({ DirectoryChange::Kind::KeptInOutage, id });
+        return;
+    }
+    this->entries.erase(found);
+    changes.push_back({ DirectoryChange::Kind::Gone, id });
+}
+
+bool ServerDirectory::isOutageRecent(TimePoint now) const
+{
+    return this->isStoreLost || (this->storeBackAt && now < *this->storeBackAt + OutageGrace);
+}
+
+void ServerDirectory::noteStoreLost(TimePoint) { this->isStoreLost = true; }
+
+void ServerDirectory::noteStoreBack(TimePoint now)
+{
+    if (!this->isStoreLost)
+        return;
+    this->isStoreLost = false;
+    this->storeBackAt = now;
+    for (auto& [id, entry] : this->entries) {
+        if (entry.goneAt)
+            entry.goneAt = now + OutageGrace;
+    }
+}
+
+std::vector<DirectoryChange> ServerDirectory::expire(TimePoint now)
+{
+    std::vector<DirectoryChange> changes;
+    if (this->isStoreLost)
+        return changes;
+    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+        if (!entry->second.goneAt || now < *entry->second.goneAt) {
+            ++entry;
+            continue;
+        }
+        changes.push_back({ DirectoryChange::Kind::Gone, entry->first });
+        entry = this->entries.erase(entry);
+    }
+    return changes;
+}
+
+std::vector<const ServerRecord*> ServerDirectory::usable(const ServiceId& service) const
+{
+    std::vector<const ServerRecord*> result;
+    for (const auto& [id, entry] : this->entries) {
+        if (entry.record.service == service && !entry.record.isDraining)
+            result.push_back(&entry.record);
+    }
+    return result;
+}
+
+std::vector<const ServerRecord*> ServerDirectory::all() const
+{
+    std::vector<const ServerRecord*> result;
+    for (const auto& [id, entry] : this->entries)
+        result.push_back(&entry.record);
+    return result;
+}
+
+const ServerRecord* ServerDirectory::find(const ServerId& id) const
+{
+    auto found = this->entries.find(id);
+    bool isUsable = found != this->entries.end() && !found->second.record.isDraining;
+    return isUsable ? &found->second.record : nullptr;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/serving/server_standing.cpp
@@ -0,0 +1,42 @@
+// Implementation of the standing of backend servers.
+#include "peridotgrade/core/serving/server_standing.h"
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+namespace {
+    // Weight of the newest call: about ten calls decide.
+    constexpr double NewestWeight = 0.1;
+    // Doublings after which the longest ejection is reached anyway.
+    constexpr std::uint32_t MostDoublings = 4;
+} // namespace
+
+void ServerStanding::record(const ServerId& server, CallResult result, TimePoint now)
+{
+    Standing& standing = this->standings[server];
+    double failed = result == CallResult::Answered ? 0 : 1;
+    standing.failures += NewestWeight * (failed - standing.failures);
+    if (result != CallResult::Unreachable) {
+        standing.unreachableInRow = 0;
+        standing.ejectedUntil = {};
+        return;
+    }
+    std::uint32_t doublings = std::min(standing.unreachableInRow++, MostDoublings);
+    std::chrono::milliseconds ejection = FirstEjection * (1 << doublings);
+    standing.ejectedUntil = now + std::min(ejection, LongestEjection);
+}
+
+bool ServerStanding::isEjected(const ServerId& server, TimePoint now) const
+{
+    auto found = this->standings.find(server);
+    return found != this->standings.end() && now < found->second.ejectedUntil;
+}
+
+double ServerStanding::failureShare(const ServerId& server) const
+{
+    auto found = this->standings.find(server);
+    return found == this->standings.end() ? 0 : found->second.failures;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/serving/stage_plan.cpp
@@ -0,0 +1,55 @@
+// Implementation of the plan of prefill and decode engines.
+#include "peridotgrade/core/serving/stage_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace peridotgrade {
+
+namespace {
+
+    using Engines = std::vector<const ServerRecord*>;
+
+    /// The engine of the data centre with the most of that stage.
+    const ServerRecord* mostSpared(const Engines& engines, ServerStage stage)
+    {
+        std::map<DataCentreId, std::size_t> counts;
+        for (const ServerRecord* engine : engines)
+            counts[engine->dataCentre] += engine->stage == stage ? 1 : 0;
+        const ServerRecord* best = nullptr;
+        for (const ServerRecord* engine : engines) {
+            if (engine->stage != stage)
+                continue;
+            if (best == nullptr || counts[engine->dataCentre] > counts[best->dataCentre])
+                best = engine;
+        }
+        return best;
+    }
+
+} // namespace
+
+std::uint32_t StagePlan::prefillTarget(std::size_t engines) const
+{
+    if (engines <= FewestPrefill)
+        return static_cast<std::uint32_t>(engines / 2);
+    auto share = static_cast<std::uint32_t>(std::lround(this->prefillShare * static_cast<double>(engines)));
+    return std::max(FewestPrefill, share);
+}
+
+std::optional<StageOrder> StagePlan::nextOrder(const Engines& engines) const
+{
+    auto prefill = static_cast<std::uint32_t>(std::count_if(engines.begin(), engines.end(),
+        [](const ServerRecord* engine) { return engine->stage == ServerStage::Prefill; }));
+    std::uint32_t target = this->prefillTarget(engines.size());
+    if (prefill == target)
+        return std::nullopt;
+    bool isTooMany = prefill > target;
+    const ServerRecord* engine
+        = mostSpared(engines, isTooMany ? ServerStage::Prefill : ServerStage::Decode);
+    if (engine == nullptr)
+        return std::nullopt;
+    return StageOrder { engine->id, isTooMany ? ServerStage::Decode : ServerStage::Prefill };
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -0,0 +1,84 @@
+// Implementation of the gateway's own answers.
+#include "peridotgrade/gateway/final_answer.h"
+
+#include "platform/caller_protocol.h"
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+namespace {
+
+    std::string millisecondsText(Duration duration)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    }
+
+    void logEnd(GatewayState& state, const RequestContext& context, std::string_view outcome,
+        std::string_view reason, std::string_view server, std::string_view detail)
+    {
+        state.metrics.countOutcome(std::string { outcome });
+        state.log.write(LogLevel::Info, "request_ended",
+            { { "request", context.request.attempt }, { "outcome", std::string { outcome } },
+                { "reason", std::string { reason } }, { "route", context.route.name },
+                { "service", context.service.raw() }, { "server", std::string { server } },
+                { "took_ms", millisecondsText(state.now() - context.request.arrivedAt) },
+                { "left_ms", millisecondsText(context.deadline - state.now()) },
+                { "config", std::to_string(context.configuration->version.raw()) },
+                { "detail", std::string { detail } } });
+    }
+
+} // namespace
+
+std::chrono::milliseconds timeLeft(const GatewayState& state, const RequestContext& context)
+{
+    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(context.deadline - state.now());
+    return std::max(left, std::chrono::milliseconds { 0 });
+}
+
+boost::asio::awaitable<void> answerNotRun(GatewayState& state, RequestContext& context,
+    std::string_view reason, std::optional<std::chrono::milliseconds> comeBack, std::string_view server)
+{
+    state.metrics.countRefusal(std::string { reason });
+    std::string detail = comeBack ? "retry_after_ms " + std::to_string(comeBack->count()) : "";
+    logEnd(state, context, "not_run", reason, server, detail);
+    co_await context.exchange.respond(notRunResponse(reason, comeBack));
+}
+
+boost::asio::awaitable<void> answerFailed(GatewayState& state, RequestContext& context, std::uint16_t status,
+    std::string_view reason, std::string_view server, std::string_view detail)
+{
+    logEnd(state, context, "unknown", reason, server, detail);
+    co_await context.exchange.respond(failureResponse(status, reason));
+}
+
+void breakOff(GatewayState& state, RequestContext& context, std::string_view reason, std::string_view server,
+    std::string_view detail)
+{
+    logEnd(state, context, "broken_off", reason, server, detail);
+    context.exchange.abandon();
+}
+
+void noteAnswered(GatewayState& state, const RequestContext& context, std::uint16_t status,
+    std::string_view server, std::uint32_t attempts, std::optional<Duration> firstEvent)
+{
+    Duration took = state.now() - context.request.arrivedAt;
+    state.metrics.countOutcome("answered");
+    state.metrics.addAnswer(took);
+    if (firstEvent)
+        state.metrics.addFirstEvent(*firstEvent);
+    state.log.write(LogLevel::Info, "request_ended",
+        { { "request", context.request.attempt }, { "outcome", "answered" },
+            { "status", std::to_string(status) }, { "route", context.route.name },
+            { "service", context.service.raw() }, { "server", std::string { server } },
+            { "attempts", std::to_string(attempts) },
+            { "first_event_ms", firstEvent ? millisecondsText(*firstEvent) : "" },
+            { "took_ms", millisecondsText(took) } });
+}
+
+void noteCallerGone(GatewayState& state, const RequestContext& context, std::string_view phase)
+{
+    logEnd(state, context, "caller_gone", phase, {}, {});
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -0,0 +1,299 @@
+// Implementation of the gateway process.
+#include "peridotgrade/gateway/gateway_node.h"
+
+#include "peridotgrade/core/serving/come_back.h"
+#include "peridotgrade/gateway/duty_keeper.h"
+#include "peridotgrade/gateway/final_answer.h"
+#include "peridotgrade/gateway/gateway_state.h"
+#include "peridotgrade/gateway/generation_call.h"
+#include "peridotgrade/gateway/plain_call.h"
+#include "peridotgrade/gateway/site_follower.h"
+#include "platform/caller_protocol.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <map>
+#include <vector>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // Of the time to stop: new requests are served for the first part, since callers are sent elsewhere only
+    // after two unanswered questions of a second each.
+    constexpr std::chrono::milliseconds ServeWhileStopping { 3000 };
+    // What runs is given up so long before the process is killed.
+    constexpr std::chrono::milliseconds StopMargin { 300 };
+    constexpr std::chrono::milliseconds StopCheck { 50 };
+    // Rejected callers find another entry at once.
+    constexpr std::chrono::milliseconds ElsewhereNow { 100 };
+    // Until the first configuration is known.
+    constexpr std::chrono::milliseconds NotReadyWait { 1000 };
+    // Callers keep connections for less than the configured idle time, which is at most this.
+    constexpr std::chrono::milliseconds CallerIdleTimeout { 60'000 };
+    constexpr std::uint64_t MaxBodyBytes = 16 * 1024 * 1024;
+    constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
+    // Of 4,100 descriptors; the rest is for servers and the store.
+    constexpr std::uint32_t MaxCallerConnections = 2'500;
+
+    /// The host without its port.
+    std::string_view hostName(std::string_view host) { return host.substr(0, host.find(':')); }
+
+    HttpServerSettings serverSettings(const Endpoint& listen)
+    {
+        HttpServerSettings settings;
+        settings.listen = listen;
+        settings.maxHeaderBytes = MaxHeaderBytes;
+        settings.maxBodyBytes = MaxBodyBytes;
+        settings.maxConnections = MaxCallerConnections;
+        settings.idleTimeout = CallerIdleTimeout;
+        return settings;
+    }
+
+} // namespace
+
+class GatewayNode::Impl {
+public:
+    Impl(GatewaySettings settings, std::string settingsFile, std::uint64_t seed)
+        : settingsFile(std::move(settingsFile))
+        , state(this->context.get_executor(), std::move(settings), this->registry, seed)
+        , store(this->context.get_executor(), this->state.settings.store)
+        , follower(this->state, this->store)
+        , duties(this->state, this->store)
+        , signals(this->context, SIGTERM, SIGINT, SIGHUP)
+        , callers(this->context.get_executor(), serverSettings(this->state.settings.callersListen),
+              [this](HttpExchange& exchange) { return this->serveCaller(exchange); })
+        , readiness(this->context.get_executor(), serverSettings(this->state.settings.readinessListen),
+              [this](HttpExchange& exchange) { return this->answerReadiness(exchange); })
+        , metricsServer(this->context.get_executor(), serverSettings(this->state.settings.metricsListen),
+              [this](HttpExchange& exchange) { return this->showMetrics(exchange); })
+    {
+        addProcessMetrics(this->registry);
+        this->registry.countedElsewhere(
+            { "peridot_gateway_store_calls_total", "Calls to the platform's store", "", "" },
+            [this] { return static_cast<double>(this->store.calls()); });
+    }
+
+    std::optional<std::string> start()
+    {
+        for (HttpServer* server : { &this->callers, &this->readiness, &this->metricsServer }) {
+            auto bound = server->start();
+            if (auto* error = std::get_if<NetError>(&bound))
+                return error->detail;
+        }
+        this->state.log.write(LogLevel::Info, "started",
+            { { "version", PERIDOT_VERSION }, { "listen", toString(this->state.settings.callersListen) },
+                { "store", toString(this->state.settings.store) },
+                { "data_centre", this->state.settings.dataCentre } });
+        this->follower.start();
+        this->duties.start();
+        this->awaitSignal();
+        return std::nullopt;
+    }
+
+    bool run()
+    {
+        this->context.run();
+        return this->isWhole;
+    }
+
+private:
+    asio::awaitable<void> serveCaller(HttpExchange& exchange)
+    {
+        if (isReadinessQuestion(exchange.request())) {
+            co_await this->answerReadiness(exchange);
+            co_return;
+        }
+        auto parsed = parseCallerRequest(exchange.request(), this->state.now());
+        if (auto* problem = std::get_if<std::string>(&parsed)) {
+            this->state.log.write(LogLevel::Warn, "request_malformed", { { "detail", *problem } });
+            co_await exchange.respond(rejectionResponse(400, *problem));
+            co_return;
+        }
+        auto& request = std::get<CallerRequest>(parsed);
+        auto configuration = this->state.configuration;
+        if (!configuration || !this->state.hasServers) {
+            co_await this->rejectEarly(exchange, request, "not_ready", NotReadyWait);
+            co_return;
+        }
+        if (this->isPastServing) {
+            co_await this->rejectEarly(exchange, request, "stopping", ElsewhereNow);
+            co_return;
+        }
+        const ServiceRoute* route = configuration->routeFor(request.host, exchange.request().path());
+        if (route == nullptr)
+            route = configuration->routeFor(hostName(request.host), exchange.request().path());
+        if (route == nullptr) {
+            this->state.log.write(LogLevel::Info, "request_ended",
+                { { "request", request.attempt }, { "outcome", "no_route" }, { "host", request.host },
+                    { "config", std::to_string(configuration->version.raw()) } });
+            co_await exchange.respond(rejectionResponse(404, "no route"));
+            co_return;
+        }
+        co_await this->serveRoute(exchange, std::move(request), configuration, *route);
+    }
+
+    asio::awaitable<void> serveRoute(HttpExchange& exchange, CallerRequest request,
+        std::shared_ptr<const ServiceConfiguration> configuration, const ServiceRoute& route)
+    {
+        this->state.metrics.countRequest(std::string { nameOf(route.kind) });
+        Interrupt interrupt;
+        exchange.onClientGone([&interrupt] { interrupt.raise(); });
+        std::chrono::milliseconds time = std::min(request.patience.value_or(route.timeout), route.timeout);
+        TimePoint deadline = request.arrivedAt + time;
+        RequestContext context { exchange, std::move(request), configuration, route, this->pickService(route),
+            deadline, interrupt };
+        const ServiceSpec* service = configuration->serviceNamed(context.service);
+        if (service != nullptr && service->engine) {
+            GenerationCall call(
+                this->state, context, *service->engine, this->brokerOf(context.service));
+            co_await call.serve();
+        } else {
+            PlainCall call(this->state, context);
+            co_await call.serve();
+        }
+        exchange.onClientGone(nullptr);
+    }
+
+    asio::awaitable<void> rejectEarly(HttpExchange& exchange, const CallerRequest& request,
+        std::string_view reason, std::chrono::milliseconds wait)
+    {
+        this->state.metrics.countRefusal(std::string { reason });
+        this->state.log.write(LogLevel::Info, "request_ended",
+            { { "request", request.attempt }, { "outcome", "not_run" }, { "reason", std::string { reason } } });
+        co_await exchange.respond(notRunResponse(reason, wait));
+    }
+
+    ServiceId pickService(const ServiceRoute& route)
+    {
+        double total = 0;
+        for (const WeightedService& each : route.services)
+            total += each.weight;
+        double at = this->state.random.unit() * total;
+        for (const WeightedService& each : route.services) {
+            at -= each.weight;
+            if (at < 0)
+                return each.service;
+        }
+        return route.services.back().service;
+    }
+
+    std::shared_ptr<PlaceBroker> brokerOf(const ServiceId& service)
+    {
+        auto& broker = this->brokers[service];
+        if (!broker)
+            broker = std::make_shared<PlaceBroker>(this->state, service);
+        return broker;
+    }
+
+    bool isReady() const
+    {
+        return !this->state.isStopping && this->state.configuration && this->state.hasServers;
+    }
+
+    asio::awaitable<void> answerReadiness(HttpExchange& exchange)
+    {
+        HttpResponse response;
+        response.status = this->isReady() ? 200 : 503;
+        response.body = this->isReady() ? R"({"ready":true})" : R"({"ready":false})";
+        co_await exchange.respond(std::move(response));
+    }
+
+    asio::awaitable<void> showMetrics(HttpExchange& exchange)
+    {
+        HttpResponse response;
+        response.contentType = "text/plain; version=0.0.4";
+        response.body = this->registry.text();
+        co_await exchange.respond(std::move(response));
+    }
+
+    void awaitSignal()
+    {
+        this->signals.async_wait([this](const boost::system::error_code& error, int number) {
+            if (error)
+                return;
+            if (number == SIGHUP)
+                this->reload();
+            else
+                this->stop();
+            this->awaitSignal();
+        });
+    }
+
+    void reload()
+    {
+        auto read = readGatewaySettings(this->settingsFile);
+        if (auto* error = std::get_if<SettingsError>(&read)) {
+            this->state.log.write(LogLevel::Error, "reload_failed", { { "detail", error->message() } });
+            return;
+        }
+        // Addresses stay as they are for the life of the process.
+        const auto& settings = std::get<GatewaySettings>(read);
+        this->state.settings.retries = settings.retries;
+        this->state.settings.stopWithin = settings.stopWithin;
+        this->state.settings.dutyLease = settings.dutyLease;
+        this->state.log.setLevel(settings.logLevel);
+        this->state.log.write(LogLevel::Info, "reloaded", { { "file", this->settingsFile } });
+    }
+
+    void stop()
+    {
+        if (std::exchange(this->state.isStopping, true))
+            return;
+        this->stopAt = this->state.now() + this->state.settings.stopWithin - StopMargin;
+        this->state.log.write(LogLevel::Info, "stopping",
+            { { "open_requests", std::to_string(this->callers.openExchanges()) } });
+        this->state.subscribeAfter(ServeWhileStopping, [this] {
+            this->isPastServing = true;
+            this->callers.stopAccepting();
+            this->finishLater();
+        });
+    }
+
+    void finishLater()
+    {
+        bool isIdle = this->callers.openExchanges() == 0;
+        if (!isIdle && this->state.now() < this->stopAt) {
+            this->state.subscribeAfter(StopCheck, [this] { this->finishLater(); });
+            return;
+        }
+        this->isWhole = isIdle;
+        this->state.log.write(LogLevel::Info, "stopped",
+            { { "whole", isIdle ? "true" : "false" },
+                { "open_requests", std::to_string(this->callers.openExchanges()) } });
+        this->context.stop();
+    }
+
+    asio::io_context context { 1 };
+    const std::string settingsFile;
+    MetricsRegistry registry;
+    GatewayState state;
+    StoreClient store;
+    SiteFollower follower;
+    DutyKeeper duties;
+    std::map<ServiceId, std::shared_ptr<PlaceBroker>> brokers;
+    asio::signal_set signals;
+    HttpServer callers;
+    HttpServer readiness;
+    HttpServer metricsServer;
+    TimePoint stopAt {};
+    bool isPastServing = false;
+    bool isWhole = true;
+};
+
+GatewayNode::GatewayNode(GatewaySettings settings, std::string settingsFile, std::uint64_t seed)
+    : impl(std::make_unique<Impl>(std::move(settings), std::move(settingsFile), seed))
+{
+}
+
+GatewayNode::~GatewayNode() = default;
+
+std::optional<std::string> GatewayNode::start() { return this->impl->start(); }
+
+bool GatewayNode::run() { return this->impl->run(); }
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/gateway/gateway_settings.cpp
@@ -0,0 +1,173 @@
+// Implementation of the gateway's settings.
+#include "peridotgrade/gateway/gateway_settings.h"
+
+#include "peridotgrade/ops/settings/schema_check.h"
+#include "peridotgrade/ops/settings/settings_reader.h"
+
+#include <cmath>
+#include <utility>
+
+namespace peridotgrade {
+
+namespace {
+
+    constexpr std::string_view Schema = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["nodeName", "dataCentre", "callersListen", "readinessListen", "metricsListen", "store", "retries"],
+  "properties": {
+    "nodeName": { "type": "string", "minLength": 1, "description": "the name of the VM" },
+    "dataCentre": { "type": "string", "minLength": 1, "description": "the name of the data centre" },
+    "callersListen": { "type": "string", "description": "the address for callers, as ip:port" },
+    "readinessListen": { "type": "string", "description": "the address at which readiness is asked, as ip:port" },
+    "metricsListen": { "type": "string", "description": "the address for metrics, as ip:port" },
+    "store": { "type": "string", "description": "the address of the platform's store, as ip:port" },
+    "storePartitions": { "type": "integer", "minimum": 1, "description": "partitions of each topic of the store" },
+    "logLevel": { "enum": ["trace", "debug", "info", "warn", "error"],
+      "description": "one of trace, debug, info, warn, error" },
+    "maxLogLinesPerSecond": { "type": "integer", "minimum": 1, "description": "most log lines a second" },
+    "retries": { "type": "object", "additionalProperties": false, "required": ["ratio", "extra", "windowSeconds"],
+      "description": "an object with ratio, extra and windowSeconds",
+      "properties": {
+        "ratio": { "type": "number", "minimum": 0, "description": "further sends for each request" },
+        "extra": { "type": "number", "minimum": 0, "description": "further sends beyond that, for all entries together" },
+        "windowSeconds": { "type": "number", "exclusiveMinimum": 0, "description": "the window in seconds" } } },
+    "stopWithinSeconds": { "type": "number", "minimum": 1, "description": "seconds from SIGTERM to the end, at least 1" },
+    "dutyLeaseMs": { "type": "integer", "minimum": 0, "description": "a whole number of milliseconds" },
+    "shortestMembershipMs": { "type": "integer", "minimum": 1, "description": "a whole number of milliseconds" }
+  }
+})json";
+
+    std::chrono::milliseconds secondsOf(const boost::json::object& fields, std::string_view key,
+        std::chrono::milliseconds otherwise)
+    {
+        constexpr double MillisecondsPerSecond = 1000;
+        const auto* value = fields.if_contains(key);
+        if (value == nullptr)
+            return otherwise;
+        return std::chrono::milliseconds { std::llround(value->to_number<double>() * MillisecondsPerSecond) };
+    }
+
+    RetryBounds retriesFrom(const boost::json::object& fields)
+    {
+        RetryBounds bounds;
+        bounds.ratio = fields.at("ratio").to_number<double>();
+        bounds.extra = fields.at("extra").to_number<double>();
+        bounds.window = secondsOf(fields, "windowSeconds", bounds.window);
+        return bounds;
+    }
+
+} // namespace
+
+GatewaySettingsBuilder& GatewaySettingsBuilder::node(std::string name, std::string dataCentre)
+{
+    this->settings.nodeName = std::move(name);
+    this->settings.dataCentre = std::move(dataCentre);
+    return *this;
+}
+
+GatewaySettingsBuilder& GatewaySettingsBuilder::listen(Endpoint callers, Endpoint readiness, Endpoint metrics)
+{
+    this->settings.callersListen = std::move(callers);
+    this->settings.readinessListen = std::move(readiness);
+    this->settings.metricsListen = std::move(metrics);
+    return *this;
+}
+
+GatewaySettingsBuilder& GatewaySettingsBuilder::store(Endpoint address, std::uint32_t partitions)
+{
+    this->settings.store = std::move(address);
+    this->settings.storePartitions = partitions;
+    return *this;
+}
+
+GatewaySettingsBuilder& GatewaySettingsBuilder::logs(LogLevel level, std::uint32_t maxLinesPerSecond)
+{
+    this->settings.logLevel = level;
+    this->settings.maxLogLinesPerSecond = maxLinesPerSecond;
+    return *this;
+}
+
+GatewaySettingsBuilder& GatewaySettingsBuilder::retries(RetryBounds bounds)
+{
+    this->settings.retries = bounds;
+    return *this;
+}
+
+GatewaySettingsBuilder& GatewaySettingsBuilder::stopWithin(std::chrono::milliseconds value)
+{
+    this->settings.stopWithin = value;
+    return *this;
+}
+
+GatewaySettingsBuilder& GatewaySettingsBuilder::duty(
+    std::chrono::milliseconds lease, std::chrono::milliseconds shortestMembership)
+{
+    this->settings.dutyLease = lease;
+    this->settings.shortestMembership = shortestMembership;
+    return *this;
+}
+
+std::variant<GatewaySettings, SettingsError> GatewaySettingsBuilder::build() const
+{
+    const GatewaySettings& built = this->settings;
+    bool isShared = built.callersListen.port != 0
+        && (built.callersListen == built.readinessListen || built.callersListen == built.metricsListen);
+    if (!isShared)
+        return built;
+    SettingsError error;
+    error.kind = SettingsErrorKind::BadValue;
+    error.key = "callersListen";
+    error.problem = "is the same address as readinessListen or metricsListen";
+    error.fix = "give it a port of its own";
+    return error;
+}
+
+std::variant<GatewaySettings, SettingsError> parseGatewaySettings(
+    const std::string& text, const std::string& file)
+{
+    auto parsed = parseChecked(text, file, Schema);
+    if (auto* error = std::get_if<SettingsError>(&parsed))
+        return std::move(*error);
+    const auto& fields = std::get<boost::json::object>(parsed);
+    SettingsReader reader(fields, file);
+    GatewaySettings read;
+    std::string level { nameOf(read.logLevel) };
+    reader.read("nodeName", read.nodeName);
+    reader.read("dataCentre", read.dataCentre);
+    reader.read("callersListen", read.callersListen);
+    reader.read("readinessListen", read.readinessListen);
+    reader.read("metricsListen", read.metricsListen);
+    reader.read("store", read.store);
+    reader.read("storePartitions", read.storePartitions);
+    reader.read("logLevel", level);
+    reader.read("maxLogLinesPerSecond", read.maxLogLinesPerSecond);
+    reader.read("dutyLeaseMs", read.dutyLease);
+    reader.read("shortestMembershipMs", read.shortestMembership);
+    if (reader.error())
+        return *reader.error();
+    auto built = GatewaySettingsBuilder()
+                     .node(read.nodeName, read.dataCentre)
+                     .listen(read.callersListen, read.readinessListen, read.metricsListen)
+                     .store(read.store, read.storePartitions)
+                     .logs(logLevelFrom(level).value_or(read.logLevel), read.maxLogLinesPerSecond)
+                     .retries(retriesFrom(fields.at("retries").as_object()))
+                     .stopWithin(secondsOf(fields, "stopWithinSeconds", read.stopWithin))
+                     .duty(read.dutyLease, read.shortestMembership)
+                     .build();
+    if (auto* error = std::get_if<SettingsError>(&built))
+        error->file = file;
+    return built;
+}
+
+std::variant<GatewaySettings, SettingsError> readGatewaySettings(const std::string& path)
+{
+    auto text = readFile(path);
+    if (auto* error = std::get_if<SettingsError>(&text))
+        return std::move(*error);
+    return parseGatewaySettings(std::get<std::string>(text), path);
+}
+
+std::string_view gatewaySettingsSchema() { return Schema; }
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -0,0 +1,80 @@
+// Implementation of the gateway's shared state.
+#include "peridotgrade/gateway/gateway_state.h"
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+GatewayState::GatewayState(boost::asio::any_io_executor executor, GatewaySettings settings,
+    MetricsRegistry& registry, std::uint64_t seed)
+    : executor(executor)
+    , settings(std::move(settings))
+    , timers(TimerDriver::now())
+    , driver(executor,
+          [this] {
+              this->timers.advance(TimerDriver::now());
+              this->armTimers();
+          })
+    , random(seed)
+    , log(LoggerOptions { this->settings.nodeName, this->settings.logLevel, LogTarget::StandardOutput,
+          this->settings.maxLogLinesPerSecond })
+    , metrics(registry)
+    , clients(executor)
+{
+}
+
+GatewayState::~GatewayState() { this->driver.stop(); }
+
+void GatewayState::subscribeAfter(Duration delay, TimerService::Callback callback)
+{
+    this->timers.subscribeAt(this->now() + delay, std::move(callback));
+    this->armTimers();
+}
+
+RetryShare& GatewayState::retriesOf(const ServiceId& service)
+{
+    auto [share, isNew] = this->retries.try_emplace(service, this->settings.retries);
+    if (isNew)
+        share->second.setPart(this->retryPart);
+    return share->second;
+}
+
+void GatewayState::setRetryPart(double part)
+{
+    this->retryPart = part;
+    for (auto& [service, share] : this->retries)
+        share.setPart(part);
+}
+
+std::vector<const ServerRecord*> GatewayState::trusted(const ServiceId& service, ServerStage stage)
+{
+    std::vector<const ServerRecord*> servers = this->directory.usable(service);
+    std::erase_if(servers, [&](const ServerRecord* server) { return server->stage != stage; });
+    std::vector<const ServerRecord*> trusted;
+    TimePoint now = this->now();
+    for (const ServerRecord* server : servers) {
+        if (!this->standing.isEjected(server->id, now))
+            trusted.push_back(server);
+    }
+    return trusted.empty() ? servers : trusted;
+}
+
+void GatewayState::onDirectoryChanges(const std::vector<DirectoryChange>& changes)
+{
+    for (const DirectoryChange& change : changes) {
+        const ServerRecord* record = this->directory.find(change.id);
+        this->log.write(LogLevel::Info, "server_changed",
+            { { "server", change.id.raw() }, { "change", std::string { nameOf(change.kind) } },
+                { "address", record ? record->address : "" },
+                { "stage", record ? std::string { nameOf(record->stage) } : "" },
+                { "data_centre", record ? record->dataCentre.raw() : "" } });
+        if (change.kind != DirectoryChange::Kind::Gone)
+            continue;
+        this->clients.forget(change.id);
+        this->standing.forget(change.id);
+        this->memory.forget(change.id);
+        this->prefills.forget(change.id);
+    }
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -0,0 +1,343 @@
+// Implementation of generations.
+#include "peridotgrade/gateway/generation_call.h"
+
+#include "peridotgrade/core/serving/come_back.h"
+#include "peridotgrade/gateway/final_answer.h"
+#include "peridotgrade/net/sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+    // Prefill, hand-over and the first event at a busy engine take about this long after a place is held.
+    constexpr std::chrono::milliseconds TimeToFirstEvent { 300 };
+    // Callers give up a stream without an event after four seconds at the earliest.
+    constexpr std::chrono::milliseconds LongestSilence { 3300 };
+    // A caller that comes for the first time brings at least this share of the route's time.
+    constexpr double FreshShare = 0.8;
+    // A further round within one request finds a place quickly or not at all.
+    constexpr std::chrono::milliseconds ShortestPlaceWait { 250 };
+    // Ways through place, prefill and stream of one request.
+    constexpr std::uint32_t MostRounds = 3;
+    constexpr std::uint32_t MostPrefillSends = 4;
+    // Pause before prefill engines that were all full are asked again: about half a prefill.
+    constexpr std::chrono::milliseconds PrefillPause { 40 };
+    // A prefill takes 0.1 s, behind nine others one second.
+    constexpr std::chrono::milliseconds PrefillTimeout { 1200 };
+    // A stream is silent for this many of its route's longest pauses before it is resumed elsewhere.
+    constexpr int StallPauses = 5;
+    constexpr std::uint16_t Success = 200;
+} // namespace
+
+GenerationCall::GenerationCall(GatewayState& state, RequestContext& context, const EngineSpec& engine,
+    std::shared_ptr<PlaceBroker> places)
+    : state(state)
+    , context(context)
+    , engine(engine)
+    , places(std::move(places))
+{
+}
+
+bool GenerationCall::isFresh() const
+{
+    return !this->context.request.patience
+        || *this->context.request.patience >= this->context.route.timeout * FreshShare;
+}
+
+bool GenerationCall::canResume() const
+{
+    return this->context.route.isResumable && this->runs < this->context.route.maxAttempts
+        && (this->framer.lastId().has_value() || !this->hasBegun);
+}
+
+TimePoint GenerationCall::placeDue() const
+{
+    TimePoint arrived = this->context.request.arrivedAt;
+    TimePoint due = arrived + LongestSilence;
+    if (this->isFresh() && !this->hasBegun)
+        due = arrived + this->context.route.latencyTarget - TimeToFirstEvent;
+    if (this->rounds > 1)
+        due = std::max(due, this->state.now() + ShortestPlaceWait);
+    return std::min(due, this->context.deadline - TimeToFirstEvent);
+}
+
+std::uint32_t GenerationCall::tokensNeeded() const
+{
+    GenerationSize size = this->context.request.size.value_or(GenerationSize {});
+    std::uint32_t output = this->state.outputs.reserveFor(
+        this->context.route.name, size.expectedOutputTokens, size.maxOutputTokens);
+    return std::min(size.promptTokens + output, this->engine.kvCapacityTokens);
+}
+
+Duration GenerationCall::readTimeout() const
+{
+    Duration left
+        = std::max<Duration>(this->context.deadline - this->state.now(), std::chrono::milliseconds { 1 });
+    bool isWatched = this->hasBegun && this->canResume() && this->context.route.gapTarget.count() > 0;
+    return isWatched ? std::min<Duration>(left, this->context.route.gapTarget * StallPauses) : left;
+}
+
+asio::awaitable<void> GenerationCall::serve()
+{
+    RetryShare& retries = this->state.retriesOf(this->context.service);
+    retries.recordRequest(this->state.now());
+    while (true) {
+        ++this->rounds;
+        if (co_await this->attempt() == Next::Done)
+            co_return;
+        bool mayGoOn = !this->context.interrupt.isRaised() && this->rounds < MostRounds
+            && (this->runs == 0 || this->canResume()) && timeLeft(this->state, this->context) > TimeToFirstEvent
+            && retries.trySpend(this->state.now());
+        if (!mayGoOn)
+            break;
+        this->state.metrics.countRetry(this->context.service.raw());
+    }
+    co_await this->giveUp();
+}
+
+asio::awaitable<void> GenerationCall::giveUp()
+{
+    if (this->context.interrupt.isRaised()) {
+        noteCallerGone(this->state, this->context, this->failure);
+        co_return;
+    }
+    if (this->hasBegun) {
+        breakOff(this->state, this->context, this->failure, this->lastServer, this->lastDetail);
+        co_return;
+    }
+    if (this->runs == 0) {
+        co_await this->reject(this->failure);
+        co_return;
+    }
+    bool isLate = timeLeft(this->state, this->context).count() == 0;
+    co_await answerFailed(this->state, this->context, isLate ? 504 : 502, this->failure, this->lastServer,
+        this->lastDetail);
+}
+
+asio::awaitable<void> GenerationCall::reject(std::string_view reason)
+{
+    auto wait = comeBackAfter(timeLeft(this->state, this->context), this->state.random);
+    co_await answerNotRun(this->state, this->context, reason, wait, this->lastServer);
+}
+
+asio::awaitable<GenerationCall::Next> GenerationCall::attempt()
+{
+    TimePoint began = this->state.now();
+    this->failure = "no_capacity";
+    auto place = co_await this->places->acquire(this->context.request.attempt, this->tokensNeeded(),
+        this->placeDue(), this->context.interrupt);
+    if (this->context.interrupt.isRaised()) {
+        if (place)
+            this->places->giveBack(*place);
+        co_return Next::Again;
+    }
+    if (!place) {
+        // The line has waited as long as is useful; a further round would meet the same engines.
+        this->rounds = MostRounds;
+        co_return Next::Again;
+    }
+    this->state.metrics.addPlaceWait(this->state.now() - began);
+    this->lastServer = place->engine->record().id.raw();
+    this->failure = "no_prefill";
+    auto kvCache = co_await this->prefill(*place);
+    if (!kvCache) {
+        this->places->giveBack(*place);
+        co_return Next::Again;
+    }
+    if (this->context.interrupt.isRaised()) {
+        this->places->giveBack(*place);
+        this->freeLater(*kvCache);
+        co_return Next::Again;
+    }
+    co_return co_await this->stream(*place, std::move(*kvCache));
+}
+
+asio::awaitable<std::optional<KvLocation>> GenerationCall::prefill(const ReservedPlace& place)
+{
+    std::uint32_t tokens = this->context.request.size ? this->context.request.size->promptTokens : 1;
+    TimePoint latest = std::min(place.lapsesAt, this->context.deadline) - TimeToFirstEvent / 2;
+    RetryShare& retries = this->state.retriesOf(this->context.service);
+    while (!this->context.interrupt.isRaised() && this->state.now() < latest) {
+        auto engines = this->state.trusted(this->context.service, ServerStage::Prefill);
+        auto choice = this->state.prefills.choose(
+            engines, place.engine->record().dataCentre, tokens, this->state.now(), this->state.random);
+        if (!choice) {
+            co_await sleepFor(this->state.executor, PrefillPause);
+            continue;
+        }
+        if (this->prefillSends >= MostPrefillSends
+            || (this->prefillSends > 0 && !retries.trySpend(this->state.now())))
+            co_return std::nullopt;
+        ++this->prefillSends;
+        const ServerRecord* record = this->state.directory.find(*choice);
+        if (record == nullptr)
+            co_return std::nullopt;
+        auto client = this->state.clients.of(*record);
+        TimePoint began = this->state.now();
+        this->state.prefills.reserve(*choice, tokens);
+        auto timeLimit = std::min(timeLeft(this->state, this->context), PrefillTimeout);
+        auto result = co_await client->prefill(this->context.request, timeLimit, this->context.interrupt);
+        this->state.prefills.release(*choice, tokens);
+        TimePoint now = this->state.now();
+        if (auto* kvCache = std::get_if<KvLocation>(&result)) {
+            this->state.standing.record(*choice, CallResult::Answered, now);
+            this->state.metrics.addPrefill(now - began);
+            co_return std::move(*kvCache);
+        }
+        const auto& failed = std::get<CallFailure>(result);
+        this->lastDetail = failed.detail;
+        if (this->context.interrupt.isRaised())
+            co_return std::nullopt;
+        this->state.prefills.noteRefusal(*choice, failed.isRefusal ? tokens : 0, now);
+        if (!failed.isRefusal || failed.isOtherServer)
+            this->state.standing.record(*choice, CallResult::Unreachable, now);
+        this->state.log.write(LogLevel::Info, "prefill_failed",
+            { { "request", this->context.request.attempt }, { "server", choice->raw() },
+                { "detail", failed.detail } });
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<GenerationCall::Next> GenerationCall::stream(const ReservedPlace& place, KvLocation kvCache)
+{
+    const ServerId server = place.engine->record().id;
+    RunOptions options;
+    options.timeLeft = timeLeft(this->state, this->context);
+    options.kvCache = kvCache;
+    options.reservation = place.reservation;
+    if (this->hasBegun)
+        options.lastEvent = this->framer.lastId();
+    this->failure = "server_lost";
+    auto result = co_await place.engine->run(
+        this->context.request, options, this->readTimeout(), this->context.interrupt);
+    if (auto* failed = std::get_if<CallFailure>(&result)) {
+        this->lastDetail = failed->detail;
+        this->runs += failed->mayHaveRun ? 1 : 0;
+        this->places->giveBack(place);
+        this->freeLater(kvCache);
+        if (!this->context.interrupt.isRaised())
+            this->state.standing.record(server, CallResult::Unreachable, this->state.now());
+        this->state.log.write(LogLevel::Info, "attempt_failed",
+            { { "request", this->context.request.attempt }, { "server", server.raw() },
+                { "may_have_run", failed->mayHaveRun ? "true" : "false" }, { "detail", failed->detail } });
+        co_return Next::Again;
+    }
+    auto answer = std::move(std::get<std::unique_ptr<ServerAnswer>>(result));
+    if (answer->head().isNotRun) {
+        this->failure = "hand_over_failed";
+        this->lastDetail = "rejected with status " + std::to_string(answer->head().response.status);
+        this->state.log.write(LogLevel::Info, "hand_over_failed",
+            { { "request", this->context.request.attempt }, { "server", server.raw() },
+                { "prefill_server", kvCache.engineAddress }, { "detail", this->lastDetail } });
+        answer->abort();
+        this->places->giveBack(place);
+        this->freeLater(kvCache);
+        co_return Next::Again;
+    }
+    ++this->runs;
+    Next next = co_await this->forward(*answer, server);
+    answer->abort();
+    this->places->release(place);
+    co_return next;
+}
+
+asio::awaitable<GenerationCall::Next> GenerationCall::forward(ServerAnswer& answer, const ServerId& server)
+{
+    if (answer.head().response.status != Success && !this->hasBegun)
+        co_return co_await this->respondWhole(answer, server);
+    if (answer.head().response.status != Success) {
+        this->lastDetail = "status " + std::to_string(answer.head().response.status) + " on resuming";
+        co_return Next::Again;
+    }
+    while (true) {
+        this->context.interrupt.attach([&answer] { answer.abort(); });
+        auto piece = co_await answer.read(this->readTimeout());
+        this->context.interrupt.detach();
+        if (this->context.interrupt.isRaised())
+            co_return Next::Again;
+        if (auto* error = std::get_if<NetError>(&piece)) {
+            this->lastDetail = error->detail;
+            this->failure = timeLeft(this->state, this->context).count() == 0 ? "deadline_passed" : "server_lost";
+            this->state.standing.record(server, CallResult::Unreachable, this->state.now());
+            this->framer.dropPartialEvent();
+            co_return Next::Again;
+        }
+        std::string& bytes = std::get<std::string>(piece);
+        if (bytes.empty())
+            break;
+        if (!co_await this->deliver(answer, std::move(bytes)))
+            co_return Next::Again;
+    }
+    if (!this->hasBegun)
+        co_await this->deliver(answer, {});
+    co_await this->context.exchange.endStream();
+    this->state.standing.record(server, CallResult::Answered, this->state.now());
+    std::uint32_t expected = this->context.request.size ? this->context.request.size->expectedOutputTokens : 0;
+    this->state.outputs.record(
+        this->context.route.name, expected, this->framer.events() * this->engine.tokensPerEvent);
+    noteAnswered(this->state, this->context, Success, server.raw(), this->rounds, this->firstEvent);
+    co_return Next::Done;
+}
+
+asio::awaitable<bool> GenerationCall::deliver(ServerAnswer& answer, std::string bytes)
+{
+    std::string whole = this->framer.push(bytes);
+    // Only what may go on elsewhere has to stay on event boundaries.
+    std::string& sent = this->context.route.isResumable ? whole : bytes;
+    bool isOk = true;
+    if (!this->hasBegun && (!sent.empty() || bytes.empty())) {
+        this->hasBegun = true;
+        this->firstEvent = this->state.now() - this->context.request.arrivedAt;
+        HttpResponse head = answer.head().response;
+        head.body = std::move(sent);
+        isOk = co_await this->context.exchange.beginStream(std::move(head));
+    } else if (!sent.empty()) {
+        isOk = co_await this->context.exchange.writeChunk(std::move(sent));
+    }
+    if (!isOk)
+        this->context.interrupt.raise();
+    co_return isOk;
+}
+
+asio::awaitable<GenerationCall::Next> GenerationCall::respondWhole(ServerAnswer& answer, const ServerId& server)
+{
+    HttpResponse response = answer.head().response;
+    while (true) {
+        auto piece = co_await answer.read(this->readTimeout());
+        if (auto* error = std::get_if<NetError>(&piece)) {
+            this->lastDetail = error->detail;
+            co_return Next::Again;
+        }
+        if (std::get<std::string>(piece).empty())
+            break;
+        response.body += std::get<std::string>(piece);
+    }
+    this->state.standing.record(server, CallResult::ServerError, this->state.now());
+    std::uint16_t status = response.status;
+    co_await this->context.exchange.respond(std::move(response));
+    noteAnswered(this->state, this->context, status, server.raw(), this->rounds);
+    co_return Next::Done;
+}
+
+void GenerationCall::freeLater(const KvLocation& kvCache)
+{
+    for (const ServerRecord* record : this->state.directory.all()) {
+        if (record->address != kvCache.engineAddress)
+            continue;
+        asio::co_spawn(
+            this->state.executor,
+            [](std::shared_ptr<ServerClient> client, KvHandle handle) -> asio::awaitable<void> {
+                co_await client->freeKvCache(std::move(handle));
+            }(this->state.clients.of(*record), kvCache.handle),
+            asio::detached);
+        return;
+    }
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -0,0 +1,181 @@
+// Implementation of plain calls.
+#include "peridotgrade/gateway/plain_call.h"
+
+#include "peridotgrade/core/base/invariant.h"
+#include "peridotgrade/core/serving/come_back.h"
+#include "peridotgrade/gateway/final_answer.h"
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+    // Sends of one request that servers reject without running it, beyond the route's attempts.
+    constexpr std::uint32_t MostSends = 4;
+    // A server with errors counts as this many requests more for each whole share of failures.
+    constexpr double FailureWeight = 8;
+    // A server of another data centre costs a round trip: less than one waiting request.
+    constexpr double OtherDataCentreWeight = 0.7;
+    // A repeatable request that is not answered within this share of its time is sent elsewhere.
+    constexpr int AttemptShare = 2;
+    constexpr std::uint16_t FirstServerError = 500;
+} // namespace
+
+PlainCall::PlainCall(GatewayState& state, RequestContext& context)
+    : state(state)
+    , context(context)
+{
+}
+
+asio::awaitable<void> PlainCall::serve()
+{
+    RetryShare& retries = this->state.retriesOf(this->context.service);
+    retries.recordRequest(this->state.now());
+    while (true) {
+        if (this->context.interrupt.isRaised()) {
+            noteCallerGone(this->state, this->context, "waiting for a server");
+            co_return;
+        }
+        const ServerRecord* record = this->chooseServer();
+        bool mayGoOn = record != nullptr && this->sends < MostSends && timeLeft(this->state, this->context).count() > 0
+            && (this->runs == 0 || this->mayRunAgain());
+        if (mayGoOn && this->sends > 0) {
+            mayGoOn = retries.trySpend(this->state.now());
+            if (mayGoOn)
+                this->state.metrics.countRetry(this->context.service.raw());
+        }
+        if (!mayGoOn) {
+            co_await this->giveUp();
+            co_return;
+        }
+        if (co_await this->attempt(*record) == Next::Done)
+            co_return;
+    }
+}
+
+bool PlainCall::mayRunAgain() const
+{
+    return this->context.route.kind == CallKind::Idempotent && this->runs < this->context.route.maxAttempts;
+}
+
+Duration PlainCall::attemptTime() const
+{
+    Duration left = this->context.deadline - this->state.now();
+    bool hasAnother = this->context.route.kind == CallKind::Idempotent
+        && this->runs + 1 < this->context.route.maxAttempts;
+    return hasAnother ? left / AttemptShare : left;
+}
+
+const ServerRecord* PlainCall::chooseServer()
+{
+    const ServerRecord* best = nullptr;
+    double bestCost = 0;
+    for (const ServerRecord* server : this->state.trusted(this->context.service, ServerStage::None)) {
+        if (this->tried.contains(server->id))
+            continue;
+        double cost = static_cast<double>(this->state.memory.tokensAt(server->id))
+            + FailureWeight * this->state.standing.failureShare(server->id) + this->state.random.unit() / 2;
+        if (server->dataCentre.raw() != this->state.settings.dataCentre)
+            cost += OtherDataCentreWeight;
+        if (best == nullptr || cost < bestCost) {
+            best = server;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+asio::awaitable<PlainCall::Next> PlainCall::attempt(const ServerRecord& record)
+{
+    auto client = this->state.clients.of(record);
+    const ServerId server = record.id;
+    this->tried.insert(server);
+    ++this->sends;
+    this->lastServer = server.raw();
+    RunOptions options;
+    options.timeLeft = timeLeft(this->state, this->context);
+    options.isRepeatable = this->context.route.kind == CallKind::Idempotent;
+    // One token stands for one running request at plain servers.
+    this->state.memory.reserve(server, 1);
+    auto result = co_await client->run(
+        this->context.request, options, this->attemptTime(), this->context.interrupt);
+    this->state.memory.release(server, 1);
+    if (auto* failure = std::get_if<CallFailure>(&result)) {
+        this->lastDetail = failure->detail;
+        this->runs += failure->mayHaveRun ? 1 : 0;
+        if (this->context.interrupt.isRaised())
+            co_return Next::TryOther;
+        this->state.standing.record(server, CallResult::Unreachable, this->state.now());
+        this->state.log.write(LogLevel::Info, "attempt_failed",
+            { { "request", this->context.request.attempt }, { "server", server.raw() },
+                { "may_have_run", failure->mayHaveRun ? "true" : "false" }, { "detail", failure->detail } });
+        co_return Next::TryOther;
+    }
+    auto answer = std::move(std::get<std::unique_ptr<ServerAnswer>>(result));
+    co_return co_await this->passOn(*answer, server);
+}
+
+asio::awaitable<PlainCall::Next> PlainCall::passOn(ServerAnswer& answer, const ServerId& server)
+{
+    HttpResponse response = answer.head().response;
+    this->context.interrupt.attach([&answer] { answer.abort(); });
+    while (true) {
+        Duration left = std::max<Duration>(
+            this->context.deadline - this->state.now(), std::chrono::milliseconds { 1 });
+        auto piece = co_await answer.read(left);
+        if (auto* error = std::get_if<NetError>(&piece)) {
+            this->context.interrupt.detach();
+            this->lastDetail = error->detail;
+            this->runs += answer.head().isNotRun ? 0 : 1;
+            this->state.standing.record(server, CallResult::Unreachable, this->state.now());
+            co_return Next::TryOther;
+        }
+        if (std::get<std::string>(piece).empty())
+            break;
+        response.body += std::get<std::string>(piece);
+    }
+    this->context.interrupt.detach();
+    if (answer.head().isNotRun) {
+        this->lastDetail = "rejected with status " + std::to_string(response.status);
+        this->state.standing.record(server,
+            answer.head().isOtherServer ? CallResult::Unreachable : CallResult::Answered, this->state.now());
+        co_return Next::TryOther;
+    }
+    ++this->runs;
+    bool isServerError = response.status >= FirstServerError;
+    this->state.standing.record(
+        server, isServerError ? CallResult::ServerError : CallResult::Answered, this->state.now());
+    if (isServerError && this->mayRunAgain()) {
+        this->lastAnswer = std::move(response);
+        co_return Next::TryOther;
+    }
+    std::uint16_t status = response.status;
+    co_await this->context.exchange.respond(std::move(response));
+    noteAnswered(this->state, this->context, status, server.raw(), this->sends);
+    co_return Next::Done;
+}
+
+asio::awaitable<void> PlainCall::giveUp()
+{
+    if (this->lastAnswer) {
+        std::uint16_t status = this->lastAnswer->status;
+        co_await this->context.exchange.respond(std::move(*this->lastAnswer));
+        noteAnswered(this->state, this->context, status, this->lastServer, this->sends);
+        co_return;
+    }
+    auto left = timeLeft(this->state, this->context);
+    if (this->runs == 0) {
+        co_await answerNotRun(this->state, this->context, this->sends == 0 ? "no_server" : "servers_busy",
+            comeBackAfter(left, this->state.random), this->lastServer);
+        co_return;
+    }
+    checkInvariant(this->runs <= this->context.route.maxAttempts, Invariant::ActionAtMostOnce,
+        "a request ran on more servers than its route allows");
+    std::uint16_t status = left.count() > 0 ? 502 : 504;
+    co_await answerFailed(this->state, this->context, status,
+        left.count() > 0 ? "server_lost" : "deadline_passed", this->lastServer, this->lastDetail);
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/gateway/server_clients.cpp
@@ -0,0 +1,16 @@
+// Implementation of the clients of backend servers.
+#include "peridotgrade/gateway/server_clients.h"
+
+namespace peridotgrade {
+
+std::shared_ptr<ServerClient> ServerClients::of(const ServerRecord& record)
+{
+    std::shared_ptr<ServerClient>& client = this->clients[record.id];
+    bool isSameRun = client && client->record().address == record.address
+        && client->record().startedAt == record.startedAt;
+    if (!isSameRun)
+        client = std::make_shared<ServerClient>(this->executor, record);
+    return client;
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/gateway/site_follower.cpp
@@ -0,0 +1,112 @@
+// Implementation of the follower of configuration and servers.
+#include "peridotgrade/gateway/site_follower.h"
+
+#include "peridotgrade/core/base/invariant.h"
+#include "platform/configuration_codec.h"
+#include "platform/server_record_codec.h"
+#include "platform/wire_names.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace peridotgrade {
+
+namespace {
+
+    // A change is known within a round trip; a connection that has turned silent is noticed within the wait
+    // and the time-out of a call, under the two seconds in which a configuration has to be in force.
+    constexpr std::chrono::milliseconds ConfigurationWait { 1000 };
+    // Servers report every 1.2 s. Reading at this interval finds a leaving server well within the two seconds
+    // after which it must get no more requests, with few calls.
+    constexpr std::chrono::milliseconds ServersInterval { 800 };
+    // Each call costs; this often servers kept over an outage are looked at.
+    constexpr std::chrono::milliseconds ExpiryCheck { 100 };
+
+    std::vector<ListedServer> listedFrom(const std::vector<StoreRecord>& records)
+    {
+        std::vector<ListedServer> listed;
+        for (const StoreRecord& record : records) {
+            ListedServer each { ServerId { record.key }, record.offset, std::nullopt };
+            if (record.value) {
+                each.record = parseServerRecord(record.key, *record.value);
+                // A record that names no usable server says nothing about one that is known.
+                if (!each.record)
+                    continue;
+            }
+            listed.push_back(std::move(each));
+        }
+        return listed;
+    }
+
+} // namespace
+
+SiteFollower::SiteFollower(GatewayState& state, StoreClient& store)
+    : state(state)
+    , configurationWatch(state, store,
+          { std::string { wire_names::ConfigurationTopic }, ConfigurationWait, std::chrono::milliseconds { 0 } },
+          { [this](const StoreListing& listing) { this->applyConfiguration(listing.records); },
+              [this](const std::vector<StoreRecord>& records) { this->applyConfiguration(records); }, [] {}, [] {} })
+    , serverWatch(state, store,
+          { std::string { wire_names::ServersTopic }, std::chrono::milliseconds { 0 }, ServersInterval },
+          { [this](const StoreListing& listing) { this->replaceServers(listing); },
+              [this](const std::vector<StoreRecord>& records) { this->applyServers(records); },
+              [this] { this->state.directory.noteStoreLost(this->state.now()); },
+              [this] { this->state.directory.noteStoreBack(this->state.now()); } })
+{
+}
+
+void SiteFollower::start()
+{
+    boost::asio::co_spawn(this->state.executor, this->configurationWatch.run(), boost::asio::detached);
+    boost::asio::co_spawn(this->state.executor, this->serverWatch.run(), boost::asio::detached);
+    this->expireLater();
+}
+
+void SiteFollower::applyConfiguration(const std::vector<StoreRecord>& records)
+{
+    for (const StoreRecord& record : records) {
+        if (record.key != wire_names::ConfigurationKey || !record.value)
+            continue;
+        auto parsed = parseServiceConfiguration(*record.value);
+        if (auto* problem = std::get_if<std::string>(&parsed)) {
+            this->state.log.write(LogLevel::Error, "configuration_unreadable",
+                { { "offset", std::to_string(record.offset.raw()) }, { "detail", *problem } });
+            continue;
+        }
+        auto& configuration = std::get<ServiceConfiguration>(parsed);
+        ConfigVersion current
+            = this->state.configuration ? this->state.configuration->version : ConfigVersion { 0 };
+        if (this->state.configuration && configuration.version <= current)
+            continue;
+        checkInvariant(!this->state.configuration || current < configuration.version,
+            Invariant::ConfigurationNeverReverts, "an older configuration would come into force");
+        this->state.log.write(LogLevel::Info, "configuration_applied",
+            { { "version", std::to_string(configuration.version.raw()) },
+                { "before", std::to_string(current.raw()) },
+                { "routes", std::to_string(configuration.routes.size()) },
+                { "services", std::to_string(configuration.services.size()) } });
+        this->state.configuration = std::make_shared<const ServiceConfiguration>(std::move(configuration));
+    }
+}
+
+void SiteFollower::applyServers(const std::vector<StoreRecord>& records)
+{
+    this->state.onDirectoryChanges(this->state.directory.apply(listedFrom(records), this->state.now()));
+}
+
+void SiteFollower::replaceServers(const StoreListing& listing)
+{
+    this->state.hasServers = true;
+    this->state.onDirectoryChanges(
+        this->state.directory.replace(listedFrom(listing.records), listing.end, this->state.now()));
+}
+
+void SiteFollower::expireLater()
+{
+    this->state.subscribeAfter(ExpiryCheck, [this] {
+        this->state.onDirectoryChanges(this->state.directory.expire(this->state.now()));
+        this->expireLater();
+    });
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/gateway/store_watch.cpp
@@ -0,0 +1,96 @@
+// Implementation of the watch of a topic.
+#include "peridotgrade/gateway/store_watch.h"
+
+#include "peridotgrade/net/sleep.h"
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+namespace {
+    // Answers take 4 ms when the store is well, some hundred when it is slow.
+    constexpr std::chrono::milliseconds CallTimeout { 600 };
+    // Pause after a failure; doubled up to the longest, which keeps the news well within the bounds.
+    constexpr std::chrono::milliseconds FirstPause { 100 };
+    constexpr std::chrono::milliseconds LongestPause { 400 };
+    // Failures in a row before the store counts as lost: one may be a broken connection.
+    constexpr std::uint32_t FailuresUntilLost = 2;
+} // namespace
+
+StoreWatch::StoreWatch(GatewayState& state, StoreClient& store, WatchedTopic topic, Callbacks callbacks)
+    : state(state)
+    , store(store)
+    , topic(std::move(topic))
+    , callbacks(std::move(callbacks))
+{
+}
+
+boost::asio::awaitable<void> StoreWatch::run()
+{
+    while (!this->state.isStopping) {
+        bool isOk = false;
+        if (this->next)
+            isOk = co_await this->readOn();
+        else
+            isOk = co_await this->listAnew();
+        if (!isOk) {
+            auto pause = std::min(FirstPause * (1 << std::min(this->failuresInRow, 4U)), LongestPause);
+            co_await sleepFor(this->state.executor, pause);
+        } else if (this->topic.interval.count() > 0) {
+            co_await sleepFor(this->state.executor, this->topic.interval);
+        }
+    }
+}
+
+boost::asio::awaitable<bool> StoreWatch::listAnew()
+{
+    auto listing = co_await this->store.list(this->topic.name, CallTimeout);
+    if (auto* error = std::get_if<StoreError>(&listing)) {
+        this->noteFailure(*error);
+        co_return false;
+    }
+    this->noteSuccess();
+    this->next = std::get<StoreListing>(listing).end;
+    this->callbacks.onListing(std::get<StoreListing>(listing));
+    co_return true;
+}
+
+boost::asio::awaitable<bool> StoreWatch::readOn()
+{
+    auto tail = co_await this->store.read(
+        this->topic.name, *this->next, this->topic.wait, this->topic.wait + CallTimeout);
+    if (auto* error = std::get_if<StoreError>(&tail)) {
+        this->noteFailure(*error);
+        this->next.reset();
+        co_return false;
+    }
+    this->noteSuccess();
+    this->next = std::get<StoreTail>(tail).next;
+    const auto& records = std::get<StoreTail>(tail).records;
+    if (!records.empty())
+        this->callbacks.onRecords(records);
+    co_return true;
+}
+
+void StoreWatch::noteFailure(const StoreError& error)
+{
+    ++this->failuresInRow;
+    if (this->failuresInRow != FailuresUntilLost)
+        return;
+    this->state.log.write(LogLevel::Warn, "store_lost",
+        { { "topic", this->topic.name }, { "kind", std::string { nameOf(error.kind) } },
+            { "detail", error.detail } });
+    this->callbacks.onLost();
+}
+
+void StoreWatch::noteSuccess()
+{
+    bool wasLost = this->failuresInRow >= FailuresUntilLost;
+    this->failuresInRow = 0;
+    if (!wasLost)
+        return;
+    this->state.log.write(LogLevel::Info, "store_back", { { "topic", this->topic.name } });
+    this->callbacks.onBack();
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/net/http_channel.cpp
@@ -0,0 +1,289 @@
+// Implementation of kept client connections over Boost.Beast.
+#include "peridotgrade/net/http_channel.h"
+
+#include "beast_convert.h"
+#include "peridotgrade/net/timer_driver.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <deque>
+#include <optional>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+    // Connections kept for later requests; more are closed after use.
+    constexpr std::size_t MaxIdleConnections = 16;
+    constexpr std::size_t ReadBytes = 16 * 1024;
+    // A kept connection is used for half of the time that the server keeps it at most, so that a request
+    // never crosses the server's close.
+    constexpr int KeepAliveShare = 2;
+    // How long a connection is kept whose server names no time.
+    constexpr std::chrono::milliseconds DefaultKeepAlive { 4000 };
+
+    http::request<http::string_body> beastRequest(HttpRequest request, const Endpoint& server)
+    {
+        http::request<http::string_body> message;
+        message.version(11);
+        message.method_string(request.method);
+        message.target(request.target);
+        if (request.field("Host").empty())
+            message.set(http::field::host, toString(server));
+        for (const HttpField& field : request.fields)
+            message.insert(field.name, field.value);
+        message.body() = std::move(request.body);
+        message.prepare_payload();
+        return message;
+    }
+
+    /// The time after `timeout=` in a Keep-Alive field.
+    std::optional<std::chrono::seconds> keepAliveTime(std::string_view value)
+    {
+        constexpr std::string_view Key = "timeout=";
+        std::size_t at = value.find(Key);
+        if (at == std::string_view::npos)
+            return std::nullopt;
+        std::string_view digits = value.substr(at + Key.size());
+        int seconds = 0;
+        auto [end, status] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+        if (status != std::errc {})
+            return std::nullopt;
+        return std::chrono::seconds { seconds };
+    }
+
+    class BeastChannel final : public HttpChannel, public std::enable_shared_from_this<BeastChannel> {
+    public:
+        BeastChannel(beast::tcp_stream connected, Endpoint server)
+            : stream(std::move(connected))
+            , server(std::move(server))
+        {
+        }
+
+        void send(HttpRequest request) override
+        {
+            this->isHead = request.method == "HEAD";
+            this->outgoing = beastRequest(std::move(request), this->server);
+            this->isWritten = false;
+            this->hasBegun = false;
+            this->isReusedNow = this->exchanges++ > 0;
+            this->stream.expires_never();
+            http::async_write(this->stream, *this->outgoing,
+                [self = this->shared_from_this()](const boost::system::error_code& error, std::size_t) {
+                    self->isWritten = !error;
+                });
+        }
+
+        asio::awaitable<std::variant<HttpResponse, NetError>> readHead(Duration timeout) override
+        {
+            auto self = this->shared_from_this();
+            this->parser.emplace();
+            this->parser->body_limit(boost::none);
+            this->parser->skip(this->isHead);
+            boost::system::error_code error;
+            this->stream.expires_after(timeout);
+            co_await http::async_read_header(
+                this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, error));
+            this->hasBegun = this->hasBegun || this->parser->got_some();
+            if (error)
+                co_return this->fail(error);
+            // The status 100 announces the real response.
+            if (this->parser->get().result() == http::status::continue_)
+                co_return co_await this->readHead(timeout);
+            const auto& head = this->parser->get();
+            HttpResponse response;
+            response.status = static_cast<std::uint16_t>(head.result_int());
+            response.contentType.clear();
+            response.fields = fieldsFrom(head);
+            this->keepAliveLeft = keepAliveTime(head[http::field::keep_alive]);
+            co_return response;
+        }
+
+        asio::awaitable<std::variant<std::string, NetError>> readBody(Duration timeout) override
+        {
+            auto self = this->shared_from_this();
+            while (!this->parser->is_done()) {
+                std::string space(ReadBytes, '\0');
+                this->parser->get().body().data = space.data();
+                this->parser->get().body().size = space.size();
+                this->parser->get().body().more = true;
+                boost::system::error_code error;
+                this->stream.expires_after(timeout);
+                co_await http::async_read_some(this->stream, this->buffer, *this->parser,
+                    asio::redirect_error(asio::use_awaitable, error));
+                std::size_t size = space.size() - this->parser->get().body().size;
+                if (size > 0 && (!error || error == http::error::need_buffer)) {
+                    space.resize(size);
+                    co_return space;
+                }
+                if (error && error != http::error::need_buffer)
+                    co_return this->fail(error);
+            }
+            co_return std::string {};
+        }
+
+        void close() override
+        {
+            this->isClosed = true;
+            boost::system::error_code ignored;
+            this->stream.socket().close(ignored);
+        }
+
+        bool isReused() const override { return this->isReusedNow; }
+        bool hasAnswerBegun() const override { return this->hasBegun; }
+
+        /// True if both directions are at a message boundary and the server keeps the connection.
+        bool isKeepable()
+        {
+            bool isComplete = !this->isClosed && this->isWritten && this->parser && this->parser->is_done();
+            return isComplete && this->parser->get().keep_alive() && this->buffer.size() == 0;
+        }
+
+        void keep(TimePoint now)
+        {
+            this->idleSince = now;
+            this->stream.expires_never();
+        }
+
+        /// True if it can carry one more request now.
+        bool isUsable(Duration maxIdle, TimePoint now)
+        {
+            Duration limit = maxIdle;
+            Duration kept = this->keepAliveLeft ? Duration { *this->keepAliveLeft } : DefaultKeepAlive;
+            limit = std::min(limit, kept / KeepAliveShare);
+            if (this->isClosed || now - this->idleSince > limit)
+                return false;
+            // Anything that can be read now is an end of the connection or bytes that belong to no request.
+            char next = 0;
+            boost::system::error_code error;
+            this->stream.socket().non_blocking(true, error);
+            this->stream.socket().receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
+            return error == asio::error::would_block;
+        }
+
+    private:
+        NetError fail(const boost::system::error_code& error)
+        {
+            this->close();
+            return netErrorFrom(error, true);
+        }
+
+        beast::tcp_stream stream;
+        Endpoint server;
+        beast::flat_buffer buffer;
+        std::optional<http::request<http::string_body>> outgoing;
+        std::optional<http::response_parser<http::buffer_body>> parser;
+        std::optional<std::chrono::seconds> keepAliveLeft;
+        TimePoint idleSince {};
+        std::uint32_t exchanges = 0;
+        bool isHead = false;
+        bool isWritten = false;
+        bool hasBegun = false;
+        bool isReusedNow = false;
+        bool isClosed = false;
+    };
+
+} // namespace
+
+class HttpChannelPool::Impl {
+public:
+    Impl(asio::any_io_executor executor, Endpoint server)
+        : executor(std::move(executor))
+        , server(std::move(server))
+    {
+    }
+
+    std::shared_ptr<BeastChannel> takeKept(Duration maxIdle, TimePoint now)
+    {
+        while (!this->idle.empty()) {
+            auto channel = std::move(this->idle.back());
+            this->idle.pop_back();
+            if (channel->isUsable(maxIdle, now))
+                return channel;
+            channel->close();
+        }
+        return nullptr;
+    }
+
+    asio::awaitable<Opened> connect(Duration timeout)
+    {
+        beast::tcp_stream connection(this->executor);
+        boost::system::error_code error;
+        tcp::endpoint endpoint(asio::ip::make_address(this->server.address, error), this->server.port);
+        if (!error) {
+            connection.expires_after(timeout);
+            co_await connection.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (error)
+            co_return NetError { NetErrorKind::ConnectFailed, false,
+                toString(this->server) + ": " + error.message() };
+        connection.socket().set_option(tcp::no_delay(true), error);
+        ++this->opened;
+        std::shared_ptr<HttpChannel> channel
+            = std::make_shared<BeastChannel>(std::move(connection), this->server);
+        co_return channel;
+    }
+
+    const asio::any_io_executor executor;
+    const Endpoint server;
+    /// Invariant: each was keepable when it was put here; the newest is last.
+    std::deque<std::shared_ptr<BeastChannel>> idle;
+    std::uint64_t opened = 0;
+};
+
+HttpChannelPool::HttpChannelPool(asio::any_io_executor executor, Endpoint server)
+    : impl(std::make_shared<Impl>(std::move(executor), std::move(server)))
+{
+}
+
+HttpChannelPool::~HttpChannelPool() { this->clear(); }
+
+asio::awaitable<HttpChannelPool::Opened> HttpChannelPool::open(Duration maxIdle, Duration connectTimeout)
+{
+    auto keep = this->impl;
+    if (auto kept = keep->takeKept(maxIdle, TimerDriver::now()))
+        co_return std::shared_ptr<HttpChannel> { std::move(kept) };
+    co_return co_await keep->connect(connectTimeout);
+}
+
+void HttpChannelPool::giveBack(std::shared_ptr<HttpChannel> channel)
+{
+    auto kept = std::static_pointer_cast<BeastChannel>(std::move(channel));
+    if (!kept->isKeepable()) {
+        kept->close();
+        return;
+    }
+    kept->keep(TimerDriver::now());
+    this->impl->idle.push_back(std::move(kept));
+    if (this->impl->idle.size() > MaxIdleConnections) {
+        this->impl->idle.front()->close();
+        this->impl->idle.pop_front();
+    }
+}
+
+void HttpChannelPool::clear()
+{
+    for (const auto& channel : this->impl->idle)
+        channel->close();
+    this->impl->idle.clear();
+}
+
+std::uint64_t HttpChannelPool::connectionsOpened() const { return this->impl->opened; }
+
+} // namespace peridotgrade
--- a/src/libperidotgrade/net/timer_driver.cpp
+++ b/src/libperidotgrade/net/timer_driver.cpp
@@ -8,6 +8,8 @@
 
 #include <mutex>
 
+#include <time.h>
+
 namespace peridotgrade {
 
 namespace asio = boost::asio;
@@ -94,6 +96,13 @@
     return std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
 }
 
+TimePoint TimerDriver::bootNow()
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint { std::chrono::seconds { time.tv_sec } + std::chrono::nanoseconds { time.tv_nsec } };
+}
+
 void TimerDriver::arm(std::optional<TimePoint> due) { this->impl->arm(due); }
 
 void TimerDriver::stop() { this->impl->stop(); }
--- a/src/libperidotgrade/ops/logger.cpp
+++ b/src/libperidotgrade/ops/logger.cpp
@@ -3,6 +3,7 @@
 
 #include "peridotgrade/core/base/name_table.h"
 #include "peridotgrade/ops/id_text.h"
+#include "bounded_output_appender.h"
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -73,6 +74,15 @@
             line += value;
     }
 
+    log4cplus::SharedAppenderPtr appenderFor(const LoggerOptions& options)
+    {
+        if (options.target == LogTarget::StandardOutput)
+            return log4cplus::SharedAppenderPtr { new BoundedOutputAppender(options.maxLinesPerSecond) };
+        constexpr bool LogToStderr = true;
+        constexpr bool ImmediateFlush = true;
+        return log4cplus::SharedAppenderPtr { new log4cplus::ConsoleAppender(LogToStderr, ImmediateFlush) };
+    }
+
 } // namespace
 
 std::string_view nameOf(LogLevel level) { return nameAt(LevelNames, level); }
@@ -88,18 +98,16 @@
 
 class Logger::Impl {
 public:
-    Impl(const std::string& node, LogLevel level)
-        : node(node)
+    explicit Impl(const LoggerOptions& options)
+        : node(options.node)
         , logger(log4cplus::Logger::getInstance("peridotgrade"))
     {
-        constexpr bool LogToStderr = true;
-        constexpr bool ImmediateFlush = true;
-        log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(LogToStderr, ImmediateFlush));
+        log4cplus::SharedAppenderPtr appender = appenderFor(options);
         appender->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
         this->logger.removeAllAppenders();
         this->logger.addAppender(appender);
         this->logger.setAdditivity(false);
-        this->setLevel(level);
+        this->setLevel(options.level);
     }
 
     void setLevel(LogLevel value)
@@ -130,7 +138,12 @@
 };
 
 Logger::Logger(const std::string& node, LogLevel level)
-    : impl(std::make_unique<Impl>(node, level))
+    : Logger(LoggerOptions { node, level, LogTarget::StandardError, 0 })
+{
+}
+
+Logger::Logger(const LoggerOptions& options)
+    : impl(std::make_unique<Impl>(options))
 {
 }
 
--- a/src/libperidotgrade/ops/settings/entry_settings.cpp
+++ b/src/libperidotgrade/ops/settings/entry_settings.cpp
@@ -2,7 +2,7 @@
 #include "peridotgrade/ops/settings/entry_settings.h"
 
 #include "peridotgrade/ops/settings/schema_check.h"
-#include "settings_reader.h"
+#include "peridotgrade/ops/settings/settings_reader.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/value.hpp>
--- a/src/libperidotgrade/ops/settings/settings_reader.cpp
+++ b/src/libperidotgrade/ops/settings/settings_reader.cpp
@@ -1,5 +1,5 @@
 // Implementation of the settings reader.
-#include "settings_reader.h"
+#include "peridotgrade/ops/settings/settings_reader.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/value.hpp>
