Leave engines alone that refuse what they granted

Ruled out: lapsed handles (the prefill engines differed), full memory (the reservation was granted). Change: an engine that turns down a run or a prefill is left alone for a doubling time; a superseded server until the list has caught up; orders of stage wait until the list has been still for 3 s; retry parts use 0.85 of the ratio.

--- a/src/include/peridotgrade/core/serving/engine_use.h
+++ b/src/include/peridotgrade/core/serving/engine_use.h
@@ -20,10 +20,18 @@
 public:
     /// Streams of other entries end about every 40 ms at an engine with eight of them, each of 3 s.
     static constexpr std::chrono::milliseconds RefusalLifetime { 60 };
+    /// First and longest time that an unusable engine is left alone. A change of stage takes 6 s.
+    static constexpr std::chrono::milliseconds FirstPause { 150 };
+    static constexpr std::chrono::milliseconds LongestPause { 2400 };
 
     void reserve(const ServerId& server, std::uint32_t tokens);
     void release(const ServerId& server, std::uint32_t tokens);
+    /// The engine has no room for that much. Asked again after `RefusalLifetime`.
     void noteRefusal(const ServerId& server, std::uint32_t tokens, TimePoint now);
+    /// The engine took a reservation and then not the request, or is away for a change of stage: nothing is
+    /// asked of it for a time that doubles until it serves one.
+    void noteUnusable(const ServerId& server, TimePoint now);
+    void noteServed(const ServerId& server);
     void forget(const ServerId& server) { this->engines.erase(server); }
 
     /// The engine to ask for that much: the one with the fewest tokens of our own, one of our data centre
@@ -39,6 +47,8 @@
         std::uint64_t tokens = 0;
         std::uint32_t refusedTokens = 0;
         TimePoint refusedUntil {};
+        std::uint32_t unusableInRow = 0;
+        TimePoint unusableUntil {};
     };
     std::map<ServerId, Engine> engines;
 };
--- a/src/include/peridotgrade/core/serving/retry_share.h
+++ b/src/include/peridotgrade/core/serving/retry_share.h
@@ -23,8 +23,11 @@
 /// bounds whatever their number. One for each service. Not thread safe.
 class RetryShare {
 public:
-    /// Half of the bounds: a part may change hands within a window, and be spent by both.
-    static constexpr double SafetyFactor = 0.5;
+    /// Of the ratio, which is on this entry's own requests: the windows of the bound and ours may be cut
+    /// differently.
+    static constexpr double UsableRatio = 0.85;
+    /// Of the fixed allowance: a part may change hands within a window, and be spent by both.
+    static constexpr double UsableExtra = 0.5;
 
     explicit RetryShare(RetryBounds bounds);
 
--- a/src/include/peridotgrade/core/serving/server_standing.h
+++ b/src/include/peridotgrade/core/serving/server_standing.h
@@ -17,6 +17,8 @@
     ServerError,
     /// No connection, a broken one, or no answer in time.
     Unreachable,
+    /// Another server, or one with another stage, answers there: the list is behind.
+    Superseded,
 };
 
 /// Keeps a failure average and an ejection time for each server. A server that cannot be reached is left out
--- a/src/include/peridotgrade/core/serving/stage_plan.h
+++ b/src/include/peridotgrade/core/serving/stage_plan.h
@@ -21,7 +21,7 @@
 class StagePlan {
 public:
     /// Prefill takes 0.1 s of an engine for an average prompt, decoding 3 s of an eighth of one.
-    static constexpr double DefaultPrefillShare = 0.2;
+    static constexpr double DefaultPrefillShare = 0.25;
     /// With fewer, the loss of one would stop all requests.
     static constexpr std::uint32_t FewestPrefill = 2;
 
--- a/src/include/peridotgrade/gateway/duty_keeper.h
+++ b/src/include/peridotgrade/gateway/duty_keeper.h
@@ -28,6 +28,7 @@
     boost::asio::awaitable<void> orderOne(ServiceId service, StageOrder order);
     void noteMembership(const GroupMembership& membership);
     bool mayAct() const;
+    Duration untilNextTurn() const;
     std::vector<const ServerRecord*> enginesOf(const ServiceId& service, std::vector<ServerRecord>& planned) const;
 
     struct PendingOrder {
--- a/src/include/peridotgrade/gateway/final_answer.h
+++ b/src/include/peridotgrade/gateway/final_answer.h
@@ -13,6 +13,14 @@
 
 namespace peridotgrade {
 
+/// How a stream reached the gateway.
+struct StreamTimes {
+    /// From the request's arrival.
+    Duration firstEvent {};
+    /// Between two pieces of the stream.
+    Duration longestPause {};
+};
+
 /// Time until the request's deadline; zero when it has passed.
 std::chrono::milliseconds timeLeft(const GatewayState& state, const RequestContext& context);
 
@@ -27,7 +35,7 @@
     std::string_view detail);
 /// A server's answer went out whole.
 void noteAnswered(GatewayState& state, const RequestContext& context, std::uint16_t status,
-    std::string_view server, std::uint32_t attempts, std::optional<Duration> firstEvent = {});
+    std::string_view server, std::uint32_t attempts, std::optional<StreamTimes> times = {});
 /// The caller has left.
 void noteCallerGone(GatewayState& state, const RequestContext& context, std::string_view phase);
 
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -51,6 +51,8 @@
     /// False until the list of servers has been read once.
     bool hasServers = false;
     bool isStopping = false;
+    /// When a server last came or went.
+    TimePoint serversChangedAt {};
     ServerDirectory directory;
     ServerStanding standing;
     EngineUse memory;
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -51,6 +51,9 @@
     std::uint32_t prefillSends = 0;
     bool hasBegun = false;
     std::optional<Duration> firstEvent;
+    TimePoint lastPieceAt {};
+    /// Longest pause between two pieces from the server.
+    Duration longestPause {};
     std::string lastServer;
     std::string lastDetail;
     std::string_view failure = "no_capacity";
--- a/src/libperidotgrade/core/serving/engine_use.cpp
+++ b/src/libperidotgrade/core/serving/engine_use.cpp
@@ -11,6 +11,8 @@
     // What a data centre away is worth, in tokens: two thirds of a request, so that the own one is preferred
     // but not filled first.
     constexpr std::uint64_t OtherDataCentreTokens = 2000;
+    // After these the longest pause is reached.
+    constexpr std::uint32_t MostDoublings = 4;
 } // namespace
 
 void EngineUse::reserve(const ServerId& server, std::uint32_t tokens)
@@ -36,6 +38,21 @@
     engine.refusedUntil = now + RefusalLifetime;
 }
 
+void EngineUse::noteUnusable(const ServerId& server, TimePoint now)
+{
+    Engine& engine = this->engines[server];
+    std::uint32_t doublings = std::min(engine.unusableInRow++, MostDoublings);
+    std::chrono::milliseconds pause = FirstPause * (1 << doublings);
+    engine.unusableUntil = now + std::min(pause, LongestPause);
+}
+
+void EngineUse::noteServed(const ServerId& server)
+{
+    Engine& engine = this->engines[server];
+    engine.unusableInRow = 0;
+    engine.unusableUntil = {};
+}
+
 std::optional<ServerId> EngineUse::choose(const std::vector<const ServerRecord*>& candidates,
     const DataCentreId& ownDataCentre, std::uint32_t tokens, TimePoint now, RandomSource& random) const
 {
@@ -45,6 +62,8 @@
     for (const ServerRecord* candidate : candidates) {
         auto found = this->engines.find(candidate->id);
         bool hasFigures = found != this->engines.end();
+        if (hasFigures && now < found->second.unusableUntil)
+            continue;
         if (hasFigures && now < found->second.refusedUntil && tokens >= found->second.refusedTokens)
             continue;
         std::uint64_t cost = hasFigures ? found->second.tokens : 0;
@@ -65,8 +84,10 @@
 {
     std::optional<TimePoint> next;
     for (const auto& [id, engine] : this->engines) {
-        if (engine.refusedUntil > now && (!next || engine.refusedUntil < *next))
-            next = engine.refusedUntil;
+        for (TimePoint until : { engine.refusedUntil, engine.unusableUntil }) {
+            if (until > now && (!next || until < *next))
+                next = until;
+        }
     }
     return next;
 }
--- a/src/libperidotgrade/core/serving/retry_share.cpp
+++ b/src/libperidotgrade/core/serving/retry_share.cpp
@@ -17,8 +17,8 @@
 bool RetryShare::trySpend(TimePoint now)
 {
     this->forgetOld(now);
-    double allowed = SafetyFactor
-        * (this->bounds.ratio * static_cast<double>(this->requests.size()) + this->bounds.extra * this->part);
+    double allowed = UsableRatio * this->bounds.ratio * static_cast<double>(this->requests.size())
+        + UsableExtra * this->bounds.extra * this->part;
     if (static_cast<double>(this->spent.size()) + 1 > allowed)
         return false;
     this->spent.push_back(now);
--- a/src/libperidotgrade/core/serving/server_standing.cpp
+++ b/src/libperidotgrade/core/serving/server_standing.cpp
@@ -17,6 +17,11 @@
     Standing& standing = this->standings[server];
     double failed = result == CallResult::Answered ? 0 : 1;
     standing.failures += NewestWeight * (failed - standing.failures);
+    if (result == CallResult::Superseded) {
+        // By then the list has caught up: a crashed server is off it after three missed reports.
+        standing.ejectedUntil = now + LongestEjection;
+        return;
+    }
     if (result != CallResult::Unreachable) {
         standing.unreachableInRow = 0;
         standing.ejectedUntil = {};
--- a/src/libperidotgrade/gateway/duty_keeper.cpp
+++ b/src/libperidotgrade/gateway/duty_keeper.cpp
@@ -24,6 +24,10 @@
     constexpr std::chrono::milliseconds JoinTimeout { 600 };
     // Beyond the lease, for the way of a last order of the holder before.
     constexpr std::chrono::milliseconds TakeOverMargin { 500 };
+    // So that the next turn is after the lease, not at its end.
+    constexpr std::chrono::milliseconds TurnMargin { 20 };
+    // Servers come and go around a loss or a release; orders wait until the list has been still this long.
+    constexpr std::chrono::milliseconds CalmBeforeOrders { 3000 };
     // An order follows a confirmation of the duty at once.
     constexpr std::chrono::milliseconds LongestConfirmation { 300 };
     constexpr std::chrono::milliseconds OrderTimeout { 500 };
@@ -56,10 +60,18 @@
         }
         if (isMember && this->mayAct())
             co_await this->orderStages();
-        co_await sleepFor(this->state.executor, RenewInterval);
+        co_await sleepFor(this->state.executor, this->untilNextTurn());
     }
 }
 
+Duration DutyKeeper::untilNextTurn() const
+{
+    // A new holder acts as soon as its predecessor's lease has ended.
+    Duration leaseLeft = this->holderSince + this->state.settings.dutyLease + TakeOverMargin - TimerDriver::bootNow();
+    bool isWaiting = this->isHolder && leaseLeft > Duration::zero();
+    return isWaiting ? std::min<Duration>(RenewInterval, leaseLeft + TurnMargin) : Duration { RenewInterval };
+}
+
 boost::asio::awaitable<bool> DutyKeeper::join()
 {
     GroupJoin request;
@@ -123,6 +135,8 @@
 boost::asio::awaitable<void> DutyKeeper::orderStages()
 {
     TimePoint now = this->state.now();
+    if (now - this->state.serversChangedAt < CalmBeforeOrders)
+        co_return;
     std::erase_if(this->pending, [&](const auto& each) { return now >= each.second.until; });
     auto configuration = this->state.configuration;
     if (!configuration)
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -60,19 +60,20 @@
 }
 
 void noteAnswered(GatewayState& state, const RequestContext& context, std::uint16_t status,
-    std::string_view server, std::uint32_t attempts, std::optional<Duration> firstEvent)
+    std::string_view server, std::uint32_t attempts, std::optional<StreamTimes> times)
 {
     Duration took = state.now() - context.request.arrivedAt;
     state.metrics.countOutcome("answered");
     state.metrics.addAnswer(took);
-    if (firstEvent)
-        state.metrics.addFirstEvent(*firstEvent);
+    if (times)
+        state.metrics.addFirstEvent(times->firstEvent);
     state.log.write(LogLevel::Info, "request_ended",
         { { "request", context.request.attempt }, { "outcome", "answered" },
             { "status", std::to_string(status) }, { "route", context.route.name },
             { "service", context.service.raw() }, { "server", std::string { server } },
             { "attempts", std::to_string(attempts) },
-            { "first_event_ms", firstEvent ? millisecondsText(*firstEvent) : "" },
+            { "first_event_ms", times ? millisecondsText(times->firstEvent) : "" },
+            { "longest_pause_ms", times ? millisecondsText(times->longestPause) : "" },
             { "took_ms", millisecondsText(took) } });
 }
 
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -68,6 +68,8 @@
                 { "address", record ? record->address : "" },
                 { "stage", record ? std::string { nameOf(record->stage) } : "" },
                 { "data_centre", record ? record->dataCentre.raw() : "" } });
+        if (change.kind != DirectoryChange::Kind::Changed)
+            this->serversChangedAt = this->now();
         if (change.kind != DirectoryChange::Kind::Gone)
             continue;
         this->clients.forget(change.id);
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -187,6 +187,7 @@
         TimePoint now = this->state.now();
         if (auto* kvCache = std::get_if<KvLocation>(&result)) {
             this->state.standing.record(*choice, CallResult::Answered, now);
+            this->state.prefills.noteServed(*choice);
             this->state.metrics.addPrefill(now - began);
             co_return std::move(*kvCache);
         }
@@ -194,9 +195,11 @@
         this->lastDetail = failed.detail;
         if (this->context.interrupt.isRaised())
             co_return std::nullopt;
-        this->state.prefills.noteRefusal(*choice, failed.isRefusal ? tokens : 0, now);
-        if (!failed.isRefusal || failed.isOtherServer)
-            this->state.standing.record(*choice, CallResult::Unreachable, now);
+        if (failed.isRefusal && !failed.isOtherServer)
+            this->state.prefills.noteUnusable(*choice, now);
+        else
+            this->state.standing.record(
+                *choice, failed.isOtherServer ? CallResult::Superseded : CallResult::Unreachable, now);
         this->state.log.write(LogLevel::Info, "prefill_failed",
             { { "request", this->context.request.attempt }, { "server", choice->raw() },
                 { "detail", failed.detail } });
@@ -235,11 +238,16 @@
         this->state.log.write(LogLevel::Info, "hand_over_failed",
             { { "request", this->context.request.attempt }, { "server", server.raw() },
                 { "prefill_server", kvCache.engineAddress }, { "detail", this->lastDetail } });
+        if (answer->head().isOtherServer)
+            this->state.standing.record(server, CallResult::Superseded, this->state.now());
+        else
+            this->state.memory.noteUnusable(server, this->state.now());
         answer->abort();
         this->places->giveBack(place);
         this->freeLater(kvCache);
         co_return Next::Again;
     }
+    this->state.memory.noteServed(server);
     ++this->runs;
     Next next = co_await this->forward(*answer, server);
     answer->abort();
@@ -281,12 +289,17 @@
     std::uint32_t expected = this->context.request.size ? this->context.request.size->expectedOutputTokens : 0;
     this->state.outputs.record(
         this->context.route.name, expected, this->framer.events() * this->engine.tokensPerEvent);
-    noteAnswered(this->state, this->context, Success, server.raw(), this->rounds, this->firstEvent);
+    noteAnswered(this->state, this->context, Success, server.raw(), this->rounds,
+        StreamTimes { this->firstEvent.value_or(Duration::zero()), this->longestPause });
     co_return Next::Done;
 }
 
 asio::awaitable<bool> GenerationCall::deliver(ServerAnswer& answer, std::string bytes)
 {
+    TimePoint now = this->state.now();
+    if (this->hasBegun)
+        this->longestPause = std::max(this->longestPause, now - this->lastPieceAt);
+    this->lastPieceAt = now;
     std::string whole = this->framer.push(bytes);
     // Only what may go on elsewhere has to stay on event boundaries.
     std::string& sent = this->context.route.isResumable ? whole : bytes;
--- a/src/libperidotgrade/gateway/place_broker.cpp
+++ b/src/libperidotgrade/gateway/place_broker.cpp
@@ -157,7 +157,8 @@
         this->state.memory.release(server, tokens);
         this->state.memory.noteRefusal(server, failure.isRefusal ? tokens : 0, now);
         if (!failure.isRefusal || failure.isOtherServer) {
-            this->state.standing.record(server, CallResult::Unreachable, now);
+            this->state.standing.record(
+                server, failure.isOtherServer ? CallResult::Superseded : CallResult::Unreachable, now);
             this->state.log.write(LogLevel::Info, "reservation_failed",
                 { { "request", waiter->attempt }, { "server", server.raw() }, { "detail", failure.detail } });
         }
