--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -49,6 +49,14 @@
         }
     }
 
+    /// False for a body that this server and the one behind it could end at different places: Beast takes a
+    /// request with an unknown transfer coding for one without a body.
+    bool hasPlainFraming(const http::request<http::string_body>& request)
+    {
+        auto coding = request.find(http::field::transfer_encoding);
+        return coding == request.end() || beast::iequals(coding->value(), "chunked");
+    }
+
     HttpResponse errorResponse(std::uint16_t status, const std::string& detail)
     {
         HttpResponse response;
@@ -240,6 +248,10 @@
                 co_await this->refuse(isTimedOut ? beast::error::timeout : error);
                 co_return false;
             }
+            if (!hasPlainFraming(this->parser->get())) {
+                co_await this->refuse(http::error::bad_transfer_encoding);
+                co_return false;
+            }
             this->takeRequest();
             co_return true;
         }
--- /dev/null
+++ b/testsuite/gateway_failures/case.py
@@ -0,0 +1,57 @@
+"""Servers fail in each way that callers must not notice more than they have to."""
+import threading
+import time
+
+from support.gateway import Caller, platform_site
+
+
+def in_thread(action):
+    result = []
+    thread = threading.Thread(target=lambda: result.append(action()))
+    thread.start()
+    return thread, result
+
+
+def run(build):
+    with platform_site(build, events=120, decodes=3) as (world, (gateway,)):
+        caller = Caller(world, gateway)
+        # An engine dies under a stream that may be resumed: the caller gets it whole from another one.
+        thread, result = in_thread(lambda: caller.send("/resume/story"))
+        time.sleep(0.5)
+        attempt = next(iter(world.running))
+        name = world.run_at[attempt][0][1]
+        victim = next(engine for engine in world.engines if engine.name == name)
+        world.call(victim.crash())
+        thread.join(10)
+        assert result and result[0].status == 200 and result[0].is_whole, result and result[0].__dict__
+        assert world.runs[attempt] == 2, world.runs[attempt]
+        world.call(victim.start())
+        # Engines that grant a reservation and then reject the run are left alone.
+        stubborn = world.decodes()[0]
+        stubborn.reject_runs = True
+        answers = [caller.send("/text/x").status for _ in range(6)]
+        stubborn.reject_runs = False
+        assert answers.count(200) >= 5, answers
+        # An action whose answer is lost is not run again, and nobody is told that it has not run.
+        for server in world.plains:
+            server.lose_answers = True
+        answer = caller.send("/act/pay")
+        assert answer.status == 502 and world.runs[answer.attempt] == 1, answer.__dict__
+        assert caller.send("/read/x", "GET", b"").status in (502, 503)
+        for server in world.plains:
+            server.lose_answers = False
+            server.extra_answers = True
+        time.sleep(1)
+        # A second answer on the connection belongs to nobody.
+        for number in range(10):
+            assert caller.send("/read/%d" % number, "GET", b"").status == 200
+            assert caller.send("/act/%d" % number).status == 200
+        for server in world.plains:
+            server.extra_answers = False
+        # A server that drains gets nothing new once the list says so.
+        leaving = world.plains[0]
+        world.call(leaving.drain())
+        time.sleep(2.1)
+        for number in range(8):
+            assert caller.send("/act/%d" % number).status == 200
+        world.wait_until_idle(3)
--- /dev/null
+++ b/testsuite/gateway_stop/case.py
@@ -0,0 +1,40 @@
+"""SIGTERM: not ready at once, new requests served for a while, nothing cut off, a clean end; SIGHUP changes nothing for callers."""
+import signal
+import threading
+import time
+
+from support.gateway import Caller, platform_site
+
+
+def run(build):
+    with platform_site(build, events=150, stop_within=8) as (world, (gateway,)):
+        gateway.send(signal.SIGHUP)
+        results = []
+        stop = threading.Event()
+
+        def keep_calling(path):
+            caller = Caller(world, gateway)
+            while not stop.is_set():
+                sent_at = time.monotonic()
+                results.append((sent_at, path, caller.send(path)))
+
+        threads = [threading.Thread(target=keep_calling, args=(path,))
+                   for path in ("/text/a", "/text/b", "/resume/c", "/act/d", "/read/e")]
+        for thread in threads:
+            thread.start()
+        time.sleep(1)
+        stopped_at = time.monotonic()
+        gateway.terminate()
+        time.sleep(0.2)
+        assert not gateway.is_ready()
+        time.sleep(2.5)
+        stop.set()
+        assert gateway.wait_exit(8) == 0, gateway.log_tail()
+        assert time.monotonic() - stopped_at < 8
+        for thread in threads:
+            thread.join()
+        cut = [(at - stopped_at, path, answer.__dict__) for at, path, answer in results
+               if at - stopped_at < 2.5 and not (answer.status == 200 and answer.is_whole)]
+        assert not cut, cut[:3]
+        assert any(at > stopped_at for at, _, _ in results)
+        assert gateway.log_lines("reloaded") and gateway.log_lines("stopped")
--- /dev/null
+++ b/testsuite/support/gateway.py
@@ -0,0 +1,160 @@
+"""Gateway processes of a case, and callers that check each answer they get."""
+import contextlib
+import http.client
+import json
+import os
+import socket
+import tempfile
+import time
+import uuid
+
+from support.platform_world import HOST, World
+from support.process import Process
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Gateway(Process):
+    def __init__(self, build, folder, name, store_address, stop_within=6):
+        self.port, self.ready_port, self.metrics_port = free_port(), free_port(), free_port()
+        settings = {"nodeName": name, "dataCentre": "north", "callersListen": f"127.0.0.1:{self.port}",
+                    "readinessListen": f"127.0.0.1:{self.ready_port}",
+                    "metricsListen": f"127.0.0.1:{self.metrics_port}", "store": store_address, "storePartitions": 12,
+                    "retries": {"ratio": 0.2, "extra": 52, "windowSeconds": 10}, "stopWithinSeconds": stop_within,
+                    "dutyLeaseMs": 1000}
+        self.settings_path = os.path.join(folder, f"{name}.json")
+        with open(self.settings_path, "w") as file:
+            json.dump(settings, file)
+        super().__init__(build / "peridot-gateway", ["--settings", self.settings_path], folder, name)
+
+    def start(self, seconds=20):
+        import subprocess
+        with open(self.log_path, "ab") as log:
+            self.child = subprocess.Popen(self.command, stdout=log, stderr=log)
+        return self
+
+    def is_ready(self):
+        try:
+            connection = http.client.HTTPConnection("127.0.0.1", self.ready_port, timeout=1)
+            connection.request("GET", "/api/ready")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def wait_ready(self, seconds=10):
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            if self.is_ready():
+                return self
+            time.sleep(0.05)
+        raise AssertionError(f"{self.name} is not ready: {self.log_tail()}")
+
+    def metrics(self):
+        connection = http.client.HTTPConnection("127.0.0.1", self.metrics_port, timeout=2)
+        connection.request("GET", "/metrics")
+        return connection.getresponse().read().decode()
+
+    def log_lines(self, event):
+        with open(self.log_path, errors="replace") as log:
+            return [line for line in log if f"event={event}" in line]
+
+
+class Sent:
+    def __init__(self, message, is_repeatable, patience):
+        self.message, self.is_repeatable, self.patience = message, is_repeatable, patience
+        self.sent_at = time.monotonic()
+
+
+class Answer:
+    def __init__(self, attempt, status=None, body=b"", is_whole=False, headers=None):
+        self.attempt, self.status, self.body, self.is_whole = attempt, status, body, is_whole
+        self.headers = headers or {}
+
+    @property
+    def events(self):
+        return self.body.count(b"\n\n")
+
+
+class Caller:
+    """Sends requests to one gateway and holds each answer against what must be true of it."""
+
+    def __init__(self, world, gateway):
+        self.world, self.gateway = world, gateway
+        self.connection = None
+
+    def close(self):
+        if self.connection:
+            self.connection.close()
+            self.connection = None
+
+    def send(self, path, method="POST", body=b"{}", patience=8.0, tokens="3000,1760", hint=440, leave_after=None):
+        attempt = uuid.uuid4().hex[:16]
+        is_repeatable = path.startswith(("/read/", "/resume/"))
+        self.world.sent[attempt] = Sent((method, path, body), is_repeatable, patience)
+        headers = {"Host": HOST, "X-Attempt-Id": attempt, "X-Deadline-Ms": str(int(patience * 1000))}
+        if path.startswith(("/text/", "/resume/")):
+            headers |= {"X-Model": "m", "X-Token-Counts": tokens, "X-Length-Hint": str(hint),
+                        "X-Prompt-Prefix": "5c1e:200,91bd:2800"}
+        answer = Answer(attempt)
+        try:
+            if self.connection is None:
+                self.connection = http.client.HTTPConnection("127.0.0.1", self.gateway.port, timeout=patience + 2)
+            self.connection.request(method, path, body, headers)
+            reply = self.connection.getresponse()
+            answer.status, answer.headers = reply.status, dict(reply.getheaders())
+            if leave_after is not None:
+                answer.body = reply.read(leave_after)
+                self.close()
+                return answer
+            answer.body = reply.read()
+            answer.is_whole = True
+            if reply.will_close:
+                self.close()
+        except (OSError, http.client.HTTPException) as problem:
+            if isinstance(problem, http.client.IncompleteRead):
+                answer.body = problem.partial
+            self.close()
+        self._check(answer, path)
+        return answer
+
+    def _check(self, answer, path):
+        complain = self.world.violation
+        attempt, ran = answer.attempt, self.world.runs[answer.attempt]
+        if answer.status == 200 and answer.headers.get("X-Server-Seal") != f"seal-{attempt}":
+            complain(f"{attempt} got a success without its server's signature")
+        if answer.status == 503 and ran and not self.world.sent[attempt].is_repeatable:
+            complain(f"{attempt} was told that it had not run, and ran")
+        if answer.status == 200 and answer.is_whole and path.startswith(("/text/", "/resume/")):
+            expected = b"".join(b"id: %d\ndata: %s %d\n\n" % (i, attempt.encode(), i)
+                                for i in range(1, self.world.events + 1))
+            if answer.body != expected:
+                complain(f"{attempt} got a stream that is not its own or not whole: {answer.events} events")
+        if answer.status == 200 and answer.is_whole and path.startswith(("/act/", "/read/")):
+            if json.loads(answer.body).get("attempt") != attempt:
+                complain(f"{attempt} got the answer to another request")
+
+
+@contextlib.contextmanager
+def platform_site(build, gateways=1, stop_within=6, **options):
+    """A world with gateways that are ready; ends all of it, and complains of what must never happen."""
+    with tempfile.TemporaryDirectory() as folder:
+        world = World(**options)
+        nodes = [Gateway(build, folder, f"gateway-{i + 1}", world.store.address, stop_within)
+                 for i in range(gateways)]
+        try:
+            for node in nodes:
+                node.start()
+            for node in nodes:
+                node.wait_ready()
+            # The list of servers is read at intervals: all are known after two.
+            time.sleep(0.2)
+            yield world, nodes
+        finally:
+            for node in nodes:
+                node.end()
+            world.end()
+    assert not world.violations, world.violations
--- /dev/null
+++ b/testsuite/support/platform_world.py
@@ -0,0 +1,466 @@
+"""Stand-ins for the users' platform: its store, model engines and plain servers, in one event loop of a thread.
+
+They speak the part of the published protocol that a gateway uses, and they note what must never happen: see `violations`.
+"""
+import asyncio
+import base64
+import collections
+import contextlib
+import json
+import random
+import struct
+import threading
+import time
+
+HOST = "site.example"
+MODEL_SERVICE = "reminders"
+PLAIN_SERVICE = "care"
+
+
+class Request:
+    def __init__(self, method, target, headers, body):
+        self.method, self.target, self.headers, self.body = method, target, headers, body
+        self.path, _, query = target.partition("?")
+        self.query = dict(pair.partition("=")[::2] for pair in query.split("&") if pair)
+
+    def json(self):
+        return json.loads(self.body)
+
+
+async def read_request(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+    body = b""
+    if headers.get("transfer-encoding") == "chunked":
+        while True:
+            size = int((await reader.readline()).split(b";")[0], 16)
+            piece = await reader.readexactly(size + 2)
+            if size == 0:
+                break
+            body += piece[:-2]
+    elif "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return Request(method, target, headers, body)
+
+
+def response(status, body=b"", headers=None, chunked=False):
+    lines = [f"HTTP/1.1 {status} Status"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    lines.append("Transfer-Encoding: chunked" if chunked else f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def json_response(value, headers=None):
+    return response(200, json.dumps(value).encode(), {"Content-Type": "application/json", **(headers or {})})
+
+
+class HttpPeer:
+    """A listener whose connections are served one request at a time by `serve(request, writer, reader)`."""
+
+    def __init__(self):
+        self.server = None
+        self.port = 0
+        self.tasks = set()
+        self.writers = set()
+
+    async def listen(self, port=0):
+        self.server = await asyncio.start_server(self._connection, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.port}"
+
+    async def stop(self):
+        """Like a crash: the listener and every connection end at once."""
+        if self.server:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        for task in list(self.tasks):
+            task.cancel()
+
+    async def _connection(self, reader, writer):
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await read_request(reader)
+                await self.serve(request, writer, reader)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError, ValueError, RuntimeError):
+            pass
+        finally:
+            self.tasks.discard(task)
+            self.writers.discard(writer)
+            with contextlib.suppress(Exception):
+                writer.close()
+
+
+class Store(HttpPeer):
+    """Keyed topics and groups. `mode`: serving, silent, refusing or reset."""
+
+    PARTITIONS = 12
+
+    def __init__(self, world):
+        super().__init__()
+        self.world = world
+        self.mode = "serving"
+        self.topics = collections.defaultdict(list)
+        self.changed = asyncio.Condition()
+        self.members = {}
+        self.generation = 0
+        self.dealt = {}
+
+    async def put(self, topic, key, value):
+        self.topics[topic].append((key, value))
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def serve(self, request, writer, reader):
+        if self.mode == "silent":
+            await asyncio.sleep(3600)
+        if self.mode == "refusing":
+            writer.write(response(503))
+            return
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        if request.path == "/api/log-newest":
+            self._newest(request, writer)
+        elif request.path == "/api/log-read":
+            await self._read(request, writer)
+        elif request.path == "/api/log-join":
+            self._join(request, writer)
+        else:
+            writer.write(response(404))
+
+    def _newest(self, request, writer):
+        records = self.topics[request.query["topic"]]
+        newest = {}
+        for offset, (key, value) in enumerate(records):
+            newest[key] = (offset, value)
+        items = [{"key": key, "value": base64.b64encode(value.encode()).decode(), "offset": offset}
+                 for key, (offset, value) in newest.items() if value is not None]
+        writer.write(json_response({"items": items, "truncated": False, "end": len(records)}))
+
+    async def _read(self, request, writer):
+        records = self.topics[request.query["topic"]]
+        start = int(request.query["from"])
+        until = time.monotonic() + int(request.query.get("wait_ms", 0)) / 1000
+        while len(records) <= start and time.monotonic() < until:
+            async with self.changed:
+                with contextlib.suppress(asyncio.TimeoutError):
+                    await asyncio.wait_for(self.changed.wait(), max(0.001, until - time.monotonic()))
+        if self.mode != "serving":
+            await asyncio.sleep(3600)
+        body = struct.pack(">QQ", len(records), 0)
+        for key, value in records[start:]:
+            content = bytes([len(key)]) + key.encode() + (value or "").encode()
+            body += struct.pack(">I", len(content)) + content
+        writer.write(response(200, body))
+
+    def _join(self, request, writer):
+        fields = request.json()
+        now = time.monotonic()
+        self.members[fields["member"]] = now + fields["ttl_ms"] / 1000
+        alive = tuple(sorted(name for name, until in self.members.items() if until > now))
+        if alive != self.dealt.get("alive"):
+            self.generation += 1
+            self.dealt = {"alive": alive}
+        rows = [[topic, part, 0] for index, (topic, part) in enumerate(
+            (topic, part) for topic in fields["topics"] for part in range(self.PARTITIONS))
+            if alive[index % len(alive)] == fields["member"]]
+        writer.write(json_response({"generation": self.generation, "ttl_ms": fields["ttl_ms"], "parts": rows}))
+
+
+class Backend(HttpPeer):
+    """What engines and plain servers share: a name, a record in the store, the attempts they ran."""
+
+    def __init__(self, world, service, zone, stage=None):
+        super().__init__()
+        self.world, self.service, self.zone, self.stage = world, service, zone, stage
+        self.name = ""
+        self.sequence = 0
+        self.state = "ready"
+        self.started_ms = 0
+        self.is_dark = False
+        self.heartbeat = None
+
+    async def start(self):
+        self.name = f"i-{self.world.random.getrandbits(40):010x}"
+        self.started_ms = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.reset_work()
+        await self.listen(self.port)
+        self.heartbeat = asyncio.ensure_future(self._beat())
+
+    def reset_work(self):
+        pass
+
+    async def crash(self):
+        self.heartbeat.cancel()
+        await self.stop()
+        # The list forgets it after three missed reports.
+        asyncio.get_event_loop().call_later(1.5, lambda name=self.name: asyncio.ensure_future(
+            self.world.store.put("keyed.servers", name, None)))
+
+    async def drain(self):
+        self.state = "draining"
+        self.world.draining_since[self.name] = time.monotonic()
+        await self.publish()
+
+    async def publish(self):
+        self.sequence += 1
+        record = {"service": self.service, "addr": self.address, "zone": self.zone, "version": "v1", "slots": 64,
+                  "state": self.state, "cold_left_ms": 0, "seq": self.sequence, "born": self.started_ms}
+        if self.stage:
+            record["stage"] = self.stage
+        if self.world.store.mode == "serving":
+            await self.world.store.put("keyed.servers", self.name, json.dumps(record))
+
+    async def _beat(self):
+        while True:
+            await self.publish()
+            await asyncio.sleep(0.5)
+
+    async def serve(self, request, writer, reader):
+        if self.is_dark:
+            await asyncio.sleep(3600)
+        expected = request.headers.get("x-expect-instance")
+        identity = {"X-Instance-Id": self.name}
+        if expected and expected != self.name:
+            writer.write(response(421, headers=identity))
+            return
+        await self.work(request, writer, reader, identity)
+
+    def note_run(self, request):
+        """Every run is checked against what callers sent."""
+        attempt = request.headers.get("x-attempt-id")
+        self.world.note_run(attempt, self, request)
+        return attempt
+
+
+class PlainServer(Backend):
+    def __init__(self, world, zone, work_s=0.02):
+        super().__init__(world, PLAIN_SERVICE, zone)
+        self.work_s = work_s
+        self.lose_answers = False
+        self.extra_answers = False
+
+    async def work(self, request, writer, reader, identity):
+        attempt = self.note_run(request)
+        await asyncio.sleep(self.work_s)
+        if self.lose_answers:
+            writer.transport.abort()
+            return
+        body = json.dumps({"attempt": attempt, "by": self.name, "body": request.body.decode()}).encode()
+        headers = {"X-Attempt-Id": attempt, "X-Server-Seal": f"seal-{attempt}", "X-Server-Load": "1,0,6", **identity}
+        writer.write(response(200, body, headers))
+        if self.extra_answers:
+            writer.write(response(200, b"not for you", headers))
+
+
+class Engine(Backend):
+    """Prefill or decode, with memory, reservations and handles."""
+
+    TOKENS = 33_279
+
+    def __init__(self, world, zone, stage, event_s=0.01, prefill_s=0.03):
+        super().__init__(world, MODEL_SERVICE, zone, stage)
+        self.event_s, self.prefill_s = event_s, prefill_s
+        self.reset_work()
+        self.reject_runs = False
+
+    def reset_work(self):
+        self.used = 0
+        self.reserved = {}
+        self.handles = {}
+
+    def free(self):
+        now = time.monotonic()
+        self.reserved = {key: value for key, value in self.reserved.items() if value[1] > now}
+        self.handles = {key: until for key, until in self.handles.items() if until > now}
+        return self.TOKENS - self.used - sum(tokens for tokens, _ in self.reserved.values())
+
+    async def work(self, request, writer, reader, identity):
+        if request.path == "/api/hold-take":
+            self._reserve(request, writer, identity)
+        elif request.path.startswith("/api/hold-drop/"):
+            self.reserved.pop(request.path.rsplit("/", 1)[1], None)
+            writer.write(response(200, headers=identity))
+        elif request.path.startswith("/api/kv-handle/"):
+            self.handles.pop(request.path.rsplit("/", 1)[1], None)
+            writer.write(response(200, headers=identity))
+        elif request.path == "/api/report":
+            writer.write(json_response({"stage": self.stage, "models": [], "busy": False, "seq": 0, "queued": 0,
+                                        "active": 0, "kv_used": self.used, "kv_total": self.TOKENS}, identity))
+        elif request.path == "/api/order":
+            self.world.orders.append((time.monotonic(), request.json()["holder"], request.json()["fence"]))
+            self.stage = request.json()["stage"]
+            writer.write(response(202, headers=identity))
+        elif request.headers.get("x-stage") == "prefill":
+            await self._prefill(request, writer, identity)
+        else:
+            await self._run(request, writer, identity)
+
+    def _reserve(self, request, writer, identity):
+        if request.headers.get("x-attempt-id"):
+            self.world.violation("a reservation carries a caller's id")
+        fields = request.json()
+        if self.free() < fields["tokens"]:
+            writer.write(response(503, headers={"X-Not-Executed": "1", **identity}))
+            return
+        name = f"{self.world.random.getrandbits(48):012x}"
+        self.reserved[name] = (fields["tokens"], time.monotonic() + fields["ttl_ms"] / 1000)
+        writer.write(json_response({"hold": name}, identity))
+
+    async def _prefill(self, request, writer, identity):
+        if self.stage != "prefill":
+            writer.write(response(421, headers=identity))
+            return
+        await asyncio.sleep(self.prefill_s)
+        handle = f"{self.world.random.getrandbits(48):012x}"
+        self.handles[handle] = time.monotonic() + 0.5
+        tokens = int(request.headers["x-token-counts"].split(",")[0])
+        writer.write(json_response({"kv_handle": handle, "tokens": tokens, "version": 1},
+                                   {"X-Attempt-Id": request.headers["x-attempt-id"], **identity}))
+
+    async def _run(self, request, writer, identity):
+        attempt = request.headers.get("x-attempt-id")
+        if self.stage != "decode":
+            writer.write(response(421, headers=identity))
+            return
+        source, _, handle = request.headers.get("x-kv-source", "").rpartition("/")
+        owner = self.world.engine_at(source)
+        if self.reject_runs or owner is None or owner.handles.pop(handle, None) is None:
+            writer.write(response(503, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt, **identity}))
+            return
+        self.reserved.pop(request.headers.get("x-kv-hold", ""), None)
+        self.note_run(request)
+        prompt = int(request.headers["x-token-counts"].split(",")[0])
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        self.used += prompt
+        self.world.running[attempt] += 1
+        try:
+            seal = f"seal-{attempt}"
+            writer.write(response(200, headers={"Content-Type": "text/event-stream", "X-Attempt-Id": attempt,
+                                                "X-Server-Seal": seal, **identity}, chunked=True))
+            for index in range(first, self.world.events + 1):
+                await asyncio.sleep(self.event_s)
+                if writer.transport.is_closing():
+                    return
+                event = f"id: {index}\ndata: {attempt} {index}\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.used -= prompt
+            self.world.running[attempt] -= 1
+
+
+class World:
+    """The platform of one case. Its coroutines run in a thread of their own; `call` runs one from the case."""
+
+    def __init__(self, seed=1, prefills=2, decodes=3, plains=2, events=40):
+        self.random = random.Random(seed)
+        self.events = events
+        self.sent = {}
+        self.runs = collections.Counter()
+        self.run_at = collections.defaultdict(list)
+        self.running = collections.Counter()
+        self.draining_since = {}
+        self.orders = []
+        self.violations = []
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        self.store = None
+        self.call(self._start(prefills, decodes, plains))
+
+    async def _start(self, prefills, decodes, plains):
+        self.store = Store(self)
+        await self.store.listen()
+        zones = ["north", "south"]
+        self.engines = [Engine(self, zones[i % 2], "prefill") for i in range(prefills)]
+        self.engines += [Engine(self, zones[i % 2], "decode") for i in range(decodes)]
+        self.plains = [PlainServer(self, zones[i % 2]) for i in range(plains)]
+        for backend in self.engines + self.plains:
+            await backend.start()
+        await self.configure(1)
+
+    def call(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(30)
+
+    def decodes(self):
+        return [engine for engine in self.engines if engine.stage == "decode"]
+
+    def engine_at(self, address):
+        return next((engine for engine in self.engines if engine.address == address), None)
+
+    async def configure(self, version, extra_routes=()):
+        def route(name, prefix, kind, service, **more):
+            return {"name": name, "host": HOST, "path_prefix": prefix, "kind": kind, "timeout_ms": 8000,
+                    "target_latency_ms": 1000, "priority": 1, "service": service, "max_attempts": 2, **more}
+
+        routes = [route("plain", "/text/", "streaming", MODEL_SERVICE, max_attempts=1, target_gap_ms=300),
+                  route("resumable", "/resume/", "streaming", MODEL_SERVICE, resumable=True, target_gap_ms=300),
+                  route("action", "/act/", "non_idempotent", PLAIN_SERVICE, max_attempts=1, timeout_ms=2000),
+                  route("read", "/read/", "idempotent", PLAIN_SERVICE, timeout_ms=2000)]
+        routes += [route(name, f"/{name}/", "idempotent", PLAIN_SERVICE) for name in extra_routes]
+        engine = {"slots": 64, "kv_capacity": Engine.TOKENS, "kv_token_bytes": 18432, "stride": 11, "kv_hold_s": 0.5,
+                  "stage_switch_s": 6.0, "hold_ms": 2000.0}
+        services = [{"name": MODEL_SERVICE, "health_path": "/healthz", "max_conns": 360, "engine": engine},
+                    {"name": PLAIN_SERVICE, "health_path": "/healthz", "max_conns": 96}]
+        limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
+                  "idle_timeout_ms": 15000}
+        value = {"version": version, "routes": routes, "services": services, "limits": limits}
+        await self.store.put("keyed.op", "config", json.dumps(value))
+
+    def violation(self, text):
+        self.violations.append(text)
+
+    def note_run(self, attempt, backend, request):
+        sent = self.sent.get(attempt)
+        now = time.monotonic()
+        self.runs[attempt] += 1
+        self.run_at[attempt].append((now, backend.name))
+        if sent is None:
+            self.violation(f"ran {attempt}, which no caller sent")
+            return
+        if (request.method, request.target, request.body) != sent.message:
+            self.violation(f"ran {attempt} changed: {request.method} {request.target}")
+        if self.runs[attempt] > 1 and not sent.is_repeatable:
+            self.violation(f"ran {attempt} more than once")
+        drained = self.draining_since.get(backend.name)
+        if drained and now - drained > 2.0:
+            self.violation(f"ran {attempt} at {backend.name} {now - drained:.1f} s after it began to drain")
+        left = int(request.headers.get("x-deadline-ms", 10**9)) / 1000
+        if now + left > sent.sent_at + sent.patience + 0.5:
+            self.violation(f"{attempt} was handed more time than is left")
+
+    def wait_until_idle(self, seconds=5):
+        """No run, reservation or handle is left."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            self.call(asyncio.sleep(0.05))
+            held = [e.name for e in self.engines if e.used or e.free() < Engine.TOKENS]
+            if not held and not +self.running:
+                return
+        raise AssertionError(f"still held: {held}, running: {+self.running}")
+
+    def end(self):
+        async def stop_all():
+            for peer in [self.store, *self.engines, *self.plains]:
+                if peer is not self.store and peer.heartbeat:
+                    peer.heartbeat.cancel()
+                await peer.stop()
+        self.call(stop_all())
+        self.loop.call_soon_threadsafe(self.loop.stop)
