--- a/src/include/peridotgrade/agent/engine_backend.h
+++ b/src/include/peridotgrade/agent/engine_backend.h
@@ -3,7 +3,7 @@
 
 #include "peridotgrade/agent/backend.h"
 #include "peridotgrade/core/hosting/model_host.h"
-#include "peridotgrade/platform/engine_client.h"
+#include "peridotgrade/services/engine_client.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/src/include/peridotgrade/agent/engine_changes.h
+++ b/src/include/peridotgrade/agent/engine_changes.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "peridotgrade/agent/engine_backend.h"
-#include "peridotgrade/platform/engine_reconciler.h"
+#include "peridotgrade/services/engine_reconciler.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/src/include/peridotgrade/agent/peer_notices.h
+++ b/src/include/peridotgrade/agent/peer_notices.h
@@ -4,7 +4,7 @@
 #include "peridotgrade/agent/agent_connections.h"
 #include "peridotgrade/core/base/time.h"
 #include "peridotgrade/core/quarantine/quarantine.h"
-#include "peridotgrade/platform/configuration_follower.h"
+#include "peridotgrade/services/configuration_follower.h"
 
 #include <mutex>
 #include <vector>
--- a/src/include/peridotgrade/entry/entry_context.h
+++ b/src/include/peridotgrade/entry/entry_context.h
@@ -6,7 +6,7 @@
 #include "peridotgrade/ops/metrics.h"
 #include "peridotgrade/ops/settings/entry_settings.h"
 #include "peridotgrade/ops/timeline.h"
-#include "peridotgrade/platform/configuration_follower.h"
+#include "peridotgrade/services/configuration_follower.h"
 
 #include <atomic>
 #include <memory>
--- a/src/include/peridotgrade/entry/entry_shard.h
+++ b/src/include/peridotgrade/entry/entry_shard.h
@@ -9,7 +9,7 @@
 #include "peridotgrade/entry/shard_host.h"
 #include "peridotgrade/net/frame_connection.h"
 #include "peridotgrade/ops/hybrid_clock.h"
-#include "peridotgrade/platform/configuration_follower.h"
+#include "peridotgrade/services/configuration_follower.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/src/include/peridotgrade/operators/node_status.h
+++ b/src/include/peridotgrade/operators/node_status.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "peridotgrade/core/config/reconciler.h"
-#include "peridotgrade/platform/configuration_follower.h"
+#include "peridotgrade/services/configuration_follower.h"
 
 #include <optional>
 #include <string>
--- a/src/include/peridotgrade/operators/operator_api.h
+++ b/src/include/peridotgrade/operators/operator_api.h
@@ -6,7 +6,7 @@
 #include "peridotgrade/net/endpoint.h"
 #include "peridotgrade/net/http_server.h"
 #include "peridotgrade/ops/settings/entry_settings.h"
-#include "peridotgrade/platform/configuration_follower.h"
+#include "peridotgrade/services/configuration_follower.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/src/include/peridotgrade/platform/configuration_follower.h
+++ b/src/include/peridotgrade/services/configuration_follower.h
@@ -3,7 +3,7 @@
 
 #include "peridotgrade/core/config/configuration_fold.h"
 #include "peridotgrade/net/endpoint.h"
-#include "peridotgrade/platform/log_client.h"
+#include "peridotgrade/services/log_client.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/src/include/peridotgrade/platform/engine_client.h
+++ b/src/include/peridotgrade/services/engine_client.h
@@ -7,7 +7,7 @@
 #include "peridotgrade/core/hosting/engine_event.h"
 #include "peridotgrade/core/messages/stream_messages.h"
 #include "peridotgrade/net/endpoint.h"
-#include "peridotgrade/platform/engine_error.h"
+#include "peridotgrade/services/engine_error.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/src/include/peridotgrade/platform/log_client.h
+++ b/src/include/peridotgrade/services/log_client.h
@@ -3,7 +3,7 @@
 
 #include "peridotgrade/core/messages/log_record.h"
 #include "peridotgrade/net/endpoint.h"
-#include "peridotgrade/platform/log_error.h"
+#include "peridotgrade/services/log_error.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/src/include/peridotgrade/platform/log_tail.h
+++ b/src/include/peridotgrade/services/log_tail.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "peridotgrade/core/base/time.h"
-#include "peridotgrade/platform/log_client.h"
+#include "peridotgrade/services/log_client.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/src/libperidotgrade/agent/agent_impl.h
+++ b/src/libperidotgrade/agent/agent_impl.h
@@ -14,7 +14,7 @@
 #include "peridotgrade/ops/logger.h"
 #include "peridotgrade/ops/metrics.h"
 #include "peridotgrade/ops/timeline.h"
-#include "peridotgrade/platform/configuration_follower.h"
+#include "peridotgrade/services/configuration_follower.h"
 
 #include <boost/asio/strand.hpp>
 
--- a/src/libperidotgrade/agent/application_backend.cpp
+++ b/src/libperidotgrade/agent/application_backend.cpp
@@ -2,7 +2,7 @@
 #include "peridotgrade/agent/application_backend.h"
 
 #include "peridotgrade/agent/host_shard.h"
-#include "peridotgrade/platform/application_client.h"
+#include "peridotgrade/services/application_client.h"
 
 namespace peridotgrade {
 
--- a/src/libperidotgrade/agent/leaving_watch.cpp
+++ b/src/libperidotgrade/agent/leaving_watch.cpp
@@ -1,7 +1,7 @@
 // Polling of the VM list by an agent.
 #include "peridotgrade/agent/leaving_watch.h"
 
-#include "peridotgrade/platform/vm_list_client.h"
+#include "peridotgrade/services/vm_list_client.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/src/libperidotgrade/entry/quarantine_feed.h
+++ b/src/libperidotgrade/entry/quarantine_feed.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "peridotgrade/entry/entry_context.h"
-#include "peridotgrade/platform/log_client.h"
-#include "peridotgrade/platform/log_tail.h"
+#include "peridotgrade/services/log_client.h"
+#include "peridotgrade/services/log_tail.h"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/src/libperidotgrade/entry/vm_list_feed.h
+++ b/src/libperidotgrade/entry/vm_list_feed.h
@@ -4,7 +4,7 @@
 #include "admission.h"
 
 #include "peridotgrade/entry/entry_context.h"
-#include "peridotgrade/platform/vm_list_client.h"
+#include "peridotgrade/services/vm_list_client.h"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/src/libperidotgrade/operators/plan_confirmer.h
+++ b/src/libperidotgrade/operators/plan_confirmer.h
@@ -3,8 +3,8 @@
 
 #include "peridotgrade/core/config/confirm_settlement.h"
 #include "peridotgrade/net/http_message.h"
-#include "peridotgrade/platform/configuration_follower.h"
-#include "peridotgrade/platform/log_client.h"
+#include "peridotgrade/services/configuration_follower.h"
+#include "peridotgrade/services/log_client.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/src/libperidotgrade/platform/application_client.cpp
+++ b/src/libperidotgrade/services/application_client.cpp
@@ -1,5 +1,5 @@
 // Calls to the application server over HTTP.
-#include "peridotgrade/platform/application_client.h"
+#include "peridotgrade/services/application_client.h"
 
 #include "peridotgrade/net/http_client.h"
 
--- a/src/libperidotgrade/platform/configuration_follower.cpp
+++ b/src/libperidotgrade/services/configuration_follower.cpp
@@ -1,8 +1,8 @@
 // Implementation of the configuration follower.
-#include "peridotgrade/platform/configuration_follower.h"
+#include "peridotgrade/services/configuration_follower.h"
 
 #include "peridotgrade/core/config/snapshot_policy.h"
-#include "peridotgrade/platform/log_tail.h"
+#include "peridotgrade/services/log_tail.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/libperidotgrade/platform/engine_client_impl.h
+++ b/src/libperidotgrade/services/engine_client_impl.h
@@ -6,7 +6,7 @@
 
 #include "peridotgrade/core/base/time.h"
 #include "peridotgrade/net/http_client.h"
-#include "peridotgrade/platform/engine_client.h"
+#include "peridotgrade/services/engine_client.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
--- a/src/libperidotgrade/platform/engine_client_test.cpp
+++ b/src/libperidotgrade/services/engine_client_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the engine client against a scripted engine: cancellations, broken streams, deaths.
-#include "peridotgrade/platform/engine_client.h"
+#include "peridotgrade/services/engine_client.h"
 
 #include "peridotgrade/net/http_server.h"
 
--- a/src/libperidotgrade/platform/engine_error.cpp
+++ b/src/libperidotgrade/services/engine_error.cpp
@@ -1,5 +1,5 @@
 // Errors of the engine layer from those below, and failures of attempts from them.
-#include "peridotgrade/platform/engine_error.h"
+#include "peridotgrade/services/engine_error.h"
 
 #include "peridotgrade/core/base/name_table.h"
 
--- a/src/libperidotgrade/platform/engine_protocol.h
+++ b/src/libperidotgrade/services/engine_protocol.h
@@ -6,7 +6,7 @@
 #include "peridotgrade/core/hosting/engine_event.h"
 #include "peridotgrade/core/messages/stream_messages.h"
 #include "peridotgrade/net/http_message.h"
-#include "peridotgrade/platform/engine_client.h"
+#include "peridotgrade/services/engine_client.h"
 
 #include <optional>
 #include <string>
--- a/src/libperidotgrade/platform/engine_reconciler.cpp
+++ b/src/libperidotgrade/services/engine_reconciler.cpp
@@ -1,5 +1,5 @@
 // Implementation of the reconciler's surroundings.
-#include "peridotgrade/platform/engine_reconciler.h"
+#include "peridotgrade/services/engine_reconciler.h"
 
 #include "peridotgrade/net/timer_driver.h"
 
--- a/src/libperidotgrade/platform/log_client.cpp
+++ b/src/libperidotgrade/services/log_client.cpp
@@ -1,5 +1,5 @@
 // Implementation of the log client: JSON over HTTP.
-#include "peridotgrade/platform/log_client.h"
+#include "peridotgrade/services/log_client.h"
 
 #include "peridotgrade/net/http_client.h"
 
--- a/src/libperidotgrade/platform/log_client_test.cpp
+++ b/src/libperidotgrade/services/log_client_test.cpp
@@ -1,6 +1,6 @@
 // Tests of the log's clients against a small server: lost answers, refusals, gaps and outages.
 #include "peridotgrade/net/http_server.h"
-#include "peridotgrade/platform/log_tail.h"
+#include "peridotgrade/services/log_tail.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/libperidotgrade/platform/log_error.cpp
+++ b/src/libperidotgrade/services/log_error.cpp
@@ -1,5 +1,5 @@
 // Errors of the log service, made from those of the connection.
-#include "peridotgrade/platform/log_error.h"
+#include "peridotgrade/services/log_error.h"
 
 #include "peridotgrade/core/base/name_table.h"
 
--- a/src/libperidotgrade/platform/log_tail.cpp
+++ b/src/libperidotgrade/services/log_tail.cpp
@@ -1,5 +1,5 @@
 // Implementation of the log tail: long polls, backoff, gaps.
-#include "peridotgrade/platform/log_tail.h"
+#include "peridotgrade/services/log_tail.h"
 
 #include "peridotgrade/core/base/backoff.h"
 #include "peridotgrade/core/base/random_source.h"
--- a/src/libperidotgrade/platform/vm_list_client.cpp
+++ b/src/libperidotgrade/services/vm_list_client.cpp
@@ -1,5 +1,5 @@
 // Implementation of the VM list client: JSON over HTTP.
-#include "peridotgrade/platform/vm_list_client.h"
+#include "peridotgrade/services/vm_list_client.h"
 
 #include "peridotgrade/net/http_client.h"
 
--- a/src/libperidotgrade/platform/vm_list_client_test.cpp
+++ b/src/libperidotgrade/services/vm_list_client_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the VM list's reader.
-#include "peridotgrade/platform/vm_list_client.h"
+#include "peridotgrade/services/vm_list_client.h"
 
 #include "peridotgrade/net/http_server.h"
 
--- a/src/peridot-gateway/main.cpp
+++ b/src/peridot-gateway/main.cpp
@@ -5,7 +5,7 @@
 
 #include <CLI/CLI.hpp>
 
-#include <cstdlib>
+#include <csignal>
 #include <iostream>
 
 using namespace peridotgrade;
@@ -30,6 +30,8 @@
 
 int main(int argc, char** argv)
 {
+    // Until the node handles it, a reload would end the process; the settings are read afterwards anyway.
+    std::signal(SIGHUP, SIG_IGN);
     CLI::App app { "Serves callers on the platform's machines: routes their requests to backend servers." };
     app.set_version_flag("--version", PERIDOT_VERSION);
     std::string file;
--- a/testsuite/gateway_soak/case.py
+++ b/testsuite/gateway_soak/case.py
@@ -4,7 +4,10 @@
 
 SHORT_SEEDS = (1, 2)
 # Seed -> cause of its failure when it was found.
-FAILED_BEFORE = {}
+FAILED_BEFORE = {
+    15: "SIGHUP before the program handled it ended the process: it is ignored from the first statement on",
+    31: "SIGTERM before main: the soak now waits for the program's start before the next signal",
+}
 SECONDS = 8
 
 
--- a/testsuite/gateway_soak/soak.py
+++ b/testsuite/gateway_soak/soak.py
@@ -44,11 +44,20 @@
     def _pause(self):
         time.sleep(self.random.uniform(0.3, 2.0))
 
+    def _start(self, index):
+        """A signal that comes before `main` cannot be handled, so the next fault waits for the program itself."""
+        gateway = self.gateways[index]
+        runs = len(gateway.log_lines("started"))
+        gateway.start()
+        until = time.monotonic() + 5
+        while len(gateway.log_lines("started")) == runs and time.monotonic() < until:
+            time.sleep(0.01)
+
     def gateway_killed(self, index):
         with self.locks[index]:
             self.gateways[index].kill()
             self._pause()
-            self.gateways[index].start()
+            self._start(index)
 
     def gateway_frozen(self, index):
         with self.locks[index]:
@@ -62,7 +71,7 @@
             status = self.gateways[index].wait_exit(8)
             if status not in (0, 1):
                 self.world.violation(f"gateway-{index} ended with {status}")
-            self.gateways[index].start()
+            self._start(index)
 
     def settings_reloaded(self, index):
         with self.locks[index]:
@@ -216,7 +225,7 @@
             return ""
         plan = "\n".join(f"{at:.1f} s {fault.__name__} {index}"
                          for at, fault, index in Soak.plan(replay(build, seed, seconds)))
-        logs = "\n".join(f"--- {gateway.name}\n{gateway.log_tail()}" for gateway in soak.gateways)
+        logs = "\n".join(f"--- {gateway.name}\n{gateway.log_tail()[-600:]}" for gateway in soak.gateways)
         return f"seed {seed}: {soak.world.violations[:10]}\n{problem}\nplan:\n{plan}\n{logs}"
 
 
--- a/tools/check_style.sh
+++ b/tools/check_style.sh
@@ -17,7 +17,7 @@
   echo "the core must not do I/O, lock, or read clocks and random devices"
   status=1
 fi
-if grep -rnE '#include *"peridotgrade/(net|wire|platform|ops)/' "${core[@]}"; then
+if grep -rnE '#include *"peridotgrade/(net|wire|services|gateway|ops)/' "${core[@]}"; then
   echo "the core must not include outer layers"
   status=1
 fi
