Split the steps of a prefill; convert requests for Beast in one place

Cause: a read of the change: prefill did choice, budget, call and bookkeeping in one function, and the conversion stood twice. Ruled out: one client class for both uses; HttpClient's callers want whole answers, a channel writes while it reads. Change: prefillAt, mayPrefill, notePrefillFailure; beastRequest in beast_convert.

--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -8,8 +8,6 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include <set>
-
 namespace peridotgrade {
 
 /// Serves one generation: memory at a decode engine first, then the prefill, then the stream. A place before
@@ -26,6 +24,9 @@
     /// One way through place, prefill and stream.
     boost::asio::awaitable<Next> attempt();
     boost::asio::awaitable<std::optional<KvLocation>> prefill(const ReservedPlace& place);
+    boost::asio::awaitable<std::optional<KvLocation>> prefillAt(ServerId server);
+    bool mayPrefill();
+    void notePrefillFailure(const ServerId& server, const CallFailure& failed);
     boost::asio::awaitable<Next> stream(const ReservedPlace& place, KvLocation kvCache);
     boost::asio::awaitable<Next> forward(ServerAnswer& answer, const ServerId& server);
     boost::asio::awaitable<bool> deliver(ServerAnswer& answer, std::string bytes);
@@ -37,6 +38,7 @@
     bool isFresh() const;
     bool canResume() const;
     TimePoint placeDue() const;
+    std::uint32_t promptTokens() const;
     std::uint32_t tokensNeeded() const;
     Duration readTimeout() const;
 
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -160,53 +160,77 @@
 
 asio::awaitable<std::optional<KvLocation>> GenerationCall::prefill(const ReservedPlace& place)
 {
-    std::uint32_t tokens = this->context.request.size ? this->context.request.size->promptTokens : 1;
     TimePoint latest = std::min(place.lapsesAt, this->context.deadline) - TimeToFirstEvent / 2;
-    RetryShare& retries = this->state.retriesOf(this->context.service);
     while (!this->context.interrupt.isRaised() && this->state.now() < latest) {
         auto engines = this->state.trusted(this->context.service, ServerStage::Prefill);
-        auto choice = this->state.prefills.choose(
-            engines, place.engine->record().dataCentre, tokens, this->state.now(), this->state.random);
+        auto choice = this->state.prefills.choose(engines, place.engine->record().dataCentre,
+            this->promptTokens(), this->state.now(), this->state.random);
         if (!choice) {
             co_await sleepFor(this->state.executor, PrefillPause);
             continue;
         }
-        if (this->prefillSends >= MostPrefillSends
-            || (this->prefillSends > 0 && !retries.trySpend(this->state.now())))
-            co_return std::nullopt;
-        ++this->prefillSends;
-        const ServerRecord* record = this->state.directory.find(*choice);
-        if (record == nullptr)
-            co_return std::nullopt;
-        auto client = this->state.clients.of(*record);
-        TimePoint began = this->state.now();
-        this->state.prefills.reserve(*choice, tokens);
-        auto timeLimit = std::min(timeLeft(this->state, this->context), PrefillTimeout);
-        auto result = co_await client->prefill(this->context.request, timeLimit, this->context.interrupt);
-        this->state.prefills.release(*choice, tokens);
-        TimePoint now = this->state.now();
-        if (auto* kvCache = std::get_if<KvLocation>(&result)) {
-            this->state.standing.record(*choice, CallResult::Answered, now);
-            this->state.prefills.noteServed(*choice);
-            this->state.metrics.addPrefill(now - began);
-            co_return std::move(*kvCache);
-        }
-        const auto& failed = std::get<CallFailure>(result);
-        this->lastDetail = failed.detail;
-        if (this->context.interrupt.isRaised())
+        if (!this->mayPrefill())
             co_return std::nullopt;
-        if (failed.isRefusal && !failed.isOtherServer)
-            this->state.prefills.noteUnusable(*choice, now);
-        else
-            this->state.standing.record(
-                *choice, failed.isOtherServer ? CallResult::Superseded : CallResult::Unreachable, now);
-        this->state.log.write(LogLevel::Info, "prefill_failed",
-            { { "request", this->context.request.attempt }, { "server", choice->raw() },
-                { "detail", failed.detail } });
+        auto kvCache = co_await this->prefillAt(*choice);
+        if (kvCache)
+            co_return kvCache;
     }
     co_return std::nullopt;
 }
 
+bool GenerationCall::mayPrefill()
+{
+    // The first one is no retry; each further one is.
+    bool isFirst = this->prefillSends == 0;
+    bool isAllowed = isFirst
+        || (this->prefillSends < MostPrefillSends
+            && this->state.retriesOf(this->context.service).trySpend(this->state.now()));
+    this->prefillSends += isAllowed ? 1 : 0;
+    return isAllowed;
+}
+
+asio::awaitable<std::optional<KvLocation>> GenerationCall::prefillAt(ServerId server)
+{
+    const ServerRecord* record = this->state.directory.find(server);
+    if (record == nullptr)
+        co_return std::nullopt;
+    auto client = this->state.clients.of(*record);
+    TimePoint began = this->state.now();
+    this->state.prefills.reserve(server, this->promptTokens());
+    auto timeLimit = std::min(timeLeft(this->state, this->context), PrefillTimeout);
+    auto result = co_await client->prefill(this->context.request, timeLimit, this->context.interrupt);
+    this->state.prefills.release(server, this->promptTokens());
+    if (auto* failed = std::get_if<CallFailure>(&result)) {
+        this->notePrefillFailure(server, *failed);
+        co_return std::nullopt;
+    }
+    this->state.standing.record(server, CallResult::Answered, this->state.now());
+    this->state.prefills.noteServed(server);
+    this->state.metrics.addPrefill(this->state.now() - began);
+    co_return std::get<KvLocation>(std::move(result));
+}
+
+void GenerationCall::notePrefillFailure(const ServerId& server, const CallFailure& failed)
+{
+    this->lastDetail = failed.detail;
+    if (this->context.interrupt.isRaised())
+        return;
+    TimePoint now = this->state.now();
+    if (failed.isRefusal && !failed.isOtherServer)
+        this->state.prefills.noteUnusable(server, now);
+    else
+        this->state.standing.record(
+            server, failed.isOtherServer ? CallResult::Superseded : CallResult::Unreachable, now);
+    this->state.log.write(LogLevel::Info, "prefill_failed",
+        { { "request", this->context.request.attempt }, { "server", server.raw() },
+            { "detail", failed.detail } });
+}
+
+std::uint32_t GenerationCall::promptTokens() const
+{
+    return this->context.request.size ? this->context.request.size->promptTokens : 1;
+}
+
 asio::awaitable<GenerationCall::Next> GenerationCall::stream(const ReservedPlace& place, KvLocation kvCache)
 {
     const ServerId server = place.engine->record().id;
--- a/src/libperidotgrade/net/beast_convert.h
+++ b/src/libperidotgrade/net/beast_convert.h
@@ -1,6 +1,7 @@
 // Conversions between Beast's types and the plain HTTP values.
 #pragma once
 
+#include "peridotgrade/net/endpoint.h"
 #include "peridotgrade/net/http_message.h"
 #include "peridotgrade/net/net_error.h"
 
@@ -19,4 +20,8 @@
 /// Sets status, content type, the given fields and `Connection`.
 void fillHead(boost::beast::http::response_header<>& head, const HttpResponse& response);
 
+/// The request as it is sent to `server`; Host names the server unless the request has one of its own.
+boost::beast::http::request<boost::beast::http::string_body> beastRequest(
+    HttpRequest request, const Endpoint& server);
+
 } // namespace peridotgrade
--- a/src/libperidotgrade/net/http_channel.cpp
+++ b/src/libperidotgrade/net/http_channel.cpp
@@ -38,21 +38,6 @@
     // How long a connection is kept whose server names no time.
     constexpr std::chrono::milliseconds DefaultKeepAlive { 4000 };
 
-    http::request<http::string_body> beastRequest(HttpRequest request, const Endpoint& server)
-    {
-        http::request<http::string_body> message;
-        message.version(11);
-        message.method_string(request.method);
-        message.target(request.target);
-        if (request.field("Host").empty())
-            message.set(http::field::host, toString(server));
-        for (const HttpField& field : request.fields)
-            message.insert(field.name, field.value);
-        message.body() = std::move(request.body);
-        message.prepare_payload();
-        return message;
-    }
-
     /// The time after `timeout=` in a Keep-Alive field.
     std::optional<std::chrono::seconds> keepAliveTime(std::string_view value)
     {
--- a/src/libperidotgrade/net/http_client.cpp
+++ b/src/libperidotgrade/net/http_client.cpp
@@ -31,20 +31,6 @@
     constexpr std::uint64_t MaxResponseBytes = 64 * 1024 * 1024;
     constexpr std::size_t StreamBufferBytes = 16 * 1024;
 
-    http::request<http::string_body> beastRequest(HttpRequest request, const Endpoint& server)
-    {
-        http::request<http::string_body> message;
-        message.version(11);
-        message.method_string(request.method);
-        message.target(request.target);
-        message.set(http::field::host, toString(server));
-        for (const HttpField& field : request.fields)
-            message.insert(field.name, field.value);
-        message.body() = std::move(request.body);
-        message.prepare_payload();
-        return message;
-    }
-
     template <typename Message> HttpResponse responseHead(const Message& message)
     {
         HttpResponse response;
