Let a holder of duties wait anew after any new generation

Cause: found by reading: an entry that was frozen past its membership and is dealt the duty again kept its old start of tenure, so it could order at once although another holder had ordered within the lease. Ruled out: the check on a failed renewal (a thawed entry's first renewal succeeds).

--- /dev/null
+++ b/src/include/peridotgrade/core/serving/duty_lease.h
@@ -0,0 +1,45 @@
+// When the holder of a duty may act on it.
+#pragma once
+
+#include "peridotgrade/core/base/time.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace peridotgrade {
+
+/// Follows the generations of a group of which one member holds a duty. A holder acts only right after a
+/// confirmation, and only once the lease of whoever held the duty before has certainly ended. Any new
+/// generation may mean that another member held it in between, as while this one was frozen, so it starts the
+/// wait anew. All times are of a clock that goes on while the machine is suspended.
+class DutyLease {
+public:
+    /// An act follows its confirmation at once.
+    static constexpr std::chrono::milliseconds LongestConfirmation { 300 };
+    /// Beyond the lease, for the way of the last act of the holder before.
+    static constexpr std::chrono::milliseconds TakeOverMargin { 500 };
+
+    explicit DutyLease(std::chrono::milliseconds lease)
+        : lease(lease)
+    {
+    }
+
+    /// A confirmation that was asked for at `asked` and arrived at `now`.
+    void confirm(std::uint64_t generation, bool isHolder, TimePoint asked, TimePoint now);
+    /// The membership has lapsed.
+    void lose() { this->holds = false; }
+
+    bool isHolder() const { return this->holds; }
+    bool mayAct(TimePoint now) const;
+    /// Until the lease of the holder before has ended; zero if it has.
+    Duration waitLeft(TimePoint now) const;
+
+private:
+    std::chrono::milliseconds lease;
+    std::uint64_t generation = 0;
+    bool holds = false;
+    TimePoint since {};
+    TimePoint confirmedAt {};
+};
+
+} // namespace peridotgrade
--- a/src/include/peridotgrade/gateway/duty_keeper.h
+++ b/src/include/peridotgrade/gateway/duty_keeper.h
@@ -1,6 +1,7 @@
 // The entry's membership in the group that shares out duties and retries.
 #pragma once
 
+#include "peridotgrade/core/serving/duty_lease.h"
 #include "peridotgrade/core/serving/stage_plan.h"
 #include "peridotgrade/gateway/gateway_state.h"
 #include "platform/store_client.h"
@@ -26,7 +27,7 @@
     boost::asio::awaitable<bool> join();
     boost::asio::awaitable<void> orderStages();
     boost::asio::awaitable<void> orderOne(ServiceId service, StageOrder order);
-    void noteMembership(const GroupMembership& membership);
+    void noteMembership(const GroupMembership& membership, TimePoint asked);
     bool mayAct() const;
     Duration untilNextTurn() const;
     std::vector<const ServerRecord*> enginesOf(
@@ -43,10 +44,8 @@
     StagePlan plan;
     std::uint64_t generation = 0;
     double part = 0;
-    bool isHolder = false;
-    /// When this entry got the duty, and when the store last confirmed it; on the clock that goes on while
-    /// the machine is suspended.
-    TimePoint holderSince {};
+    DutyLease duty;
+    /// On the clock that goes on while the machine is suspended.
     TimePoint confirmedAt {};
     /// Orders that may still take effect: the engine counts as what it was ordered to be.
     std::map<ServerId, PendingOrder> pending;
--- a/src/include/peridotgrade/net/http_channel.h
+++ b/src/include/peridotgrade/net/http_channel.h
@@ -33,8 +33,8 @@
     /// Ends the connection; what is under way fails.
     virtual void close() = 0;
 
-    /// True if the last response came over a connection that had carried a request before and no byte of it
-    /// had arrived: the server may just have closed an idle connection.
+    /// True if the connection had carried another request before this one. If it then ends before any byte of
+    /// the answer, the server may just have closed an idle connection.
     virtual bool isReused() const = 0;
     /// False until a byte of the current response has arrived.
     virtual bool hasAnswerBegun() const = 0;
--- /dev/null
+++ b/src/libperidotgrade/core/serving/duty_lease.cpp
@@ -0,0 +1,31 @@
+// Implementation of the lease of a duty.
+#include "peridotgrade/core/serving/duty_lease.h"
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+void DutyLease::confirm(std::uint64_t newGeneration, bool isHolder, TimePoint asked, TimePoint now)
+{
+    bool mayHaveChanged = !this->holds || newGeneration != this->generation;
+    if (isHolder && mayHaveChanged)
+        this->since = now;
+    this->generation = newGeneration;
+    this->holds = isHolder;
+    // The confirmation may be as old as its question.
+    this->confirmedAt = asked;
+}
+
+bool DutyLease::mayAct(TimePoint now) const
+{
+    return this->holds && now - this->confirmedAt < LongestConfirmation
+        && this->waitLeft(now) == Duration::zero();
+}
+
+Duration DutyLease::waitLeft(TimePoint now) const
+{
+    Duration left = this->since + this->lease + TakeOverMargin - now;
+    return std::max(left, Duration::zero());
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/serving/duty_lease_test.cpp
@@ -0,0 +1,68 @@
+// Tests of the lease of a duty.
+#include "peridotgrade/core/serving/duty_lease.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace peridotgrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::milliseconds Lease { 3000 };
+constexpr std::chrono::milliseconds Wait = Lease + DutyLease::TakeOverMargin;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DutyLeaseTest)
+
+BOOST_AUTO_TEST_CASE(newHolderWaitsOutTheLeaseBefore)
+{
+    DutyLease duty(Lease);
+    TimePoint now { 10s };
+    duty.confirm(1, true, now, now);
+    BOOST_TEST(!duty.mayAct(now));
+    now += Wait;
+    duty.confirm(1, true, now, now);
+    BOOST_TEST(duty.mayAct(now));
+    BOOST_TEST(!duty.mayAct(now + DutyLease::LongestConfirmation));
+}
+
+BOOST_AUTO_TEST_CASE(holderThatWasFrozenWaitsAgain)
+{
+    // While it stood still another member held the duty and acted; it is dealt to this one again at once.
+    DutyLease duty(Lease);
+    TimePoint now { 10s };
+    duty.confirm(1, true, now, now);
+    now += 20s;
+    duty.confirm(3, true, now, now);
+    BOOST_TEST(!duty.mayAct(now));
+    BOOST_TEST((duty.waitLeft(now) == Wait));
+    now += Wait;
+    duty.confirm(3, true, now, now);
+    BOOST_TEST(duty.mayAct(now));
+}
+
+BOOST_AUTO_TEST_CASE(slowConfirmationIsAsOldAsItsQuestion)
+{
+    DutyLease duty(Lease);
+    TimePoint now { 10s };
+    duty.confirm(1, true, now, now);
+    now += Wait + 1s;
+    duty.confirm(1, true, now - DutyLease::LongestConfirmation, now);
+    BOOST_TEST(!duty.mayAct(now));
+}
+
+BOOST_AUTO_TEST_CASE(whoLostTheDutyDoesNotAct)
+{
+    DutyLease duty(Lease);
+    TimePoint now { 10s };
+    duty.confirm(1, true, now, now);
+    now += Wait;
+    duty.confirm(2, false, now, now);
+    BOOST_TEST(!duty.mayAct(now));
+    duty.confirm(2, true, now, now);
+    duty.lose();
+    BOOST_TEST(!duty.mayAct(now + Wait));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/gateway/duty_keeper.cpp
+++ b/src/libperidotgrade/gateway/duty_keeper.cpp
@@ -22,14 +22,10 @@
     constexpr std::chrono::milliseconds RenewInterval { 1500 };
     constexpr std::chrono::milliseconds MembershipLifetime { 4500 };
     constexpr std::chrono::milliseconds JoinTimeout { 600 };
-    // Beyond the lease, for the way of a last order of the holder before.
-    constexpr std::chrono::milliseconds TakeOverMargin { 500 };
     // So that the next turn is after the lease, not at its end.
     constexpr std::chrono::milliseconds TurnMargin { 20 };
     // Servers come and go around a loss or a release; orders wait until the list has been still this long.
     constexpr std::chrono::milliseconds CalmBeforeOrders { 3000 };
-    // An order follows a confirmation of the duty at once.
-    constexpr std::chrono::milliseconds LongestConfirmation { 300 };
     constexpr std::chrono::milliseconds OrderTimeout { 500 };
     // Unanswered orders may be carried out up to 12 s later.
     constexpr std::chrono::seconds OrderMemory { 14 };
@@ -39,6 +35,7 @@
     : state(state)
     , store(store)
     , member(state.settings.nodeName + "/" + std::to_string(state.random.next()))
+    , duty(state.settings.dutyLease)
 {
 }
 
@@ -51,7 +48,7 @@
         TimePoint now = TimerDriver::bootNow();
         if (!isMember && this->part > 0 && now - this->confirmedAt > MembershipLifetime) {
             this->part = 0;
-            this->isHolder = false;
+            this->duty.lose();
             this->state.setRetryPart(0);
             this->state.log.write(LogLevel::Warn, "membership_lost", { { "member", this->member } });
         }
@@ -64,9 +61,8 @@
 Duration DutyKeeper::untilNextTurn() const
 {
     // A new holder acts as soon as its predecessor's lease has ended.
-    Duration leaseLeft
-        = this->holderSince + this->state.settings.dutyLease + TakeOverMargin - TimerDriver::bootNow();
-    bool isWaiting = this->isHolder && leaseLeft > Duration::zero();
+    Duration leaseLeft = this->duty.waitLeft(TimerDriver::bootNow());
+    bool isWaiting = this->duty.isHolder() && leaseLeft > Duration::zero();
     return isWaiting ? std::min<Duration>(RenewInterval, leaseLeft + TurnMargin) : Duration { RenewInterval };
 }
 
@@ -84,11 +80,11 @@
         co_return false;
     // The lifetime may count from the moment of asking.
     this->confirmedAt = asked;
-    this->noteMembership(std::get<GroupMembership>(joined));
+    this->noteMembership(std::get<GroupMembership>(joined), asked);
     co_return true;
 }
 
-void DutyKeeper::noteMembership(const GroupMembership& membership)
+void DutyKeeper::noteMembership(const GroupMembership& membership, TimePoint asked)
 {
     bool isSame = membership.generation == this->generation;
     this->generation = membership.generation;
@@ -97,10 +93,8 @@
     this->state.setRetryPart(this->part);
     bool holds = std::any_of(membership.partitions.begin(), membership.partitions.end(),
         [](const StorePartition& each) { return each.topic == DutyTopic && each.number == DutyPartition; });
-    if (holds && !this->isHolder)
-        this->holderSince = TimerDriver::bootNow();
-    bool changed = holds != this->isHolder;
-    this->isHolder = holds;
+    bool changed = holds != this->duty.isHolder();
+    this->duty.confirm(this->generation, holds, asked, TimerDriver::bootNow());
     if (isSame && !changed)
         return;
     this->state.log.write(LogLevel::Info, "membership_changed",
@@ -108,12 +102,7 @@
             { "holds_duty", holds ? "true" : "false" } });
 }
 
-bool DutyKeeper::mayAct() const
-{
-    TimePoint now = TimerDriver::bootNow();
-    return this->isHolder && now - this->confirmedAt < LongestConfirmation
-        && now - this->holderSince > this->state.settings.dutyLease + TakeOverMargin;
-}
+bool DutyKeeper::mayAct() const { return this->duty.mayAct(TimerDriver::bootNow()); }
 
 std::vector<const ServerRecord*> DutyKeeper::enginesOf(
     const ServiceId& service, std::vector<ServerRecord>& planned) const
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -233,9 +233,7 @@
         }
         // Addresses stay as they are for the life of the process.
         const auto& settings = std::get<GatewaySettings>(read);
-        this->state.settings.retries = settings.retries;
         this->state.settings.stopWithin = settings.stopWithin;
-        this->state.settings.dutyLease = settings.dutyLease;
         this->state.log.setLevel(settings.logLevel);
         this->state.log.write(LogLevel::Info, "reloaded", { { "file", this->settingsFile } });
     }
