--- a/src/include/peridotgrade/gateway/gateway_settings.h
+++ b/src/include/peridotgrade/gateway/gateway_settings.h
@@ -57,7 +57,5 @@
 /// The same for a text; `file` is named in errors.
 std::variant<GatewaySettings, SettingsError> parseGatewaySettings(
     const std::string& text, const std::string& file);
-/// JSON Schema of the file; its descriptions are the manual.
-std::string_view gatewaySettingsSchema();
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/gateway/place_broker.h
+++ b/src/include/peridotgrade/gateway/place_broker.h
@@ -36,7 +36,6 @@
     void release(const ReservedPlace& place);
     /// Gives back a reservation that no run will use.
     void giveBack(const ReservedPlace& place);
-    std::size_t waiting() const { return this->queue.size(); }
 
 private:
     struct Waiter;
--- a/src/include/peridotgrade/net/http_channel.h
+++ b/src/include/peridotgrade/net/http_channel.h
@@ -41,7 +41,7 @@
 };
 
 /// Connections to one server. Not thread safe.
-class HttpChannelPool : public std::enable_shared_from_this<HttpChannelPool> {
+class HttpChannelPool {
 public:
     using Opened = std::variant<std::shared_ptr<HttpChannel>, NetError>;
 
@@ -57,7 +57,6 @@
     void giveBack(std::shared_ptr<HttpChannel> channel);
     /// Closes the kept connections.
     void clear();
-    std::uint64_t connectionsOpened() const;
 
 private:
     class Impl;
--- a/src/libperidotgrade/gateway/gateway_settings.cpp
+++ b/src/libperidotgrade/gateway/gateway_settings.cpp
@@ -168,6 +168,4 @@
     return parseGatewaySettings(std::get<std::string>(text), path);
 }
 
-std::string_view gatewaySettingsSchema() { return Schema; }
-
 } // namespace peridotgrade
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -4,6 +4,7 @@
 #include "peridotgrade/core/serving/come_back.h"
 #include "peridotgrade/gateway/final_answer.h"
 #include "peridotgrade/net/sleep.h"
+#include "peridotgrade/net/whole_body.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -289,7 +290,7 @@
     }
     while (true) {
         this->context.interrupt.attach([&answer] { answer.abort(); });
-        auto piece = co_await answer.read(this->readTimeout());
+        auto piece = co_await answer.readBody(this->readTimeout());
         this->context.interrupt.detach();
         if (this->context.interrupt.isRaised())
             co_return Next::Again;
@@ -348,16 +349,14 @@
     ServerAnswer& answer, const ServerId& server)
 {
     HttpResponse response = answer.head().response;
-    while (true) {
-        auto piece = co_await answer.read(this->readTimeout());
-        if (auto* error = std::get_if<NetError>(&piece)) {
-            this->lastDetail = error->detail;
-            co_return Next::Again;
-        }
-        if (std::get<std::string>(piece).empty())
-            break;
-        response.body += std::get<std::string>(piece);
+    this->context.interrupt.attach([&answer] { answer.abort(); });
+    auto body = co_await readWholeBody(answer, this->context.deadline);
+    this->context.interrupt.detach();
+    if (auto* error = std::get_if<NetError>(&body)) {
+        this->lastDetail = error->detail;
+        co_return Next::Again;
     }
+    response.body = std::get<std::string>(std::move(body));
     this->state.standing.record(server, CallResult::ServerError, this->state.now());
     std::uint16_t status = response.status;
     co_await this->context.exchange.respond(std::move(response));
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -4,6 +4,7 @@
 #include "peridotgrade/core/base/invariant.h"
 #include "peridotgrade/core/serving/come_back.h"
 #include "peridotgrade/gateway/final_answer.h"
+#include "peridotgrade/net/whole_body.h"
 
 #include <algorithm>
 
@@ -121,22 +122,15 @@
 {
     HttpResponse response = answer.head().response;
     this->context.interrupt.attach([&answer] { answer.abort(); });
-    while (true) {
-        Duration left
-            = std::max<Duration>(this->context.deadline - this->state.now(), std::chrono::milliseconds { 1 });
-        auto piece = co_await answer.read(left);
-        if (auto* error = std::get_if<NetError>(&piece)) {
-            this->context.interrupt.detach();
-            this->lastDetail = error->detail;
-            this->runs += answer.head().isNotRun ? 0 : 1;
-            this->state.standing.record(server, CallResult::Unreachable, this->state.now());
-            co_return Next::TryOther;
-        }
-        if (std::get<std::string>(piece).empty())
-            break;
-        response.body += std::get<std::string>(piece);
-    }
+    auto body = co_await readWholeBody(answer, this->context.deadline);
     this->context.interrupt.detach();
+    if (auto* error = std::get_if<NetError>(&body)) {
+        this->lastDetail = error->detail;
+        this->runs += answer.head().isNotRun ? 0 : 1;
+        this->state.standing.record(server, CallResult::Unreachable, this->state.now());
+        co_return Next::TryOther;
+    }
+    response.body = std::get<std::string>(std::move(body));
     if (answer.head().isNotRun) {
         this->lastDetail = "rejected with status " + std::to_string(response.status);
         this->state.standing.record(server,
--- a/src/libperidotgrade/net/http_channel.cpp
+++ b/src/libperidotgrade/net/http_channel.cpp
@@ -218,7 +218,6 @@
             co_return NetError { NetErrorKind::ConnectFailed, false,
                 toString(this->server) + ": " + error.message() };
         connection.socket().set_option(tcp::no_delay(true), error);
-        ++this->opened;
         std::shared_ptr<HttpChannel> channel
             = std::make_shared<BeastChannel>(std::move(connection), this->server);
         co_return channel;
@@ -228,7 +227,6 @@
     const Endpoint server;
     /// Invariant: each was keepable when it was put here; the newest is last.
     std::deque<std::shared_ptr<BeastChannel>> idle;
-    std::uint64_t opened = 0;
 };
 
 HttpChannelPool::HttpChannelPool(asio::any_io_executor executor, Endpoint server)
@@ -268,6 +266,4 @@
     this->impl->idle.clear();
 }
 
-std::uint64_t HttpChannelPool::connectionsOpened() const { return this->impl->opened; }
-
 } // namespace peridotgrade
--- a/src/libperidotgrade/net/http_channel_test.cpp
+++ b/src/libperidotgrade/net/http_channel_test.cpp
@@ -1,67 +1,19 @@
 // Tests of kept connections: what may be reused, and what must not be.
 #include "peridotgrade/net/http_channel.h"
 
+#include "test_support/scripted_server.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <deque>
-
 using namespace peridotgrade;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
-using tcp = asio::ip::tcp;
 
 namespace {
 
-/// Answers each request with the next of some byte strings; an empty one closes the connection.
-class ScriptedServer {
-public:
-    ScriptedServer(asio::io_context& context, std::deque<std::string> answers)
-        : acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
-        , answers(std::move(answers))
-    {
-        asio::co_spawn(context, this->accept(), asio::detached);
-    }
-
-    Endpoint endpoint() const { return { "127.0.0.1", this->acceptor.local_endpoint().port() }; }
-    int connections = 0;
-
-private:
-    asio::awaitable<void> accept()
-    {
-        while (true) {
-            tcp::socket socket = co_await this->acceptor.async_accept(asio::use_awaitable);
-            ++this->connections;
-            asio::co_spawn(this->acceptor.get_executor(), this->serve(std::move(socket)), asio::detached);
-        }
-    }
-
-    asio::awaitable<void> serve(tcp::socket socket)
-    {
-        asio::streambuf buffer;
-        while (!this->answers.empty()) {
-            std::size_t size
-                = co_await asio::async_read_until(socket, buffer, "\r\n\r\n", asio::use_awaitable);
-            buffer.consume(size);
-            std::string answer = this->answers.front();
-            this->answers.pop_front();
-            if (answer.empty())
-                co_return;
-            co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
-        }
-    }
-
-    tcp::acceptor acceptor;
-    std::deque<std::string> answers;
-};
-
 const std::string Whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 struct Fixture {
