Charge only sends that reached a server; order stages as soon as it is safe

Cause: (1) a prefill or run whose connection was refused was charged to the retry budget though no server had received it; on the grown site with 32 entries each has one or two further sends in ten seconds, and requests were rejected with no_prefill. (3) A prefill engine of another stage was taken out for decoding too. (4) While no configuration was known every caller was told to come back after the same second, during an outage that lasts several.

Change: FurtherSends in the core counts sends that reached a server, prefills and runs apart. DutyLease keeps its tenure over one step of the generation, within which the duty cannot have gone elsewhere and come back. Members confirm a change after 0.3 s. Engines of another stage are left out for prefills only. The wait told before the first configuration follows the caller's time.

Before: DutyLeaseTest/holderOverOneChangeOfTheGroupNeedsNoNewWait failed. After: core_serving_test, gateway_test and four process cases pass.

--- a/src/include/peridotgrade/core/serving/duty_lease.h
+++ b/src/include/peridotgrade/core/serving/duty_lease.h
@@ -9,9 +9,10 @@
 namespace peridotgrade {
 
 /// Follows the generations of a group of which one member holds a duty. A holder acts only right after a
-/// confirmation, and only once the lease of whoever held the duty before has certainly ended. Any new
-/// generation may mean that another member held it in between, as while this one was frozen, so it starts the
-/// wait anew. All times are of a clock that goes on while the machine is suspended.
+/// confirmation, and only once the lease of whoever held the duty before has certainly ended. Each change of
+/// the group has a generation of its own, so the duty cannot have gone to another member and come back within
+/// one step of it; two steps or more, as while this member was frozen, start the wait anew. All times are of
+/// a clock that goes on while the machine is suspended.
 class DutyLease {
 public:
     /// An act follows its confirmation at once.
@@ -36,6 +37,7 @@
 
 private:
     std::chrono::milliseconds lease;
+    /// Of the newest confirmation.
     std::uint64_t generation = 0;
     bool holds = false;
     TimePoint since {};
--- a/src/include/peridotgrade/core/serving/engine_use.h
+++ b/src/include/peridotgrade/core/serving/engine_use.h
@@ -38,6 +38,9 @@
     /// The engine took a reservation and then not the request, or is away for a change of stage: nothing is
     /// asked of it for a time that doubles until it serves one.
     void noteUnusable(const ServerId& server, TimePoint now);
+    /// The engine has another stage than the list says, or another server has its address: nothing is asked
+    /// of it until the list has caught up.
+    void noteSuperseded(const ServerId& server, TimePoint now);
     void noteServed(const ServerId& server);
     void forget(const ServerId& server) { this->engines.erase(server); }
 
--- a/src/include/peridotgrade/gateway/duty_keeper.h
+++ b/src/include/peridotgrade/gateway/duty_keeper.h
@@ -43,6 +43,8 @@
     const std::string member;
     StagePlan plan;
     std::uint64_t generation = 0;
+    /// The last answer brought a new generation, so partitions may be on their way.
+    bool isSettling = false;
     double part = 0;
     DutyLease duty;
     /// On the clock that goes on while the machine is suspended.
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "peridotgrade/core/serving/event_framer.h"
+#include "peridotgrade/core/serving/further_sends.h"
 #include "peridotgrade/gateway/gateway_state.h"
 #include "peridotgrade/gateway/place_broker.h"
 #include "peridotgrade/gateway/request_context.h"
@@ -25,7 +26,7 @@
     boost::asio::awaitable<Next> attempt();
     boost::asio::awaitable<std::optional<KvLocation>> prefill(const ReservedPlace& place);
     boost::asio::awaitable<std::optional<KvLocation>> prefillAt(ServerId server);
-    bool mayPrefill();
+    bool mayRunOnceMore();
     void notePrefillFailure(const ServerId& server, const CallFailure& failed);
     boost::asio::awaitable<Next> stream(const ReservedPlace& place, KvLocation kvCache);
     boost::asio::awaitable<Next> forward(ServerAnswer& answer, const ServerId& server);
@@ -50,7 +51,7 @@
     std::uint32_t rounds = 0;
     /// Runs that an engine may have begun.
     std::uint32_t runs = 0;
-    std::uint32_t prefillSends = 0;
+    FurtherSends furtherSends;
     bool hasBegun = false;
     std::optional<Duration> firstEvent;
     TimePoint lastPieceAt {};
--- a/src/libperidotgrade/core/serving/duty_lease.cpp
+++ b/src/libperidotgrade/core/serving/duty_lease.cpp
@@ -7,7 +7,9 @@
 
 void DutyLease::confirm(std::uint64_t newGeneration, bool isHolder, TimePoint asked, TimePoint now)
 {
-    bool mayHaveChanged = !this->holds || newGeneration != this->generation;
+    // Over one step of the generation nobody else can have held the duty and given it back.
+    bool isContinuous = newGeneration == this->generation || newGeneration == this->generation + 1;
+    bool mayHaveChanged = !this->holds || !isContinuous;
     if (isHolder && mayHaveChanged)
         this->since = now;
     this->generation = newGeneration;
--- a/src/libperidotgrade/core/serving/duty_lease_test.cpp
+++ b/src/libperidotgrade/core/serving/duty_lease_test.cpp
@@ -42,6 +42,29 @@
     BOOST_TEST(duty.mayAct(now));
 }
 
+BOOST_AUTO_TEST_CASE(holderOverOneChangeOfTheGroupNeedsNoNewWait)
+{
+    // Entries that restart one after the other change the group every second or two; the holder goes on.
+    DutyLease duty(Lease);
+    TimePoint now { 10s };
+    duty.confirm(1, true, now, now);
+    for (std::uint64_t generation = 2; generation < 6; ++generation) {
+        now += 1s;
+        duty.confirm(generation, true, now, now);
+    }
+    BOOST_TEST(duty.mayAct(now));
+}
+
+BOOST_AUTO_TEST_CASE(generationThatFellStartsTheWaitAnew)
+{
+    DutyLease duty(Lease);
+    TimePoint now { 10s };
+    duty.confirm(5, true, now, now);
+    now += Wait;
+    duty.confirm(4, true, now, now);
+    BOOST_TEST(!duty.mayAct(now));
+}
+
 BOOST_AUTO_TEST_CASE(slowConfirmationIsAsOldAsItsQuestion)
 {
     DutyLease duty(Lease);
--- a/src/libperidotgrade/core/serving/engine_use.cpp
+++ b/src/libperidotgrade/core/serving/engine_use.cpp
@@ -55,6 +55,11 @@
     engine.unusableUntil = now + std::min(pause, LongestPause);
 }
 
+void EngineUse::noteSuperseded(const ServerId& server, TimePoint now)
+{
+    this->engines[server].unusableUntil = now + LongestPause;
+}
+
 void EngineUse::noteServed(const ServerId& server)
 {
     Engine& engine = this->engines[server];
--- a/src/libperidotgrade/core/serving/engine_use_test.cpp
+++ b/src/libperidotgrade/core/serving/engine_use_test.cpp
@@ -100,6 +100,16 @@
     BOOST_TEST(choose(3000)->raw() == "near");
 }
 
+BOOST_AUTO_TEST_CASE(engineOfAnotherStageIsLeftAloneUntilTheListHasCaughtUp)
+{
+    use.noteSuperseded(near.id, now);
+    BOOST_TEST(choose(3000)->raw() == "far");
+    now += EngineUse::LongestPause - 1ms;
+    BOOST_TEST(choose(3000)->raw() == "far");
+    now += 1ms;
+    BOOST_TEST(choose(3000)->raw() == "near");
+}
+
 BOOST_AUTO_TEST_CASE(tellsWhenTheNextPauseEnds)
 {
     BOOST_TEST(!use.nextRefusalEnd(now));
--- a/src/libperidotgrade/gateway/duty_keeper.cpp
+++ b/src/libperidotgrade/gateway/duty_keeper.cpp
@@ -21,6 +21,9 @@
     // How often the membership is renewed, against a lifetime of three of it.
     constexpr std::chrono::milliseconds RenewInterval { 1500 };
     constexpr std::chrono::milliseconds MembershipLifetime { 4500 };
+    // After a change of the group: partitions go over only as each member confirms the change, so it settles
+    // within two or three of these.
+    constexpr std::chrono::milliseconds SettleInterval { 300 };
     constexpr std::chrono::milliseconds JoinTimeout { 600 };
     // So that the next turn is after the lease, not at its end.
     constexpr std::chrono::milliseconds TurnMargin { 20 };
@@ -60,10 +63,14 @@
 
 Duration DutyKeeper::untilNextTurn() const
 {
+    Duration longest = this->isSettling ? SettleInterval : RenewInterval;
     // A new holder acts as soon as its predecessor's lease has ended.
     Duration leaseLeft = this->duty.waitLeft(TimerDriver::bootNow());
-    bool isWaiting = this->duty.isHolder() && leaseLeft > Duration::zero();
-    return isWaiting ? std::min<Duration>(RenewInterval, leaseLeft + TurnMargin) : Duration { RenewInterval };
+    // Or once the list of servers has been still for long enough.
+    Duration calmLeft = this->state.serversChangedAt + CalmBeforeOrders - this->state.now();
+    Duration waitLeft = std::max(leaseLeft, calmLeft);
+    bool isWaiting = this->duty.isHolder() && waitLeft > Duration::zero();
+    return isWaiting ? std::min<Duration>(longest, waitLeft + TurnMargin) : longest;
 }
 
 boost::asio::awaitable<bool> DutyKeeper::join()
@@ -87,6 +94,7 @@
 void DutyKeeper::noteMembership(const GroupMembership& membership, TimePoint asked)
 {
     bool isSame = membership.generation == this->generation;
+    this->isSettling = !isSame;
     this->generation = membership.generation;
     double all = static_cast<double>(std::size(Topics)) * this->state.settings.storePartitions;
     this->part = std::min(1.0, static_cast<double>(membership.partitions.size()) / all);
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -31,8 +31,8 @@
     constexpr std::chrono::milliseconds StopCheck { 50 };
     // Rejected callers find another entry at once.
     constexpr std::chrono::milliseconds ElsewhereNow { 100 };
-    // Until the first configuration is known.
-    constexpr std::chrono::milliseconds NotReadyWait { 1000 };
+    // Patience of a caller that names none; about that of the shortest calls.
+    constexpr std::chrono::milliseconds DefaultPatience { 1500 };
     // Callers keep connections for less than the configured idle time, which is at most this.
     constexpr std::chrono::milliseconds CallerIdleTimeout { 60'000 };
     constexpr std::uint64_t MaxBodyBytes = 16 * 1024 * 1024;
@@ -117,7 +117,9 @@
         auto& request = std::get<CallerRequest>(parsed);
         auto configuration = this->state.configuration;
         if (!configuration || !this->state.hasServers) {
-            co_await this->rejectEarly(exchange, request, "not_ready", NotReadyWait);
+            // The store is away, mostly for seconds: as long as after any other rejection, and spread.
+            auto wait = comeBackAfter(request.patience.value_or(DefaultPatience), this->state.random);
+            co_await this->rejectEarly(exchange, request, "not_ready", wait);
             co_return;
         }
         if (this->isPastServing) {
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -26,7 +26,7 @@
     constexpr std::chrono::milliseconds ShortestPlaceWait { 250 };
     // Ways through place, prefill and stream of one request.
     constexpr std::uint32_t MostRounds = 3;
-    constexpr std::uint32_t MostPrefillSends = 4;
+    constexpr std::uint32_t MostPrefills = 4;
     // Pause before prefill engines that were all full are asked again: about half a prefill.
     constexpr std::chrono::milliseconds PrefillPause { 40 };
     // A prefill takes 0.1 s, behind nine others one second.
@@ -42,6 +42,7 @@
     , context(context)
     , engine(engine)
     , places(std::move(places))
+    , furtherSends(state.retriesOf(context.service))
 {
 }
 
@@ -86,18 +87,16 @@
 
 asio::awaitable<void> GenerationCall::serve()
 {
-    RetryShare& retries = this->state.retriesOf(this->context.service);
-    retries.recordRequest(this->state.now());
+    this->state.retriesOf(this->context.service).recordRequest(this->state.now());
     while (true) {
         ++this->rounds;
         if (co_await this->attempt() == Next::Done)
             co_return;
         bool mayGoOn = !this->context.interrupt.isRaised() && this->rounds < MostRounds
             && (this->runs == 0 || this->canResume())
-            && timeLeft(this->state, this->context) > TimeToFirstEvent && retries.trySpend(this->state.now());
+            && timeLeft(this->state, this->context) > TimeToFirstEvent && this->mayRunOnceMore();
         if (!mayGoOn)
             break;
-        this->state.metrics.countRetry(this->context.service.raw());
     }
     co_await this->giveUp();
 }
@@ -170,7 +169,9 @@
             co_await sleepFor(this->state.executor, PrefillPause);
             continue;
         }
-        if (!this->mayPrefill())
+        bool isAllowed = this->furtherSends.prefillsReached() < MostPrefills
+            && this->furtherSends.tryPrefill(this->state.now());
+        if (!isAllowed)
             co_return std::nullopt;
         auto kvCache = co_await this->prefillAt(*choice);
         if (kvCache)
@@ -179,15 +180,14 @@
     co_return std::nullopt;
 }
 
-bool GenerationCall::mayPrefill()
+bool GenerationCall::mayRunOnceMore()
 {
-    // The first one is no retry; each further one is.
-    bool isFirst = this->prefillSends == 0;
-    bool isAllowed = isFirst
-        || (this->prefillSends < MostPrefillSends
-            && this->state.retriesOf(this->context.service).trySpend(this->state.now()));
-    this->prefillSends += isAllowed ? 1 : 0;
-    return isAllowed;
+    bool isFurther = this->furtherSends.isRunFurther();
+    if (!this->furtherSends.tryRun(this->state.now()))
+        return false;
+    if (isFurther)
+        this->state.metrics.countRetry(this->context.service.raw());
+    return true;
 }
 
 asio::awaitable<std::optional<KvLocation>> GenerationCall::prefillAt(ServerId server)
@@ -202,9 +202,12 @@
     auto result = co_await client->prefill(this->context.request, timeLimit, this->context.interrupt);
     this->state.prefills.release(server, this->promptTokens());
     if (auto* failed = std::get_if<CallFailure>(&result)) {
+        if (failed->mayHaveRun || failed->isRefusal)
+            this->furtherSends.notePrefillReached();
         this->notePrefillFailure(server, *failed);
         co_return std::nullopt;
     }
+    this->furtherSends.notePrefillReached();
     this->state.standing.record(server, CallResult::Answered, this->state.now());
     this->state.prefills.noteServed(server);
     this->state.metrics.addPrefill(this->state.now() - began);
@@ -217,11 +220,13 @@
     if (this->context.interrupt.isRaised())
         return;
     TimePoint now = this->state.now();
-    if (failed.isRefusal && !failed.isOtherServer)
+    // An engine of the other stage answers like another server; it may still serve the other stage.
+    if (failed.isOtherServer)
+        this->state.prefills.noteSuperseded(server, now);
+    else if (failed.isRefusal)
         this->state.prefills.noteUnusable(server, now);
     else
-        this->state.standing.record(
-            server, failed.isOtherServer ? CallResult::Superseded : CallResult::Unreachable, now);
+        this->state.standing.record(server, CallResult::Unreachable, now);
     this->state.log.write(LogLevel::Info, "prefill_failed",
         { { "request", this->context.request.attempt }, { "server", server.raw() },
             { "detail", failed.detail } });
@@ -246,7 +251,10 @@
         this->context.request, options, this->readTimeout(), this->context.interrupt);
     if (auto* failed = std::get_if<CallFailure>(&result)) {
         this->lastDetail = failed->detail;
-        this->runs += failed->mayHaveRun ? 1 : 0;
+        if (failed->mayHaveRun) {
+            ++this->runs;
+            this->furtherSends.noteRunReached();
+        }
         this->places->giveBack(place);
         this->freeLater(kvCache);
         if (!this->context.interrupt.isRaised())
@@ -256,6 +264,7 @@
                 { "may_have_run", failed->mayHaveRun ? "true" : "false" }, { "detail", failed->detail } });
         co_return Next::Again;
     }
+    this->furtherSends.noteRunReached();
     auto answer = std::move(std::get<std::unique_ptr<ServerAnswer>>(result));
     if (answer->head().isNotRun) {
         this->failure = "hand_over_failed";
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -27,13 +27,13 @@
 PlainCall::PlainCall(GatewayState& state, RequestContext& context)
     : state(state)
     , context(context)
+    , furtherSends(state.retriesOf(context.service))
 {
 }
 
 asio::awaitable<void> PlainCall::serve()
 {
-    RetryShare& retries = this->state.retriesOf(this->context.service);
-    retries.recordRequest(this->state.now());
+    this->state.retriesOf(this->context.service).recordRequest(this->state.now());
     while (true) {
         if (this->context.interrupt.isRaised()) {
             noteCallerGone(this->state, this->context, "waiting for a server");
@@ -42,9 +42,10 @@
         const ServerRecord* record = this->chooseServer();
         bool mayGoOn = record != nullptr && this->sends < MostSends
             && timeLeft(this->state, this->context).count() > 0 && (this->runs == 0 || this->mayRunAgain());
-        if (mayGoOn && this->sends > 0) {
-            mayGoOn = retries.trySpend(this->state.now());
-            if (mayGoOn)
+        if (mayGoOn) {
+            bool isFurther = this->furtherSends.isRunFurther();
+            mayGoOn = this->furtherSends.tryRun(this->state.now());
+            if (mayGoOn && isFurther)
                 this->state.metrics.countRetry(this->context.service.raw());
         }
         if (!mayGoOn) {
@@ -105,7 +106,10 @@
     this->state.memory.release(server, 1);
     if (auto* failure = std::get_if<CallFailure>(&result)) {
         this->lastDetail = failure->detail;
-        this->runs += failure->mayHaveRun ? 1 : 0;
+        if (failure->mayHaveRun) {
+            ++this->runs;
+            this->furtherSends.noteRunReached();
+        }
         if (this->context.interrupt.isRaised())
             co_return Next::TryOther;
         this->state.standing.record(server, CallResult::Unreachable, this->state.now());
@@ -114,6 +118,7 @@
                 { "may_have_run", failure->mayHaveRun ? "true" : "false" }, { "detail", failure->detail } });
         co_return Next::TryOther;
     }
+    this->furtherSends.noteRunReached();
     auto answer = std::move(std::get<std::unique_ptr<ServerAnswer>>(result));
     co_return co_await this->passOn(*answer, server);
 }
