--- a/src/include/peridotgrade/net/http_server.h
+++ b/src/include/peridotgrade/net/http_server.h
@@ -77,7 +77,10 @@
 
     /// Listens; gives the endpoint with the port that is in use.
     std::variant<Endpoint, NetError> start();
-    /// Accepts nothing more and closes idle connections; exchanges in progress are finished.
+    /// Closes idle connections and each other one after its answer; new ones are still accepted, for one
+    /// request each.
+    void stopKeeping();
+    /// The same, and accepts nothing more; exchanges in progress are finished.
     void stopAccepting();
     std::size_t openExchanges() const;
 
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -29,8 +29,6 @@
     // What runs is given up so long before the process is killed.
     constexpr std::chrono::milliseconds StopMargin { 300 };
     constexpr std::chrono::milliseconds StopCheck { 50 };
-    // Rejected callers find another entry at once.
-    constexpr std::chrono::milliseconds ElsewhereNow { 100 };
     // Patience of a caller that names none; about that of the shortest calls.
     constexpr std::chrono::milliseconds DefaultPatience { 1500 };
     // Callers keep connections for less than the configured idle time, which is at most this.
@@ -122,10 +120,6 @@
             co_await this->rejectEarly(exchange, request, "not_ready", wait);
             co_return;
         }
-        if (this->isPastServing) {
-            co_await this->rejectEarly(exchange, request, "stopping", ElsewhereNow);
-            co_return;
-        }
         const ServiceRoute* route = configuration->routeFor(request.host, exchange.request().path());
         if (route == nullptr)
             route = configuration->routeFor(hostName(request.host), exchange.request().path());
@@ -150,9 +144,17 @@
         RequestContext context { exchange, std::move(request), configuration, route, this->pickService(route),
             deadline, interrupt };
         const ServiceSpec* service = configuration->serviceNamed(context.service);
-        if (service != nullptr && service->engine) {
+        bool isGeneration = service != nullptr && service->engine;
+        if (this->isPastServing && (isGeneration || deadline > this->stopAt)) {
+            // It might not end before this process has to, and who still comes here finds no other entry: the
+            // caller is told to wait for one to start.
+            auto wait = comeBackAfter(timeLeft(this->state, context), this->state.random);
+            co_await this->rejectEarly(exchange, context.request, "stopping", wait);
+        } else if (isGeneration) {
+            ++this->openGenerations;
             GenerationCall call(this->state, context, *service->engine, this->brokerOf(context.service));
             co_await call.serve();
+            --this->openGenerations;
         } else {
             PlainCall call(this->state, context);
             co_await call.serve();
@@ -249,13 +251,16 @@
             { { "open_requests", std::to_string(this->callers.openExchanges()) } });
         this->state.subscribeAfter(ServeWhileStopping, [this] {
             this->isPastServing = true;
-            this->callers.stopAccepting();
+            this->callers.stopKeeping();
             this->finishLater();
         });
     }
 
     void finishLater()
     {
+        // Where no other entry is ready callers are still sent here, so the port stays open while it can.
+        if (this->openGenerations == 0 || this->state.now() >= this->stopAt)
+            this->callers.stopAccepting();
         bool isIdle = this->callers.openExchanges() == 0;
         if (!isIdle && this->state.now() < this->stopAt) {
             this->state.subscribeAfter(StopCheck, [this] { this->finishLater(); });
@@ -281,6 +286,7 @@
     HttpServer readiness;
     HttpServer metricsServer;
     TimePoint stopAt {};
+    std::size_t openGenerations = 0;
     bool isPastServing = false;
     bool isWhole = true;
 };
--- a/src/libperidotgrade/gateway/store_watch.cpp
+++ b/src/libperidotgrade/gateway/store_watch.cpp
@@ -27,7 +27,8 @@
 
 boost::asio::awaitable<void> StoreWatch::run()
 {
-    while (!this->state.isStopping) {
+    // To the end of the process: requests are served while it stops, and leaving servers must not get them.
+    while (true) {
         bool isOk = false;
         if (this->next)
             isOk = co_await this->readOn();
--- a/src/libperidotgrade/net/http_server.cpp
+++ b/src/libperidotgrade/net/http_server.cpp
@@ -40,9 +40,16 @@
         return bound;
     }
 
+    void stopKeeping()
+    {
+        this->shared->isClosing = true;
+        this->shared->closeIdle();
+    }
+
     void stopAccepting()
     {
         this->shared->isStopping = true;
+        this->shared->isClosing = true;
         asio::post(this->strand, [self = this->shared_from_this()] {
             boost::system::error_code ignored;
             self->acceptor.close(ignored);
@@ -88,6 +95,8 @@
 
 std::variant<Endpoint, NetError> HttpServer::start() { return this->impl->start(); }
 
+void HttpServer::stopKeeping() { this->impl->stopKeeping(); }
+
 void HttpServer::stopAccepting() { this->impl->stopAccepting(); }
 
 std::size_t HttpServer::openExchanges() const { return this->impl->openExchanges(); }
--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -100,7 +100,7 @@
                 ++this->shared->openExchanges;
                 co_await this->serve();
                 --this->shared->openExchanges;
-                if (!this->keepAlive || this->shared->isStopping)
+                if (!this->keepAlive || this->shared->isClosing)
                     break;
             }
             this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -112,7 +112,7 @@
         {
             http::response<http::string_body> message;
             fillHead(message, response);
-            message.keep_alive(this->keepAlive && !this->shared->isStopping);
+            message.keep_alive(this->keepAlive && !this->shared->isClosing);
             message.body() = std::move(response.body);
             message.prepare_payload();
             this->isAnswered = true;
@@ -127,7 +127,7 @@
         {
             http::response<http::empty_body> message;
             fillHead(message, response);
-            message.keep_alive(this->keepAlive && !this->shared->isStopping);
+            message.keep_alive(this->keepAlive && !this->shared->isClosing);
             message.chunked(true);
             http::response_serializer<http::empty_body> serializer { message };
             this->isAnswered = true;
--- a/src/libperidotgrade/net/http_session.h
+++ b/src/libperidotgrade/net/http_session.h
@@ -25,7 +25,10 @@
 
     const HttpServerSettings settings;
     const HttpHandler handler;
+    /// Nothing more is accepted.
     std::atomic<bool> isStopping = false;
+    /// Each connection ends after its answer. Invariant: true if `isStopping` is.
+    std::atomic<bool> isClosing = false;
     std::atomic<std::size_t> openConnections = 0;
     std::atomic<std::size_t> openExchanges = 0;
 
