--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -38,6 +38,22 @@
     // Of 4,100 descriptors; the rest is for servers and the store.
     constexpr std::uint32_t MaxCallerConnections = 2'500;
 
+    /// Counts something open for as long as it lives.
+    class OpenCount {
+    public:
+        explicit OpenCount(std::size_t& count)
+            : count(count)
+        {
+            ++this->count;
+        }
+        ~OpenCount() { --this->count; }
+        OpenCount(const OpenCount&) = delete;
+        OpenCount& operator=(const OpenCount&) = delete;
+
+    private:
+        std::size_t& count;
+    };
+
     /// The host without its port.
     std::string_view hostName(std::string_view host) { return host.substr(0, host.find(':')); }
 
@@ -151,10 +167,9 @@
             auto wait = comeBackAfter(timeLeft(this->state, context), this->state.random);
             co_await this->rejectEarly(exchange, context.request, "stopping", wait);
         } else if (isGeneration) {
-            ++this->openGenerations;
+            OpenCount counted(this->openGenerations);
             GenerationCall call(this->state, context, *service->engine, this->brokerOf(context.service));
             co_await call.serve();
-            --this->openGenerations;
         } else {
             PlainCall call(this->state, context);
             co_await call.serve();
--- /dev/null
+++ b/testsuite/gateway_soak/removed_guards.py
@@ -0,0 +1,108 @@
+#!/usr/bin/env python3
+"""Takes one guard at a time out of a copy of the gateway's sources and tells which seed of the soak notices.
+
+    removed_guards.py --seeds 1-8 --jobs 4 [--only NAME]
+
+The sources here are never touched. Ends with 1 if a guard is missed by all seeds.
+"""
+import argparse
+import concurrent.futures
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+GATEWAY = "src/libperidotgrade/gateway/"
+
+# Name of the guard, file, and the text that stands for it with and without the guard.
+GUARDS = [
+    ("what may run once is not sent again", GATEWAY + "plain_call.cpp",
+     "this->context.route.kind == CallKind::Idempotent && this->runs < this->context.route.maxAttempts;\n}",
+     "this->runs < 3;\n}"),
+    ("not run is said only of what has not run", GATEWAY + "plain_call.cpp",
+     "if (this->runs == 0) {\n        co_await answerNotRun", "if (true) {\n        co_await answerNotRun"),
+    ("the id on an answer is compared", "platform/server_client.cpp",
+     "echoed.empty() || echoed == attempt", "echoed.empty() || !echoed.empty()"),
+    ("a stream that may not be resumed ends with its engine", GATEWAY + "generation_call.cpp",
+     "this->context.route.isResumable && this->runs < this->context.route.maxAttempts", "this->runs < 3"),
+    ("a resumed stream goes on after its last event", GATEWAY + "generation_call.cpp",
+     "options.lastEvent = this->framer.lastId();", "options.lastEvent = std::nullopt;"),
+    ("an answer that was cut does not look whole", GATEWAY + "generation_call.cpp",
+     "breakOff(this->state, this->context, this->failure, this->lastServer, this->lastDetail);\n",
+     "co_await this->context.exchange.endStream();\n"),
+    ("a stopping entry finishes what runs", GATEWAY + "gateway_node.cpp",
+     "if (!isIdle && this->state.now() < this->stopAt) {", "if (false) {"),
+    ("a caller that leaves ends its request", GATEWAY + "gateway_node.cpp",
+     "exchange.onClientGone([&interrupt] { interrupt.raise(); });", ""),
+]
+
+
+def copied_sources(folder):
+    files = subprocess.run(["git", "ls-files", "-co", "--exclude-standard"], cwd=ROOT, check=True,
+                           capture_output=True, text=True).stdout.split()
+    for name in files:
+        if name.startswith("journal/") or not (ROOT / name).is_file():
+            continue
+        target = folder / name
+        target.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copy2(ROOT / name, target)
+    return folder
+
+
+def build(copy, jobs):
+    environment = {**os.environ, "CCACHE_BASEDIR": str(copy), "CCACHE_NOHASHDIR": "1"}
+    if not (copy / "build" / "build.ninja").exists():
+        subprocess.run(["cmake", "--preset", "release"], cwd=copy, check=True, stdout=subprocess.DEVNULL)
+    subprocess.run(["ninja", "-j", str(jobs), "-C", "build", "peridot-gateway"], cwd=copy, env=environment, check=True,
+                   stdout=subprocess.DEVNULL)
+
+
+def first_finding(copy, seeds, jobs):
+    """Seed and first line of what the soak says; nothing if no seed notices."""
+    soak = copy / "testsuite" / "gateway_soak" / "soak.py"
+
+    def play(seed):
+        return seed, subprocess.run([sys.executable, soak, "--build", copy / "build", "--seeds", str(seed),
+                                     "--seconds", "10", "--jobs", "1"], capture_output=True, text=True)
+
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        for seed, result in pool.map(play, seeds):
+            if result.returncode != 0:
+                lines = (result.stdout + result.stderr).splitlines()
+                return seed, next((line for line in lines if line.startswith("seed ")), lines[-1] if lines else "")
+    return None
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-8", help="first-last")
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--only", default="", help="part of a guard's name")
+    arguments = parser.parse_args()
+    first, _, last = arguments.seeds.partition("-")
+    seeds = range(int(first), int(last or first) + 1)
+    missed = 0
+    with tempfile.TemporaryDirectory() as folder:
+        copy = copied_sources(pathlib.Path(folder))
+        for name, file, guarded, bare in GUARDS:
+            if arguments.only not in name:
+                continue
+            path = copy / file
+            text = path.read_text()
+            assert text.count(guarded) == 1, f"{name}: the guard stands {text.count(guarded)} times in {file}"
+            path.write_text(text.replace(guarded, bare))
+            try:
+                build(copy, arguments.jobs)
+                found = first_finding(copy, seeds, arguments.jobs)
+            finally:
+                path.write_text(text)
+            missed += found is None
+            print(f"| {name} | " + (f"seed {found[0]} | {found[1][:120]} |" if found else "missed | |"), flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
