Split engines over roles by measured demand

Cause: a quarter of the engines did prefill on every deployment.

Change: EngineDemand measures the engine time of a request in each role from the entry's own requests. RolePlan chooses the split with the largest capacity, averaged with what is left after the loss of one engine, and changes it for a gain that pays for the change and on which three updates agree. The split depends on the ratio of the two times and not on the rate, so the leader needs no reports of the other entries. Idle pools follow the setting expectedDemand. An engine that rejects a run after it granted the memory is asked for its report, and avoided while it changes its role. The wait for a stable list counts the engines of the service only.

--- a/src/include/peridotgrade/core/serving/engine_load.h
+++ b/src/include/peridotgrade/core/serving/engine_load.h
@@ -43,6 +43,8 @@
     /// The engine has another role than the server list says, or another server has its address. It gets no
     /// requests until the list has caught up.
     void noteSuperseded(const ServerId& server, TimePoint now);
+    /// The engine is changing its role, which takes until `until` at most.
+    void noteChangingRole(const ServerId& server, TimePoint until);
     void noteServed(const ServerId& server);
     void forget(const ServerId& server) { this->engines.erase(server); }
 
--- a/src/include/peridotgrade/core/serving/role_plan.h
+++ b/src/include/peridotgrade/core/serving/role_plan.h
@@ -1,7 +1,8 @@
-// Decides how many engines do prefill, and which engine changes its role next.
+// Decides how many engines of a service do prefill, and which engine changes its role next.
 #pragma once
 
 #include "peridotgrade/core/base/time.h"
+#include "peridotgrade/core/serving/engine_demand.h"
 #include "peridotgrade/core/serving/server_record.h"
 
 #include <chrono>
@@ -16,27 +17,65 @@
     ServerRole role = ServerRole::Decode;
 };
 
-/// Keeps a share of the engines in the prefill role, spread over data centres: enough that prompts never wait
-/// long, and no more, since decode memory is the scarce resource.
+/// Splits the engines of one service so that both pools are saturated by the same rate of requests. The split
+/// depends only on the engine time that a request takes in each role, so a leader that sees a part of the
+/// traffic needs no reports of the other entries. Load that it answers: a rate near the capacity of the
+/// engines, for days or for a burst; below that any split that keeps both roles serves all requests.
+///
+/// A change of role costs an engine for some seconds, so the split changes only for a gain that pays for it,
+/// and only if several updates in a row agree. Before the first request a change costs nothing, so the split
+/// of an idle pool follows an expected demand at once; from then on roles stay as they are until the demand
+/// has been measured.
 class RolePlan {
 public:
-    /// An average prompt takes 0.1 s of an engine for prefill, and 3 s of an eighth of an engine for decode.
-    static constexpr double DefaultPrefillShare = 0.25;
-    /// With fewer, the loss of one engine would stop all requests.
-    static constexpr std::uint32_t MinPrefillEngines = 2;
+    /// A prefill pool at this utilisation counts as saturated: beyond it prompts wait longer than they are
+    /// read.
+    static constexpr double PrefillUtilisation = 0.75;
+    /// Weight of the capacity that is left after the loss of an engine, half of it for either role.
+    static constexpr double LossWeight = 0.5;
+    /// A change has to raise the capacity by this share: measured demand varies by a few in a hundred.
+    static constexpr double MinGain = 0.04;
+    /// The gain within this time has to exceed the engine time that the change costs.
+    static constexpr std::chrono::seconds PaybackTime { 20 };
+    /// Updates in a row that have to ask for a change in the same direction.
+    static constexpr std::uint32_t AgreeingUpdates = 3;
+    /// Engines that may change their role at the same time, as a share of all; at least one.
+    static constexpr double MaxChangingShare = 0.15;
 
-    explicit RolePlan(double prefillShare = DefaultPrefillShare)
-        : prefillShare(prefillShare)
-    {
-    }
+    /// Engines that keep each role whatever was measured: the loss of a single one would stop all requests.
+    static std::uint32_t minEnginesOfRole(std::size_t engines);
+    /// The number of prefill engines that is worth most.
+    static std::uint32_t bestSplit(std::size_t engines, const RoleDemand& demand);
+    /// Requests per second that a split carries.
+    static double capacity(std::uint32_t prefill, std::uint32_t decode, const RoleDemand& demand);
+    /// The capacity of a split, averaged with what is left of it after the loss of one engine.
+    static double worth(std::size_t engines, std::uint32_t prefill, const RoleDemand& demand);
 
-    std::uint32_t prefillTarget(std::size_t engines) const;
-    /// Returns the next role change towards the target; nothing if the target is met. Engines with a role
-    /// change in progress or unanswered are to be passed with their future role.
-    std::optional<RoleAssignment> nextAssignment(const std::vector<const ServerRecord*>& engines) const;
+    /// Sets the target for a pool without requests from the expected demand.
+    void updateIdle(const std::vector<const ServerRecord*>& engines, const RoleDemand& expected);
+    /// Sets the target from the engines' roles and the measured demand. Engines with a role change in
+    /// progress or unanswered are to be passed with their future role.
+    void update(const std::vector<const ServerRecord*>& engines, const std::optional<RoleDemand>& demand,
+        std::chrono::milliseconds roleSwitchTime);
+    /// Returns the next role change towards the target; nothing if the target is met, or if enough engines
+    /// are `changing`, that is on their way to the role that they are passed with. A role without its minimum
+    /// does not wait for them.
+    std::optional<RoleAssignment> nextAssignment(
+        const std::vector<const ServerRecord*>& engines, std::size_t changing) const;
+    /// Prefill engines after the last update.
+    std::uint32_t prefillTarget() const { return this->target; }
 
 private:
-    double prefillShare;
+    bool isWorthChanging(std::size_t engines, std::uint32_t from, std::uint32_t to, const RoleDemand& demand,
+        std::chrono::milliseconds roleSwitchTime) const;
+    void countAgreement(int direction);
+
+    std::uint32_t target = 0;
+    /// The target is that of a pool without requests, which is reached in one step.
+    bool isIdle = false;
+    /// -1 for fewer prefill engines, 1 for more, 0 for none of both; as of the last update.
+    int lastDirection = 0;
+    std::uint32_t agreeing = 0;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/core/serving/server_directory.h
+++ b/src/include/peridotgrade/core/serving/server_directory.h
@@ -26,6 +26,7 @@
     enum class Kind : std::uint8_t { Appeared, Changed, Draining, Gone, KeptInOutage };
     Kind kind = Kind::Changed;
     ServerId id;
+    ServiceId service;
 };
 
 /// `appeared`, `changed`, `draining`, `gone` or `kept_in_outage`.
--- a/src/include/peridotgrade/gateway/gateway_settings.h
+++ b/src/include/peridotgrade/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 // Settings of a gateway: an entry on the platform's machines.
 #pragma once
 
+#include "peridotgrade/core/serving/engine_demand.h"
 #include "peridotgrade/core/serving/retry_budget_share.h"
 #include "peridotgrade/net/endpoint.h"
 #include "peridotgrade/ops/logger.h"
@@ -8,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -32,6 +34,8 @@
     std::chrono::milliseconds stopWithin { 8000 };
     /// After a change of leader, the new leader waits this long before it acts.
     std::chrono::milliseconds leaderLease { 3000 };
+    /// Engine time that a request is expected to take, for the roles of engines before the first request.
+    std::optional<RoleDemand> expectedDemand;
     /// The shortest membership lifetime that the store accepts.
     std::chrono::milliseconds minMembershipLifetime { 1000 };
 };
@@ -47,6 +51,7 @@
     GatewaySettingsBuilder& stopWithin(std::chrono::milliseconds value);
     GatewaySettingsBuilder& leadership(
         std::chrono::milliseconds lease, std::chrono::milliseconds minMembershipLifetime);
+    GatewaySettingsBuilder& expectedDemand(std::optional<RoleDemand> value);
     std::variant<GatewaySettings, SettingsError> build() const;
 
 private:
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -3,6 +3,7 @@
 
 #include "peridotgrade/core/base/random_source.h"
 #include "peridotgrade/core/base/timer_service.h"
+#include "peridotgrade/core/serving/engine_demand.h"
 #include "peridotgrade/core/serving/engine_load.h"
 #include "peridotgrade/core/serving/output_estimate.h"
 #include "peridotgrade/core/serving/retry_budget_share.h"
@@ -36,6 +37,7 @@
     void subscribeAfter(Duration delay, TimerService::Callback callback);
     RetryBudgetShare& retryBudgetOf(const ServiceId& service);
     void setRetryShare(double retryShare);
+    EngineDemand& demandOf(const ServiceId& service) { return this->demands[service]; }
     /// Servers of a service that may get requests and are not ejected; all of them if every one is ejected.
     std::vector<const ServerRecord*> healthyServers(const ServiceId& service, ServerRole role);
     /// Records a failed call in the health of its server.
@@ -54,8 +56,8 @@
     /// False until the list of servers has been read once.
     bool hasServers = false;
     bool isStopping = false;
-    /// When a server last appeared, began to drain, disappeared or was kept in an outage.
-    TimePoint serversChangedAt {};
+    /// When a server of a service last appeared, began to drain, disappeared or was kept in an outage.
+    std::map<ServiceId, TimePoint> serversChangedAt;
     ServerDirectory directory;
     ServerHealth health;
     /// Tokens reserved at decode engines; at plain servers, running requests.
@@ -68,6 +70,7 @@
 private:
     double retryShare = 0;
     std::map<ServiceId, RetryBudgetShare> retryBudgets;
+    std::map<ServiceId, EngineDemand> demands;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -35,6 +35,10 @@
     boost::asio::awaitable<void> reject(std::string_view reason);
     boost::asio::awaitable<void> giveUp();
     void freeInBackground(const KvLocation& kvCache);
+    /// Asks an engine that granted a reservation and rejected the run whether it is changing its role. It
+    /// keeps its old role in the server list meanwhile, and would cost each entry one prefill after the
+    /// other.
+    void checkRoleInBackground(std::shared_ptr<ServerClient> decodeEngine);
     /// Logs a failed hand-over of the KV cache.
     void noteFailedHandOver(const ServerId& server, const KvLocation& kvCache, std::string detail);
     /// Takes the KV cache of a failed hand-over, if its engine still keeps it.
@@ -60,6 +64,8 @@
     std::optional<KvLocation> unusedCache;
     /// How long the KV cache of the last prefill can be used.
     TimePoint cacheUsableUntil {};
+    /// How long the last reservation took.
+    Duration reservationWait {};
     /// The answer to the caller has begun.
     bool hasBegun = false;
     std::optional<Duration> firstEvent;
--- a/src/include/peridotgrade/gateway/group_member.h
+++ b/src/include/peridotgrade/gateway/group_member.h
@@ -27,11 +27,15 @@
     boost::asio::awaitable<bool> join();
     boost::asio::awaitable<void> assignRoles();
     boost::asio::awaitable<void> changeRoleOf(ServiceId service, RoleAssignment assignment);
+    void logTarget(const ServiceId& service, std::size_t engines, std::uint32_t before,
+        const std::optional<RoleDemand>& demand);
     void noteMembership(const GroupMembership& membership, TimePoint requestedAt);
     bool mayAct() const;
     Duration renewalDelay() const;
-    std::vector<const ServerRecord*> enginesOf(
-        const ServiceId& service, std::vector<ServerRecord>& planned) const;
+    boost::asio::awaitable<bool> assignRolesOf(ServiceId service, EngineSpec engine);
+    std::vector<ServerRecord> plannedEnginesOf(const ServiceId& service) const;
+    /// Engines of the service that have not yet reached the role of their pending change.
+    std::size_t countChanging(const ServiceId& service) const;
 
     struct PendingRoleChange {
         ServerRole role;
@@ -41,7 +45,7 @@
     GatewayState& state;
     StoreClient& store;
     const std::string member;
-    RolePlan plan;
+    std::map<ServiceId, RolePlan> plans;
     std::uint64_t generation = 0;
     /// The last answer had a new generation, so partitions may still be moving between members.
     bool isSettling = false;
--- /dev/null
+++ b/src/libperidotgrade/core/serving/engine_demand.cpp
@@ -0,0 +1,80 @@
+// Engine time of runs at full engines.
+#include "peridotgrade/core/serving/engine_demand.h"
+
+#include <algorithm>
+#include <numeric>
+#include <vector>
+
+namespace peridotgrade {
+
+namespace {
+    // Weight of the newest wait in its moving average.
+    constexpr double NewestWeight = 0.2;
+
+    template <typename Item> void pushBounded(std::deque<Item>& items, Item item)
+    {
+        items.push_back(item);
+        if (items.size() > EngineDemand::MaxRuns)
+            items.pop_front();
+    }
+} // namespace
+
+void EngineDemand::recordPrefill(std::uint32_t tokens, Duration took)
+{
+    this->prefill.record(tokens, took);
+    auto cost = this->prefill.estimate(tokens);
+    auto occupancy = this->prefill.meanOccupancy();
+    if (!cost || !occupancy)
+        return;
+    Duration wait = std::max(took - *cost, Duration::zero());
+    this->prefillWait += std::chrono::duration_cast<Duration>((wait - this->prefillWait) * NewestWeight);
+    bool isLong = this->prefillWait > *occupancy * LongWaitRatio;
+    this->correction *= isLong ? CorrectionGrowth : CorrectionDecay;
+    this->correction = std::clamp(this->correction, 1.0, MaxCorrection);
+}
+
+void EngineDemand::recordRun(const EngineSpec& engine, const CompletedRun& run)
+{
+    if (run.events == 0)
+        return;
+    double memoryShare
+        = engine.kvCapacityTokens > 0 ? static_cast<double>(run.tokens) / engine.kvCapacityTokens : 0;
+    double slotShare = engine.slots > 0 ? 1.0 / engine.slots : 0;
+    // The scarcer of the two limits how many requests run beside this one.
+    pushBounded(this->sizes, Size { std::max(memoryShare, slotShare), run.events });
+    pushBounded(this->paces, run.took / run.events);
+    if (run.waited >= FullWait)
+        pushBounded(this->fullPaces, run.took / run.events);
+}
+
+Duration EngineDemand::fullPace() const
+{
+    if (this->fullPaces.size() >= MinRuns) {
+        Duration total = std::accumulate(this->fullPaces.begin(), this->fullPaces.end(), Duration::zero());
+        return total / static_cast<Duration::rep>(this->fullPaces.size());
+    }
+    std::vector<Duration> ordered(this->paces.begin(), this->paces.end());
+    auto at = static_cast<std::ptrdiff_t>(BusyQuantile * static_cast<double>(ordered.size() - 1));
+    std::nth_element(ordered.begin(), ordered.begin() + at, ordered.end());
+    return ordered[static_cast<std::size_t>(at)];
+}
+
+std::optional<RoleDemand> EngineDemand::current() const
+{
+    auto prefillTime = this->prefill.meanOccupancy();
+    if (!prefillTime || this->sizes.size() < MinRuns)
+        return std::nullopt;
+    double shares = 0;
+    double eventShares = 0;
+    for (const Size& size : this->sizes) {
+        shares += size.share;
+        eventShares += size.share * size.events;
+    }
+    auto count = static_cast<double>(this->sizes.size());
+    // The memory is reserved before the prefill.
+    Duration decode = std::chrono::duration_cast<Duration>(
+        this->fullPace() * (eventShares / count) + *this->prefill.meanTime() * (shares / count));
+    return RoleDemand { std::chrono::duration_cast<Duration>(*prefillTime * this->correction), decode };
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/serving/engine_demand_test.cpp
@@ -0,0 +1,110 @@
+// Tests of the measured demand of a service.
+#include "peridotgrade/core/serving/engine_demand.h"
+
+#include "peridotgrade/core/base/random_source.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace peridotgrade;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+EngineSpec engineOf(std::uint32_t slots, std::uint32_t kvCapacityTokens)
+{
+    EngineSpec engine;
+    engine.slots = slots;
+    engine.kvCapacityTokens = kvCapacityTokens;
+    return engine;
+}
+
+double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+/// Decode time of a run that takes `share` of an engine, with the prefill during which the memory is
+/// reserved.
+double withPrefill(const EngineDemand& demand, double run, double share)
+{
+    return run + share * secondsOf(*demand.prefillCost().meanTime());
+}
+
+/// Two of three prefills wait.
+void recordPrefills(EngineDemand& demand, int count, Duration wait = {})
+{
+    RandomSource random(11);
+    for (int index = 0; index < count; ++index) {
+        auto tokens = static_cast<std::uint32_t>(1000 + random.below(4000));
+        bool waits = random.below(3) != 0;
+        demand.recordPrefill(
+            tokens, tokens * std::chrono::microseconds { 30 } + (waits ? wait : Duration::zero()));
+    }
+}
+
+void recordRuns(EngineDemand& demand, const EngineSpec& engine, std::size_t count, const CompletedRun& run)
+{
+    for (std::size_t index = 0; index < count; ++index)
+        demand.recordRun(engine, run);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EngineDemandTest)
+
+BOOST_AUTO_TEST_CASE(needsPrefillsAndRuns)
+{
+    EngineDemand demand;
+    recordPrefills(demand, 20);
+    BOOST_TEST(!demand.current());
+    recordRuns(demand, engineOf(64, 40'000), EngineDemand::MinRuns, { 4000, 60, seconds { 3 }, {} });
+    BOOST_TEST(demand.current().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(countsTheScarcerOfMemoryAndSlots)
+{
+    EngineDemand byMemory;
+    recordPrefills(byMemory, 20);
+    recordRuns(byMemory, engineOf(64, 40'000), 20, { 4000, 60, seconds { 3 }, {} });
+    BOOST_TEST(secondsOf(byMemory.current()->decode) == withPrefill(byMemory, 0.3, 0.1),
+        boost::test_tools::tolerance(0.01));
+    EngineDemand bySlots;
+    recordPrefills(bySlots, 20);
+    recordRuns(bySlots, engineOf(4, 40'000), 20, { 4000, 60, seconds { 3 }, {} });
+    BOOST_TEST(secondsOf(bySlots.current()->decode) == withPrefill(bySlots, 0.75, 0.25),
+        boost::test_tools::tolerance(0.01));
+}
+
+BOOST_AUTO_TEST_CASE(usesThePaceOfFullEngines)
+{
+    EngineDemand demand;
+    recordPrefills(demand, 20);
+    EngineSpec engine = engineOf(64, 40'000);
+    recordRuns(demand, engine, EngineDemand::MinRuns, { 4000, 60, seconds { 4 }, milliseconds { 300 } });
+    recordRuns(demand, engine, 60, { 4000, 60, seconds { 2 }, {} });
+    BOOST_TEST(secondsOf(demand.current()->decode) == withPrefill(demand, 0.4, 0.1),
+        boost::test_tools::tolerance(0.01));
+}
+
+BOOST_AUTO_TEST_CASE(raisesThePrefillTimeWhilePrefillsWaitLong)
+{
+    EngineDemand demand;
+    EngineSpec engine = engineOf(64, 40'000);
+    recordRuns(demand, engine, 20, { 4000, 60, seconds { 3 }, {} });
+    recordPrefills(demand, 60);
+    Duration calm = demand.current()->prefill;
+    recordPrefills(demand, 60, milliseconds { 900 });
+    Duration busy = demand.current()->prefill;
+    BOOST_TEST(secondsOf(busy) > 1.3 * secondsOf(calm));
+    recordPrefills(demand, 600);
+    BOOST_TEST(secondsOf(demand.current()->prefill) == secondsOf(calm), boost::test_tools::tolerance(0.15));
+}
+
+BOOST_AUTO_TEST_CASE(ignoresARunWithoutEvents)
+{
+    EngineDemand demand;
+    recordPrefills(demand, 20);
+    recordRuns(demand, engineOf(0, 0), 20, { 4000, 0, seconds { 3 }, {} });
+    BOOST_TEST(!demand.current());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/core/serving/engine_load.cpp
+++ b/src/libperidotgrade/core/serving/engine_load.cpp
@@ -60,6 +60,11 @@
     this->engines[server].unusableUntil = now + MaxBackoff;
 }
 
+void EngineLoad::noteChangingRole(const ServerId& server, TimePoint until)
+{
+    this->engines[server].unusableUntil = until;
+}
+
 void EngineLoad::noteServed(const ServerId& server)
 {
     Engine& engine = this->engines[server];
--- a/src/libperidotgrade/core/serving/server_directory.cpp
+++ b/src/libperidotgrade/core/serving/server_directory.cpp
@@ -84,7 +84,7 @@
     auto found = this->entries.find(listed.id);
     if (found == this->entries.end()) {
         this->entries.emplace(listed.id, Entry { record, std::nullopt });
-        changes.push_back({ DirectoryChange::Kind::Appeared, listed.id });
+        changes.push_back({ DirectoryChange::Kind::Appeared, listed.id, record.service });
         return;
     }
     Entry& entry = found->second;
@@ -95,8 +95,8 @@
     bool startsDraining = record.isDraining && !entry.record.isDraining;
     entry.record = record;
     if (!isSame) {
-        changes.push_back(
-            { startsDraining ? DirectoryChange::Kind::Draining : DirectoryChange::Kind::Changed, listed.id });
+        changes.push_back({ startsDraining ? DirectoryChange::Kind::Draining : DirectoryChange::Kind::Changed,
+            listed.id, record.service });
     }
 }
 
@@ -108,11 +108,11 @@
     if (this->isOutageRecent(now) && !found->second.record.isDraining) {
         // Servers could not report during the outage, so an expired record says little about its server.
         found->second.removeAt = (this->isStoreLost ? now : *this->storeBackAt) + OutageGrace;
-        changes.push_back({ DirectoryChange::Kind::KeptInOutage, id });
+        changes.push_back({ DirectoryChange::Kind::KeptInOutage, id, found->second.record.service });
         return;
     }
+    changes.push_back({ DirectoryChange::Kind::Gone, id, found->second.record.service });
     this->entries.erase(found);
-    changes.push_back({ DirectoryChange::Kind::Gone, id });
 }
 
 bool ServerDirectory::isOutageRecent(TimePoint now) const
@@ -144,7 +144,7 @@
             ++entry;
             continue;
         }
-        changes.push_back({ DirectoryChange::Kind::Gone, entry->first });
+        changes.push_back({ DirectoryChange::Kind::Gone, entry->first, entry->second.record.service });
         entry = this->entries.erase(entry);
     }
     return changes;
--- a/src/libperidotgrade/gateway/gateway_settings.cpp
+++ b/src/libperidotgrade/gateway/gateway_settings.cpp
@@ -34,7 +34,12 @@
         "windowSeconds": { "type": "number", "exclusiveMinimum": 0, "description": "the window in seconds" } } },
     "stopWithinSeconds": { "type": "number", "minimum": 1, "description": "seconds from SIGTERM to the end, at least 1" },
     "dutyLeaseMs": { "type": "integer", "minimum": 0, "description": "a whole number of milliseconds" },
-    "shortestMembershipMs": { "type": "integer", "minimum": 1, "description": "a whole number of milliseconds" }
+    "shortestMembershipMs": { "type": "integer", "minimum": 1, "description": "a whole number of milliseconds" },
+    "expectedDemand": { "type": "object", "additionalProperties": false, "required": ["prefillMs", "decodeMs"],
+      "description": "an object with prefillMs and decodeMs",
+      "properties": {
+        "prefillMs": { "type": "number", "exclusiveMinimum": 0, "description": "engine time of a prefill in milliseconds, above 0" },
+        "decodeMs": { "type": "number", "exclusiveMinimum": 0, "description": "a run's share of an engine times its time in milliseconds, above 0" } } }
   }
 })json";
 
@@ -57,6 +62,20 @@
         return limits;
     }
 
+    std::optional<RoleDemand> demandFrom(const boost::json::object& fields)
+    {
+        const auto* demand = fields.if_contains("expectedDemand");
+        if (demand == nullptr)
+            return std::nullopt;
+        auto millisecondsOf = [demand](std::string_view key) {
+            std::chrono::duration<double, std::milli> time {
+                demand->as_object().at(key).to_number<double>()
+            };
+            return std::chrono::duration_cast<Duration>(time);
+        };
+        return RoleDemand { millisecondsOf("prefillMs"), millisecondsOf("decodeMs") };
+    }
+
 } // namespace
 
 GatewaySettingsBuilder& GatewaySettingsBuilder::node(std::string name, std::string dataCentre)
@@ -108,6 +127,12 @@
     return *this;
 }
 
+GatewaySettingsBuilder& GatewaySettingsBuilder::expectedDemand(std::optional<RoleDemand> value)
+{
+    this->settings.expectedDemand = value;
+    return *this;
+}
+
 std::variant<GatewaySettings, SettingsError> GatewaySettingsBuilder::build() const
 {
     const GatewaySettings& built = this->settings;
@@ -154,6 +179,7 @@
                      .retries(retriesFrom(fields.at("retries").as_object()))
                      .stopWithin(secondsOf(fields, "stopWithinSeconds", read.stopWithin))
                      .leadership(read.leaderLease, read.minMembershipLifetime)
+                     .expectedDemand(demandFrom(fields))
                      .build();
     if (auto* error = std::get_if<SettingsError>(&built))
         error->file = file;
--- a/src/libperidotgrade/gateway/gateway_settings_test.cpp
+++ b/src/libperidotgrade/gateway/gateway_settings_test.cpp
@@ -68,6 +68,9 @@
     BOOST_TEST((settings.retries.window == 10s));
     BOOST_TEST((settings.stopWithin == 8s));
     BOOST_TEST((settings.leaderLease == 3s));
+    BOOST_REQUIRE(settings.expectedDemand.has_value());
+    BOOST_TEST((settings.expectedDemand->prefill == 100ms));
+    BOOST_TEST((settings.expectedDemand->decode == 350ms));
 }
 
 BOOST_AUTO_TEST_CASE(deploymentFileHasTheExpectedEntries)
@@ -90,6 +93,11 @@
     for (const Case& each : { Case { changed("\"nodeName\":\"n\",", ""), "nodeName" },
              Case { changed("\"store\":\"10.0.0.2:90\"", "\"store\":\"nowhere\""), "store" },
              Case { changed("\"ratio\":0.2", "\"ratio\":-1"), "ratio" },
+             Case { changed("\"nodeName\"", "\"expectedDemand\":{\"prefillMs\":100},\"nodeName\""),
+                 "expectedDemand" },
+             Case {
+                 changed("\"nodeName\"", "\"expectedDemand\":{\"prefillMs\":0,\"decodeMs\":9},\"nodeName\""),
+                 "prefillMs" },
              Case { changed("10.0.0.1:81", "10.0.0.1:80"), "callersListen" },
              Case { changed("\"nodeName\"", "\"colour\":1,\"nodeName\""), "colour" } }) {
         auto parsed = parseGatewaySettings(each.text, File);
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -86,7 +86,7 @@
         if (change.kind == DirectoryChange::Kind::Changed)
             this->health.forget(change.id);
         else
-            this->serversChangedAt = this->now();
+            this->serversChangedAt[change.service] = this->now();
         if (change.kind != DirectoryChange::Kind::Gone)
             continue;
         this->clients.forget(change.id);
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -37,6 +37,8 @@
     // Time from the choice of another engine until it has requested the KV cache: a reservation and a
     // request, with a round trip of some milliseconds each, and the engine's next step.
     constexpr std::chrono::milliseconds HandOverTime { 100 };
+    // A report is answered within a round trip.
+    constexpr std::chrono::milliseconds ReportTimeout { 500 };
     constexpr std::uint16_t Success = 200;
 } // namespace
 
@@ -148,7 +150,8 @@
         this->rounds = MaxRounds;
         co_return Next::Retry;
     }
-    this->state.metrics.addReservationWait(this->state.now() - began);
+    this->reservationWait = this->state.now() - began;
+    this->state.metrics.addReservationWait(this->reservationWait);
     this->lastServer = reservation->engine->record().id.raw();
     this->failure = "no_prefill";
     auto kvCache = this->takeUnusedCache();
@@ -219,6 +222,8 @@
     this->state.health.record(server, ServerCallResult::Answered, this->state.now());
     this->state.prefillLoad.noteServed(server);
     this->cacheUsableUntil = this->state.now() + this->engine.kvHandleLifetime - HandOverTime;
+    this->state.demandOf(this->context.service)
+        .recordPrefill(this->promptTokens(), this->state.now() - began);
     this->state.metrics.addPrefill(this->state.now() - began);
     co_return std::get<KvLocation>(std::move(result));
 }
@@ -264,6 +269,7 @@
     if (this->hasBegun)
         options.lastEvent = this->framer.lastId();
     this->failure = "server_lost";
+    TimePoint began = this->state.now();
     auto result = co_await reservation.engine->run(
         this->context.request, options, this->readTimeout(), this->context.cancellation);
     if (auto* failed = std::get_if<CallFailure>(&result)) {
@@ -298,6 +304,7 @@
             this->unusedCache = std::move(kvCache);
         } else {
             this->state.reservedLoad.noteUnusable(server, this->state.now());
+            this->checkRoleInBackground(reservation.engine);
             this->freeInBackground(kvCache);
         }
         co_return Next::Retry;
@@ -306,6 +313,11 @@
     ++this->runs;
     Next next = co_await this->forward(*answer, server);
     answer->abort();
+    if (next == Next::Done)
+        this->state.demandOf(this->context.service)
+            .recordRun(this->engine,
+                { reservation.tokens, this->framer.events(), this->state.now() - began,
+                    this->reservationWait });
     this->broker->release(reservation);
     co_return next;
 }
@@ -413,6 +425,22 @@
     co_return Next::Done;
 }
 
+void GenerationCall::checkRoleInBackground(std::shared_ptr<ServerClient> decodeEngine)
+{
+    asio::co_spawn(
+        this->state.executor,
+        [](GatewayState& state, std::shared_ptr<ServerClient> client,
+            Duration switchTime) -> asio::awaitable<void> {
+            auto report = co_await client->report(ReportTimeout);
+            auto* found = std::get_if<EngineReport>(&report);
+            if (found == nullptr || (!found->isCommandInProgress && found->role == ServerRole::Decode))
+                co_return;
+            state.reservedLoad.noteChangingRole(client->record().id, state.now() + switchTime);
+            state.log.write(LogLevel::Info, "role_change_seen", { { "server", client->record().id.raw() } });
+        }(this->state, std::move(decodeEngine), this->engine.roleSwitchTime),
+        asio::detached);
+}
+
 void GenerationCall::freeInBackground(const KvLocation& kvCache)
 {
     for (const ServerRecord* record : this->state.directory.all()) {
--- a/src/libperidotgrade/gateway/group_member.cpp
+++ b/src/libperidotgrade/gateway/group_member.cpp
@@ -27,8 +27,8 @@
     constexpr std::chrono::milliseconds JoinTimeout { 600 };
     // The next renewal comes this long after the end of the lease, not exactly at it.
     constexpr std::chrono::milliseconds LeaseWakeupMargin { 20 };
-    // Servers appear and disappear around a failure or a release; role changes wait until the list has been
-    // stable for this long.
+    // Engines appear and disappear around a failure or a release; role changes wait until those of the
+    // service have been the same for this long.
     constexpr std::chrono::milliseconds ServerListStableTime { 3000 };
     constexpr std::chrono::milliseconds RoleChangeTimeout { 500 };
     // An unanswered command may be carried out up to 12 s later.
@@ -67,11 +67,8 @@
     Duration longest = this->isSettling ? SettleInterval : RenewalInterval;
     // A new leader acts as soon as its predecessor's lease has expired.
     Duration leaseLeft = this->leaderLease.remainingWait(TimerDriver::bootNow());
-    // It also waits until the server list has been stable for long enough.
-    Duration stableWaitLeft = this->state.serversChangedAt + ServerListStableTime - this->state.now();
-    Duration remainingWait = std::max(leaseLeft, stableWaitLeft);
-    bool isWaiting = this->leaderLease.isLeader() && remainingWait > Duration::zero();
-    return isWaiting ? std::min<Duration>(longest, remainingWait + LeaseWakeupMargin) : longest;
+    bool isWaiting = this->leaderLease.isLeader() && leaseLeft > Duration::zero();
+    return isWaiting ? std::min<Duration>(longest, leaseLeft + LeaseWakeupMargin) : longest;
 }
 
 boost::asio::awaitable<bool> GroupMember::join()
@@ -115,48 +112,87 @@
 
 bool GroupMember::mayAct() const { return this->leaderLease.mayAct(TimerDriver::bootNow()); }
 
-std::vector<const ServerRecord*> GroupMember::enginesOf(
-    const ServiceId& service, std::vector<ServerRecord>& planned) const
+std::vector<ServerRecord> GroupMember::plannedEnginesOf(const ServiceId& service) const
 {
+    std::vector<ServerRecord> planned;
     for (const ServerRecord* record : this->state.directory.usable(service)) {
         planned.push_back(*record);
         auto found = this->pendingChanges.find(record->id);
         if (found != this->pendingChanges.end())
             planned.back().role = found->second.role;
     }
-    std::vector<const ServerRecord*> engines;
-    for (const ServerRecord& record : planned)
-        engines.push_back(&record);
-    return engines;
+    return planned;
+}
+
+std::size_t GroupMember::countChanging(const ServiceId& service) const
+{
+    std::size_t changing = 0;
+    for (const ServerRecord* record : this->state.directory.usable(service)) {
+        auto found = this->pendingChanges.find(record->id);
+        changing += found != this->pendingChanges.end() && found->second.role != record->role ? 1 : 0;
+    }
+    return changing;
 }
 
 boost::asio::awaitable<void> GroupMember::assignRoles()
 {
     TimePoint now = this->state.now();
-    if (now - this->state.serversChangedAt < ServerListStableTime)
-        co_return;
     std::erase_if(this->pendingChanges, [&](const auto& each) { return now >= each.second.until; });
     auto configuration = this->state.configuration;
     if (!configuration)
         co_return;
     for (const ServiceSpec& service : configuration->services) {
-        if (!service.engine)
-            continue;
-        std::vector<ServerRecord> planned;
-        auto engines = this->enginesOf(service.name, planned);
-        // One call makes several changes: after a start all are due at once, and leadership is confirmed for
-        // each.
-        while (auto assignment = this->plan.nextAssignment(engines)) {
-            auto at = std::find_if(planned.begin(), planned.end(),
-                [&](const ServerRecord& record) { return record.id == assignment->server; });
-            at->role = assignment->role;
-            if (!this->mayAct() && !(co_await this->join() && this->mayAct()))
-                co_return;
-            co_await this->changeRoleOf(service.name, *assignment);
-        }
+        bool isStable = now - this->state.serversChangedAt[service.name] >= ServerListStableTime;
+        if (service.engine && isStable && !co_await this->assignRolesOf(service.name, *service.engine))
+            co_return;
     }
 }
 
+boost::asio::awaitable<bool> GroupMember::assignRolesOf(ServiceId service, EngineSpec engine)
+{
+    RolePlan& plan = this->plans[service];
+    auto planned = this->plannedEnginesOf(service);
+    std::vector<const ServerRecord*> engines;
+    for (const ServerRecord& record : planned)
+        engines.push_back(&record);
+    auto demand = this->state.demandOf(service).current();
+    std::uint32_t before = plan.prefillTarget();
+    const auto& expected = this->state.settings.expectedDemand;
+    if (expected && this->state.demandOf(service).isUnused())
+        plan.updateIdle(engines, *expected);
+    else
+        plan.update(engines, demand, engine.roleSwitchTime);
+    if (plan.prefillTarget() != before)
+        this->logTarget(service, engines.size(), before, demand);
+    std::size_t changing = this->countChanging(service);
+    // One call makes several changes: after a start with wrong roles they are due at once, and leadership is
+    // confirmed for each.
+    while (auto assignment = plan.nextAssignment(engines, changing)) {
+        auto at = std::find_if(planned.begin(), planned.end(),
+            [&](const ServerRecord& record) { return record.id == assignment->server; });
+        at->role = assignment->role;
+        ++changing;
+        if (!this->mayAct() && !(co_await this->join() && this->mayAct()))
+            co_return false;
+        co_await this->changeRoleOf(service, *assignment);
+    }
+    co_return true;
+}
+
+void GroupMember::logTarget(const ServiceId& service, std::size_t engines, std::uint32_t before,
+    const std::optional<RoleDemand>& demand)
+{
+    auto microseconds = [](Duration time) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(time).count());
+    };
+    this->state.log.write(LogLevel::Info, "role_target",
+        { { "service", service.raw() }, { "engines", std::to_string(engines) },
+            { "prefill_before", std::to_string(before) },
+            { "prefill", std::to_string(this->plans[service].prefillTarget()) },
+            { "prefill_us", demand ? microseconds(demand->prefill) : "unknown" },
+            { "decode_us", demand ? microseconds(demand->decode) : "unknown" } });
+}
+
 boost::asio::awaitable<void> GroupMember::changeRoleOf(ServiceId service, RoleAssignment assignment)
 {
     const ServerRecord* record = this->state.directory.find(assignment.server);
