Heed servers that leave or back off, and stores restored from a copy

A server that leaves says so in its answers (the list may say it later or never); one that turns a request away may name a time in which it wants none; and the store may come back from a copy some seconds old, with offsets that are given out again. The entry read none of this: the new case gateway_server_notices found runs at leaving servers more than 2 s later, and gateway_store_restored runs at a draining server up to 3.2 s after it said so, since records at lower offsets were ignored.

Change: ServerClient passes on what a server says of itself, unless another one answers at its address. ServerDirectory keeps a server that leaves unusable for its incarnation and starts offsets anew in a new era: servers that the copy lacks are kept as after an outage, servers that have left do not come back before they report again. ServerBackoff is kept apart from health; if all servers of a role back off beyond the due time, the request is rejected at once with a Retry-After that does not end earlier. A cleanup call to such a server is left out, since what it would free expires within 1.5 s. StoreClient refuses answers of an earlier era, StoreWatch lists again in a new one, and the leader starts its wait anew; fencing tokens include the era, so that they never decrease.

--- a/src/include/peridotgrade/core/serving/admission_queue.h
+++ b/src/include/peridotgrade/core/serving/admission_queue.h
@@ -54,6 +54,8 @@
     bool add(const WaitingRequest& request, TimePoint now);
     /// Removes a request whose caller has disconnected.
     void remove(RequestId id);
+    /// Removes and returns the requests that are due by then.
+    std::vector<RequestId> takeDueBy(TimePoint time) { return this->waiting.takeOverdue(time); }
     ReservationSchedule schedule(const std::vector<const ServerRecord*>& candidates,
         const DataCentreId& ownDataCentre, TimePoint now, RandomSource& random);
     /// Returns true if the request gets the reservation. A reservation that is granted after its request has
--- a/src/include/peridotgrade/core/serving/retry_after.h
+++ b/src/include/peridotgrade/core/serving/retry_after.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "peridotgrade/core/base/random_source.h"
+#include "peridotgrade/core/base/time.h"
 
 #include <chrono>
+#include <optional>
 
 namespace peridotgrade {
 
@@ -12,4 +14,9 @@
 /// together. The delay is at most a third of the caller's remaining time, since callers ignore longer ones.
 std::chrono::milliseconds chooseRetryAfter(std::chrono::milliseconds timeLeft, RandomSource& random);
 
+/// Returns a delay that does not end before `earliest`, if there is one: an earlier retry would certainly be
+/// rejected. A part of `retryAfter` is added to keep callers from retrying together.
+std::chrono::milliseconds notBefore(
+    TimePoint now, std::optional<TimePoint> earliest, std::chrono::milliseconds retryAfter);
+
 } // namespace peridotgrade
--- a/src/include/peridotgrade/core/serving/server_directory.h
+++ b/src/include/peridotgrade/core/serving/server_directory.h
@@ -41,6 +41,10 @@
     /// Live servers are listed again about 2 s after the store is back.
     static constexpr std::chrono::milliseconds OutageGrace { 2200 };
 
+    /// Records of servers that have ended disappear from an older copy within this time: they expire after
+    /// three missed reports.
+    static constexpr std::chrono::milliseconds OldCopyTime { 6000 };
+
     /// Applies records in order of their position.
     std::vector<DirectoryChange> apply(const std::vector<ListedServer>& records, TimePoint now);
     /// Applies a full listing that was read up to `end`; servers missing from it are removed. A listing that
@@ -50,6 +54,13 @@
     /// The store has stopped answering, or is back.
     void noteStoreLost(TimePoint now);
     void noteStoreBack(TimePoint now);
+    /// The server itself has said that it leaves. Like a report of the list that it drains, this holds for
+    /// the rest of its incarnation.
+    std::vector<DirectoryChange> noteLeaving(const ServerId& id, WallTime startedAt);
+    /// The store has come back from an older copy: positions start anew, and the next listing may lack
+    /// servers and show ones that have left. The former are kept as in an outage, the latter stay away until
+    /// they report again.
+    void startEra(TimePoint now);
     /// Removes servers that were kept during an outage and are still missing.
     std::vector<DirectoryChange> expire(TimePoint now);
 
@@ -63,17 +74,35 @@
 private:
     struct Entry {
         ServerRecord record;
+        /// The server has said, or the list has shown, that it leaves. Invariant: never reverts in an
+        /// incarnation.
+        bool isLeaving = false;
         /// Set while the list lacks the server although it may be alive.
         std::optional<TimePoint> removeAt;
+
+        bool isUsable() const { return !this->isLeaving && !this->record.isDraining; }
+    };
+    /// Newest report of a server that was removed.
+    struct LastReport {
+        WallTime startedAt {};
+        std::uint64_t sequence = 0;
     };
+    /// Removed servers that are remembered.
+    static constexpr std::size_t MaxRemoved = 4096;
 
     void applyOne(const ListedServer& listed, TimePoint now, std::vector<DirectoryChange>& changes);
     void remove(const ServerId& id, TimePoint now, std::vector<DirectoryChange>& changes);
+    void rememberRemoved(const ServerRecord& record);
+    bool isOlderThanRemoval(const ServerRecord& record) const;
     bool isOutageRecent(TimePoint now) const;
 
     std::map<ServerId, Entry> entries;
     /// Position of the last record of each server, tombstones included.
     std::map<ServerId, LogOffset> lastOffsets;
+    /// Last reports of removed servers; a copy of the list may show them again.
+    std::map<ServerId, LastReport> removed;
+    /// Until then, records may be from before the removal of their server.
+    TimePoint oldCopyUntil {};
     LogOffset knownEnd;
     bool isStoreLost = false;
     std::optional<TimePoint> storeBackAt;
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include "peridotgrade/core/serving/output_estimate.h"
 #include "peridotgrade/core/serving/retry_budget_share.h"
 #include "peridotgrade/core/serving/routing_configuration.h"
+#include "peridotgrade/core/serving/server_backoff.h"
 #include "peridotgrade/core/serving/server_directory.h"
 #include "peridotgrade/core/serving/server_health.h"
 #include "peridotgrade/gateway/gateway_metrics.h"
@@ -39,7 +40,16 @@
     void setRetryShare(double retryShare);
     EngineDemand& demandOf(const ServiceId& service) { return this->demands[service]; }
     /// Servers of a service that may get requests and are not ejected; all of them if every one is ejected.
+    /// Servers that have asked for a backoff are never among them.
     std::vector<const ServerRecord*> healthyServers(const ServiceId& service, ServerRole role);
+    /// True if the server has asked for a backoff that has not ended.
+    bool isBackingOff(const ServerRecord& server) const
+    {
+        return this->backoff.until(server, this->now()).has_value();
+    }
+    /// When the first server of a role gets requests again, if all of them have asked for a backoff.
+    std::optional<TimePoint> allBackingOffUntil(const ServiceId& service, ServerRole role) const;
+    void noteServerNotice(const ServerRecord& server, const ServerNotice& notice);
     /// Records a failed call in the health of its server.
     void noteFailure(const ServerId& server, const CallFailure& failure);
     void onDirectoryChanges(const std::vector<DirectoryChange>& changes);
@@ -60,6 +70,7 @@
     std::map<ServiceId, TimePoint> serversChangedAt;
     ServerDirectory directory;
     ServerHealth health;
+    ServerBackoff backoff;
     /// Tokens reserved at decode engines; at plain servers, running requests.
     EngineLoad reservedLoad;
     /// Prompts in progress at prefill engines.
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -26,6 +26,8 @@
     boost::asio::awaitable<Next> attempt();
     boost::asio::awaitable<std::optional<KvLocation>> prefill(const EngineReservation& reservation);
     boost::asio::awaitable<std::optional<KvLocation>> prefillAt(ServerId server);
+    /// True if all engines of a role have asked for a backoff that ends after the request's due time.
+    bool mustWaitForBackoff() const;
     bool takeRunBudget();
     void notePrefillFailure(const ServerId& server, const CallFailure& failed);
     boost::asio::awaitable<Next> stream(const EngineReservation& reservation, KvLocation kvCache);
--- a/src/include/peridotgrade/gateway/group_member.h
+++ b/src/include/peridotgrade/gateway/group_member.h
@@ -27,6 +27,9 @@
     boost::asio::awaitable<bool> join();
     boost::asio::awaitable<void> assignRoles();
     boost::asio::awaitable<void> changeRoleOf(ServiceId service, RoleAssignment assignment);
+    void enterEra(std::uint64_t newEra);
+    /// Never decreases, also when the store comes back from an older copy.
+    std::uint64_t fencingToken() const;
     void logTarget(const ServiceId& service, std::size_t engines, std::uint32_t before,
         const std::optional<RoleDemand>& demand);
     void noteMembership(const GroupMembership& membership, TimePoint requestedAt);
@@ -46,6 +49,8 @@
     StoreClient& store;
     const std::string member;
     std::map<ServiceId, RolePlan> plans;
+    /// Era of the store to which `generation` belongs.
+    std::uint64_t era = 0;
     std::uint64_t generation = 0;
     /// The last answer had a new generation, so partitions may still be moving between members.
     bool isSettling = false;
--- a/src/include/peridotgrade/gateway/server_clients.h
+++ b/src/include/peridotgrade/gateway/server_clients.h
@@ -13,8 +13,9 @@
 /// Keeps one client, and so one connection pool, for each incarnation of a server. Not thread safe.
 class ServerClients {
 public:
-    explicit ServerClients(boost::asio::any_io_executor executor)
+    ServerClients(boost::asio::any_io_executor executor, ServerNoticeHandler onNotice)
         : executor(std::move(executor))
+        , onNotice(std::move(onNotice))
     {
     }
 
@@ -24,6 +25,7 @@
 
 private:
     boost::asio::any_io_executor executor;
+    ServerNoticeHandler onNotice;
     std::map<ServerId, std::shared_ptr<ServerClient>> clients;
 };
 
--- a/src/include/peridotgrade/gateway/store_watch.h
+++ b/src/include/peridotgrade/gateway/store_watch.h
@@ -23,7 +23,8 @@
 };
 
 /// Lists a keyed topic, then reads the records after the listing, with a deadline on every call. After every
-/// failure it lists again, since the listing shows what was missed. Notifies its owner of records, and when
+/// failure it lists again, since the listing shows what was missed, and so it does when the store has come
+/// back from an older copy, since offsets start anew there. Notifies its owner of records, and when
 /// the store is lost and back.
 class StoreWatch {
 public:
@@ -32,6 +33,8 @@
         std::function<void(const std::vector<StoreRecord>&)> onRecords;
         std::function<void()> onLost;
         std::function<void()> onBack;
+        /// The store has come back from an older copy; a listing of that copy follows.
+        std::function<void()> onNewEra;
     };
 
     StoreWatch(GatewayState& state, StoreClient& store, WatchedTopic topic, Callbacks callbacks);
@@ -48,7 +51,11 @@
     StoreClient& store;
     WatchedTopic topic;
     Callbacks callbacks;
+    void enterEra(std::uint64_t newEra);
+
     std::optional<LogOffset> next;
+    /// Era of `next`; nothing before the first answer.
+    std::optional<std::uint64_t> era;
     std::uint32_t consecutiveFailures = 0;
 };
 
--- a/src/libperidotgrade/core/serving/retry_after.cpp
+++ b/src/libperidotgrade/core/serving/retry_after.cpp
@@ -23,4 +23,15 @@
     return shortest + std::chrono::milliseconds { random.below(spread) };
 }
 
+std::chrono::milliseconds notBefore(
+    TimePoint now, std::optional<TimePoint> earliest, std::chrono::milliseconds retryAfter)
+{
+    // A quarter of the usual delay spreads the retries over about a second.
+    constexpr int SpreadDivisor = 4;
+    if (!earliest || *earliest <= now)
+        return retryAfter;
+    auto wait = std::chrono::ceil<std::chrono::milliseconds>(*earliest - now);
+    return std::max(retryAfter, wait + retryAfter / SpreadDivisor);
+}
+
 } // namespace peridotgrade
--- a/src/libperidotgrade/core/serving/server_directory.cpp
+++ b/src/libperidotgrade/core/serving/server_directory.cpp
@@ -83,7 +83,10 @@
     const ServerRecord& record = *listed.record;
     auto found = this->entries.find(listed.id);
     if (found == this->entries.end()) {
-        this->entries.emplace(listed.id, Entry { record, std::nullopt });
+        if (now < this->oldCopyUntil && this->isOlderThanRemoval(record))
+            return;
+        this->removed.erase(listed.id);
+        this->entries.emplace(listed.id, Entry { record, record.isDraining, std::nullopt });
         changes.push_back({ DirectoryChange::Kind::Appeared, listed.id, record.service });
         return;
     }
@@ -92,7 +95,9 @@
         return;
     entry.removeAt.reset();
     bool isSame = isSameForRouting(record, entry.record);
-    bool startsDraining = record.isDraining && !entry.record.isDraining;
+    bool startsDraining = record.isDraining && entry.isUsable();
+    bool isSameIncarnation = record.startedAt == entry.record.startedAt;
+    entry.isLeaving = record.isDraining || (isSameIncarnation && entry.isLeaving);
     entry.record = record;
     if (!isSame) {
         changes.push_back({ startsDraining ? DirectoryChange::Kind::Draining : DirectoryChange::Kind::Changed,
@@ -105,16 +110,54 @@
     auto found = this->entries.find(id);
     if (found == this->entries.end())
         return;
-    if (this->isOutageRecent(now) && !found->second.record.isDraining) {
+    if (this->isOutageRecent(now) && found->second.isUsable()) {
         // Servers could not report during the outage, so an expired record says little about its server.
         found->second.removeAt = (this->isStoreLost ? now : *this->storeBackAt) + OutageGrace;
         changes.push_back({ DirectoryChange::Kind::KeptInOutage, id, found->second.record.service });
         return;
     }
     changes.push_back({ DirectoryChange::Kind::Gone, id, found->second.record.service });
+    this->rememberRemoved(found->second.record);
     this->entries.erase(found);
 }
 
+bool ServerDirectory::isOlderThanRemoval(const ServerRecord& record) const
+{
+    auto found = this->removed.find(record.id);
+    if (found == this->removed.end())
+        return false;
+    const LastReport& last = found->second;
+    return record.startedAt < last.startedAt
+        || (record.startedAt == last.startedAt && record.sequence <= last.sequence);
+}
+
+void ServerDirectory::rememberRemoved(const ServerRecord& record)
+{
+    if (this->removed.size() >= MaxRemoved)
+        this->removed.erase(this->removed.begin());
+    this->removed[record.id] = { record.startedAt, record.sequence };
+}
+
+std::vector<DirectoryChange> ServerDirectory::noteLeaving(const ServerId& id, WallTime startedAt)
+{
+    auto found = this->entries.find(id);
+    bool isNews = found != this->entries.end() && found->second.record.startedAt == startedAt
+        && found->second.isUsable();
+    if (!isNews)
+        return {};
+    found->second.isLeaving = true;
+    return { { DirectoryChange::Kind::Draining, id, found->second.record.service } };
+}
+
+void ServerDirectory::startEra(TimePoint now)
+{
+    this->lastOffsets.clear();
+    this->knownEnd = LogOffset { 0 };
+    this->oldCopyUntil = now + OldCopyTime;
+    this->noteStoreLost(now);
+    this->noteStoreBack(now);
+}
+
 bool ServerDirectory::isOutageRecent(TimePoint now) const
 {
     return this->isStoreLost || (this->storeBackAt && now < *this->storeBackAt + OutageGrace);
@@ -145,6 +188,7 @@
             continue;
         }
         changes.push_back({ DirectoryChange::Kind::Gone, entry->first, entry->second.record.service });
+        this->rememberRemoved(entry->second.record);
         entry = this->entries.erase(entry);
     }
     return changes;
@@ -154,7 +198,7 @@
 {
     std::vector<const ServerRecord*> result;
     for (const auto& [id, entry] : this->entries) {
-        if (entry.record.service == service && !entry.record.isDraining)
+        if (entry.record.service == service && entry.isUsable())
             result.push_back(&entry.record);
     }
     return result;
@@ -171,7 +215,7 @@
 const ServerRecord* ServerDirectory::find(const ServerId& id) const
 {
     auto found = this->entries.find(id);
-    bool isUsable = found != this->entries.end() && !found->second.record.isDraining;
+    bool isUsable = found != this->entries.end() && found->second.isUsable();
     return isUsable ? &found->second.record : nullptr;
 }
 
--- a/src/libperidotgrade/core/serving/server_directory_test.cpp
+++ b/src/libperidotgrade/core/serving/server_directory_test.cpp
@@ -97,4 +97,62 @@
     BOOST_TEST(directory.all().empty());
 }
 
+BOOST_AUTO_TEST_CASE(serverThatSaysItLeavesGetsNothingMoreInThisIncarnation)
+{
+    directory.apply({ listed(0, "a", 1), listed(1, "b", 1) }, now);
+    auto changes = directory.noteLeaving(ServerId { "a" }, WallTime { 1000ms });
+    BOOST_REQUIRE(changes.size() == 1U);
+    BOOST_TEST((changes[0].kind == DirectoryChange::Kind::Draining));
+    BOOST_TEST(usable() == 1U);
+    // It is said once, and the list does not know it yet.
+    BOOST_TEST(directory.noteLeaving(ServerId { "a" }, WallTime { 1000ms }).empty());
+    directory.apply({ listed(2, "a", 7, false) }, now);
+    BOOST_TEST(usable() == 1U);
+    directory.apply({ listed(3, "a", 1, false, 9000ms) }, now);
+    BOOST_TEST(usable() == 2U);
+    // An answer of the former incarnation says nothing of this one.
+    BOOST_TEST(directory.noteLeaving(ServerId { "a" }, WallTime { 1000ms }).empty());
+    BOOST_TEST(usable() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(offsetsOfAnOlderCopyAreNotCompared)
+{
+    directory.apply({ listed(90, "a", 5), listed(91, "b", 5) }, now);
+    directory.startEra(now);
+    // The copy is from before the registration of b, which reports again.
+    directory.replace({ listed(40, "a", 4) }, LogOffset { 41 }, now);
+    BOOST_TEST(usable() == 2U);
+    directory.apply({ listed(41, "b", 6) }, now + 1s);
+    BOOST_TEST(directory.expire(now + ServerDirectory::OutageGrace).empty());
+    BOOST_TEST(usable() == 2U);
+    directory.apply({ listed(42, "a", 6, true) }, now + 3s);
+    BOOST_TEST(usable() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(serversThatAnOlderCopyLacksAreRemovedIfTheyDoNotReport)
+{
+    directory.apply({ listed(90, "a", 5), listed(91, "b", 5) }, now);
+    directory.startEra(now);
+    directory.replace({ listed(40, "a", 4) }, LogOffset { 41 }, now);
+    BOOST_TEST(directory.expire(now + ServerDirectory::OutageGrace).size() == 1U);
+    BOOST_TEST((directory.find(ServerId { "b" }) == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(anOlderCopyDoesNotBringBackServersThatHaveLeft)
+{
+    directory.apply({ listed(80, "a", 5), listed(81, "b", 5), listed(82, "c", 5, true) }, now);
+    directory.apply({ removed(83, "b") }, now);
+    for (int drill = 0; drill < 2; ++drill) {
+        directory.startEra(now);
+        directory.replace(
+            { listed(40, "a", 3), listed(41, "b", 4), listed(42, "c", 4, false) }, LogOffset { 43 }, now);
+        BOOST_TEST(usable() == 1U);
+        BOOST_TEST((directory.find(ServerId { "a" }) != nullptr));
+        now += 1s;
+    }
+    // One that reports again is there.
+    directory.apply({ listed(44, "b", 6) }, now);
+    BOOST_TEST(usable() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/core/serving/serving_values_test.cpp
+++ b/src/libperidotgrade/core/serving/serving_values_test.cpp
@@ -123,4 +123,14 @@
     BOOST_TEST((configuration.routeFor("i", "/a/") == nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(retryAfterIsNotBeforeTheServersAreBack)
+{
+    TimePoint now { std::chrono::seconds { 50 } };
+    std::chrono::milliseconds usual { 2000 };
+    BOOST_TEST((notBefore(now, std::nullopt, usual) == usual));
+    BOOST_TEST((notBefore(now, now - std::chrono::seconds { 1 }, usual) == usual));
+    BOOST_TEST(
+        (notBefore(now, now + std::chrono::seconds { 8 }, usual) == std::chrono::milliseconds { 8500 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -19,7 +19,9 @@
     , log(LoggerOptions { this->settings.nodeName, this->settings.logLevel, LogTarget::StandardOutput,
           this->settings.maxLogLinesPerSecond })
     , metrics(registry)
-    , clients(executor)
+    , clients(executor, [this](const ServerRecord& server, const ServerNotice& notice) {
+        this->noteServerNotice(server, notice);
+    })
 {
 }
 
@@ -54,7 +56,8 @@
 std::vector<const ServerRecord*> GatewayState::healthyServers(const ServiceId& service, ServerRole role)
 {
     std::vector<const ServerRecord*> servers = this->directory.usable(service);
-    std::erase_if(servers, [&](const ServerRecord* server) { return server->role != role; });
+    std::erase_if(servers,
+        [&](const ServerRecord* server) { return server->role != role || this->isBackingOff(*server); });
     std::vector<const ServerRecord*> healthy;
     TimePoint now = this->now();
     for (const ServerRecord* server : servers) {
@@ -64,6 +67,24 @@
     return healthy.empty() ? servers : healthy;
 }
 
+std::optional<TimePoint> GatewayState::allBackingOffUntil(const ServiceId& service, ServerRole role) const
+{
+    std::vector<const ServerRecord*> servers = this->directory.usable(service);
+    std::erase_if(servers, [role](const ServerRecord* server) { return server->role != role; });
+    return this->backoff.untilOfAll(servers, this->now());
+}
+
+void GatewayState::noteServerNotice(const ServerRecord& server, const ServerNotice& notice)
+{
+    if (notice.backoff) {
+        this->backoff.note(server, *notice.backoff, this->now());
+        this->log.write(LogLevel::Info, "server_backoff",
+            { { "server", server.id.raw() }, { "for_ms", std::to_string(notice.backoff->count()) } });
+    }
+    if (notice.isLeaving)
+        this->onDirectoryChanges(this->directory.noteLeaving(server.id, server.startedAt));
+}
+
 void GatewayState::noteFailure(const ServerId& server, const CallFailure& failure)
 {
     ServerCallResult result = ServerCallResult::Unreachable;
@@ -91,6 +112,7 @@
             continue;
         this->clients.forget(change.id);
         this->health.forget(change.id);
+        this->backoff.forget(change.id);
         this->reservedLoad.forget(change.id);
         this->prefillLoad.forget(change.id);
     }
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -131,12 +131,20 @@
 asio::awaitable<void> GenerationCall::reject(std::string_view reason)
 {
     auto retryAfter = chooseRetryAfter(timeLeft(this->state, this->context), this->state.random);
+    for (ServerRole role : { ServerRole::Decode, ServerRole::Prefill })
+        retryAfter = notBefore(
+            this->state.now(), this->state.allBackingOffUntil(this->context.service, role), retryAfter);
     co_await answerNotRun(this->state, this->context, reason, retryAfter, this->lastServer);
 }
 
 asio::awaitable<GenerationCall::Next> GenerationCall::attempt()
 {
     TimePoint began = this->state.now();
+    if (this->mustWaitForBackoff()) {
+        this->failure = "servers_back_off";
+        this->rounds = MaxRounds;
+        co_return Next::Retry;
+    }
     this->failure = "no_capacity";
     auto reservation = co_await this->broker->acquire(this->context.request.attempt, this->tokensNeeded(),
         this->reservationDue(), this->context.cancellation);
@@ -169,6 +177,17 @@
     co_return co_await this->stream(*reservation, std::move(*kvCache));
 }
 
+bool GenerationCall::mustWaitForBackoff() const
+{
+    TimePoint due = this->reservationDue();
+    for (ServerRole role : { ServerRole::Decode, ServerRole::Prefill }) {
+        auto until = this->state.allBackingOffUntil(this->context.service, role);
+        if (until && *until > due)
+            return true;
+    }
+    return false;
+}
+
 asio::awaitable<std::optional<KvLocation>> GenerationCall::prefill(const EngineReservation& reservation)
 {
     TimePoint latest = std::min(reservation.expiresAt, this->context.deadline) - TimeToFirstEvent / 2;
@@ -177,6 +196,9 @@
         auto choice = this->state.prefillLoad.choose(engines, reservation.engine->record().dataCentre,
             this->promptTokens(), this->state.now(), this->state.random);
         if (!choice) {
+            auto until = this->state.allBackingOffUntil(this->context.service, ServerRole::Prefill);
+            if (until && *until >= latest)
+                co_return std::nullopt;
             co_await sleepFor(this->state.executor, PrefillRetryDelay);
             continue;
         }
@@ -255,9 +277,11 @@
     const EngineReservation& reservation, KvLocation kvCache)
 {
     const ServerId server = reservation.engine->record().id;
-    if (this->state.health.isReplaced(server, this->state.now())) {
-        // Another call found the engine replaced after the reservation was granted; a run would be rejected.
-        this->noteFailedHandOver(server, kvCache, "the engine has been replaced");
+    bool isReplaced = this->state.health.isReplaced(server, this->state.now());
+    if (isReplaced || this->state.isBackingOff(reservation.engine->record())) {
+        // Another call found this out after the reservation was granted; a run would be rejected.
+        this->noteFailedHandOver(
+            server, kvCache, isReplaced ? "the engine has been replaced" : "the engine asked for a backoff");
         this->broker->cancel(reservation);
         this->unusedCache = std::move(kvCache);
         co_return Next::Retry;
@@ -427,6 +451,8 @@
 
 void GenerationCall::checkRoleInBackground(std::shared_ptr<ServerClient> decodeEngine)
 {
+    if (this->state.isBackingOff(decodeEngine->record()))
+        return;
     asio::co_spawn(
         this->state.executor,
         [](GatewayState& state, std::shared_ptr<ServerClient> client,
@@ -444,7 +470,8 @@
 void GenerationCall::freeInBackground(const KvLocation& kvCache)
 {
     for (const ServerRecord* record : this->state.directory.all()) {
-        if (record->address != kvCache.engineAddress)
+        // The engine frees an unused KV cache by itself soon after.
+        if (record->address != kvCache.engineAddress || this->state.isBackingOff(*record))
             continue;
         asio::co_spawn(
             this->state.executor,
--- a/src/libperidotgrade/gateway/group_member.cpp
+++ b/src/libperidotgrade/gateway/group_member.cpp
@@ -85,10 +85,30 @@
         co_return false;
     // The store may count the lifetime from the moment of the request.
     this->confirmedAt = requestedAt;
+    this->enterEra(std::get<GroupMembership>(joined).era);
     this->noteMembership(std::get<GroupMembership>(joined), requestedAt);
     co_return true;
 }
 
+void GroupMember::enterEra(std::uint64_t newEra)
+{
+    if (newEra == this->era)
+        return;
+    // Generations start anew, so an equal one says nothing about who led in between.
+    this->leaderLease.revoke();
+    this->generation = 0;
+    this->state.log.write(LogLevel::Warn, "membership_era_changed",
+        { { "era", std::to_string(newEra) }, { "before", std::to_string(this->era) } });
+    this->era = newEra;
+}
+
+std::uint64_t GroupMember::fencingToken() const
+{
+    // Generations of one era stay far below this.
+    constexpr std::uint64_t GenerationsPerEra = 1'000'000;
+    return this->era * GenerationsPerEra + this->generation;
+}
+
 void GroupMember::noteMembership(const GroupMembership& membership, TimePoint requestedAt)
 {
     bool isSame = membership.generation == this->generation;
@@ -196,7 +216,8 @@
 boost::asio::awaitable<void> GroupMember::changeRoleOf(ServiceId service, RoleAssignment assignment)
 {
     const ServerRecord* record = this->state.directory.find(assignment.server);
-    if (record == nullptr || this->pendingChanges.contains(assignment.server))
+    if (record == nullptr || this->pendingChanges.contains(assignment.server)
+        || this->state.isBackingOff(*record))
         co_return;
     auto client = this->state.clients.clientFor(*record);
     auto report = co_await client->report(RoleChangeTimeout);
@@ -212,7 +233,7 @@
     if (!isConfirmed)
         co_return;
     this->pendingChanges[assignment.server] = { assignment.role, this->state.now() + PendingChangeLifetime };
-    RoleChange change { assignment.role, this->member, this->generation, engineReport->acceptedCommands };
+    RoleChange change { assignment.role, this->member, this->fencingToken(), engineReport->acceptedCommands };
     auto failure = co_await client->changeRole(change, RoleChangeTimeout);
     this->state.log.write(LogLevel::Info, "stage_ordered",
         { { "server", assignment.server.raw() }, { "service", service.raw() },
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -169,8 +169,11 @@
     }
     auto left = timeLeft(this->state, this->context);
     if (this->runs == 0) {
-        co_await answerNotRun(this->state, this->context, this->sends == 0 ? "no_server" : "servers_busy",
-            chooseRetryAfter(left, this->state.random), this->lastServer);
+        auto until = this->state.allBackingOffUntil(this->context.service, ServerRole::None);
+        auto retryAfter = notBefore(this->state.now(), until, chooseRetryAfter(left, this->state.random));
+        std::string_view reason = this->sends == 0 ? "no_server" : "servers_busy";
+        co_await answerNotRun(
+            this->state, this->context, until ? "servers_back_off" : reason, retryAfter, this->lastServer);
         co_return;
     }
     checkInvariant(this->runs <= this->context.route.maxAttempts, Invariant::ActionAtMostOnce,
--- a/src/libperidotgrade/gateway/reservation_broker.cpp
+++ b/src/libperidotgrade/gateway/reservation_broker.cpp
@@ -76,6 +76,11 @@
 
 void ReservationBroker::dispatch()
 {
+    // No engine takes a request before then, so waiting longer is useless.
+    if (auto until = this->state.allBackingOffUntil(this->service, ServerRole::Decode)) {
+        for (RequestId id : this->queue.takeDueBy(*until))
+            this->finish(id, std::nullopt);
+    }
     auto candidates = this->state.healthyServers(this->service, ServerRole::Decode);
     ReservationSchedule schedule = this->queue.schedule(
         candidates, DataCentreId { this->state.settings.dataCentre }, this->state.now(), this->state.random);
@@ -156,7 +161,8 @@
 void ReservationBroker::cancel(const EngineReservation& reservation)
 {
     this->state.reservedLoad.release(reservation.engine->record().id, reservation.tokens);
-    if (this->state.now() >= reservation.expiresAt)
+    // The engine releases it soon by itself, and may want no requests until then.
+    if (this->state.now() >= reservation.expiresAt || this->state.isBackingOff(reservation.engine->record()))
         return;
     asio::co_spawn(
         this->state.executor,
--- a/src/libperidotgrade/gateway/store_watch.cpp
+++ b/src/libperidotgrade/gateway/store_watch.cpp
@@ -39,7 +39,7 @@
             auto pause
                 = std::min(InitialBackoff * (1 << std::min(this->consecutiveFailures, 4U)), MaxBackoff);
             co_await sleepFor(this->state.executor, pause);
-        } else if (this->topic.interval.count() > 0) {
+        } else if (this->next && this->topic.interval.count() > 0) {
             co_await sleepFor(this->state.executor, this->topic.interval);
         }
     }
@@ -53,6 +53,7 @@
         co_return false;
     }
     this->noteSuccess();
+    this->enterEra(std::get<StoreListing>(listing).era);
     this->next = std::get<StoreListing>(listing).end;
     this->callbacks.onListing(std::get<StoreListing>(listing));
     co_return true;
@@ -68,6 +69,11 @@
         co_return false;
     }
     this->noteSuccess();
+    if (std::get<StoreBatch>(batch).era != this->era) {
+        // The offset that was read from belongs to other records now.
+        this->next.reset();
+        co_return true;
+    }
     this->next = std::get<StoreBatch>(batch).next;
     const auto& records = std::get<StoreBatch>(batch).records;
     if (!records.empty())
@@ -75,6 +81,18 @@
     co_return true;
 }
 
+void StoreWatch::enterEra(std::uint64_t newEra)
+{
+    bool isNew = this->era && *this->era != newEra;
+    if (isNew) {
+        this->state.log.write(LogLevel::Warn, "store_restored",
+            { { "topic", this->topic.name }, { "era", std::to_string(newEra) },
+                { "before", std::to_string(*this->era) } });
+        this->callbacks.onNewEra();
+    }
+    this->era = newEra;
+}
+
 void StoreWatch::noteFailure(const StoreError& error)
 {
     ++this->consecutiveFailures;
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -106,7 +106,10 @@
 
 
 class Store(HttpServer):
-    """Compacted topics and consumer groups. `mode` is serving, silent, refusing or reset."""
+    """Compacted topics and consumer groups. `mode` is serving, silent, refusing or reset.
+
+    `restore` brings the store back from an older copy: what was written since is gone, and the era rises.
+    """
 
     PARTITIONS = 12
 
@@ -119,9 +122,28 @@
         self.members = {}
         self.generation = 0
         self.assignment = {}
+        self.era = 1
+        # Times at which the records of each topic were written.
+        self.written = collections.defaultdict(list)
+
+    def restore(self, age_s):
+        """Loses what was written in the last `age_s` seconds. Calls that wait get no answer."""
+        since = time.monotonic() - age_s
+        for topic, records in self.topics.items():
+            kept = sum(1 for at in self.written[topic] if at < since)
+            del records[kept:], self.written[topic][kept:]
+        self.generation = max(0, self.generation - 1)
+        self.assignment = {}
+        self.era += 1
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def answer_json(self, value):
+        return json_response(value, {"Store-Era": str(self.era)})
 
     async def put(self, topic, key, value):
         self.topics[topic].append((key, value))
+        self.written[topic].append(time.monotonic())
         async with self.changed:
             self.changed.notify_all()
 
@@ -150,12 +172,15 @@
             newest[key] = (offset, value)
         items = [{"key": key, "value": base64.b64encode(value.encode()).decode(), "offset": offset}
                  for key, (offset, value) in newest.items() if value is not None]
-        writer.write(json_response({"items": items, "truncated": False, "end": len(records)}))
+        writer.write(self.answer_json({"items": items, "truncated": False, "end": len(records)}))
 
     async def _read(self, request, writer):
         records = self.topics[request.query["topic"]]
         start = int(request.query["from"])
         until = time.monotonic() + int(request.query.get("wait_ms", 0)) / 1000
+        if start > len(records):
+            writer.write(response(410, b'{"first": 0}', {"Store-Era": str(self.era)}))
+            return
         while len(records) <= start and time.monotonic() < until:
             async with self.changed:
                 with contextlib.suppress(asyncio.TimeoutError):
@@ -166,7 +191,7 @@
         for key, value in records[start:]:
             content = bytes([len(key)]) + key.encode() + (value or "").encode()
             body += struct.pack(">I", len(content)) + content
-        writer.write(response(200, body))
+        writer.write(response(200, body, {"Store-Era": str(self.era)}))
 
     def _join(self, request, writer):
         fields = request.json()
@@ -179,7 +204,7 @@
         rows = [[topic, part, 0] for index, (topic, part) in enumerate(
             (topic, part) for topic in fields["topics"] for part in range(self.PARTITIONS))
             if alive[index % len(alive)] == fields["member"]]
-        writer.write(json_response({"generation": self.generation, "ttl_ms": fields["ttl_ms"], "parts": rows}))
+        writer.write(self.answer_json({"generation": self.generation, "ttl_ms": fields["ttl_ms"], "parts": rows}))
 
 
 class Backend(HttpServer):
@@ -193,6 +218,12 @@
         self.state = "ready"
         self.started_ms = 0
         self.is_unresponsive = False
+        # Says in its answers that it leaves, without a word in the list.
+        self.is_leaving = False
+        # Turns requests away for this long, and says so.
+        self.backoff_s = 0
+        self.backoff_until = 0
+        self.requests_in_backoff = 0
         self.heartbeat = None
 
     async def start(self):
@@ -252,8 +283,33 @@
             self.platform.superseded.append(self.name)
             writer.write(response(421, headers=identity))
             return
+        if self.is_leaving:
+            identity["Server-Leaving"] = "1"
+            self.platform.leaving_since.setdefault(self.name, time.monotonic())
+        if await self._turn_away(request, writer, identity):
+            return
         await self.handle_request(request, writer, reader, identity)
 
+    async def _turn_away(self, request, writer, identity):
+        now = time.monotonic()
+        if now < self.backoff_until:
+            self.requests_in_backoff += 1 if now > self.backoff_until - self.backoff_s + 0.5 else 0
+            if self.requests_in_backoff > 2:
+                self.platform.report_violation(
+                    f"{self.name} got {request.method} {request.path} {self.backoff_until - now:.1f} s before the end"
+                    " of its backoff")
+        elif self.backoff_s:
+            self.backoff_until = now + self.backoff_s
+            self.requests_in_backoff = 0
+        else:
+            return False
+        attempt = request.headers.get("x-attempt-id")
+        headers = {"X-Not-Executed": "1", "Retry-After": f"{self.backoff_until - now:.3f}", **identity}
+        if attempt:
+            headers["X-Attempt-Id"] = attempt
+        writer.write(response(503, headers=headers))
+        return True
+
     def record_run(self, request):
         """Records the run and checks it against the request that the caller sent."""
         attempt = request.headers.get("x-attempt-id")
@@ -328,12 +384,13 @@
         if request.headers.get("x-attempt-id"):
             self.platform.report_violation("a reservation request carries the attempt id of a caller")
         fields = request.json()
+        said = {name: value for name, value in identity.items() if name != "X-Instance-Id"}
         if self.free_tokens() < fields["tokens"]:
-            writer.write(response(503, headers={"X-Not-Executed": "1"}))
+            writer.write(response(503, headers={"X-Not-Executed": "1", **said}))
             return
         name = f"{self.platform.random.getrandbits(48):012x}"
         self.reserved[name] = (fields["tokens"], time.monotonic() + fields["ttl_ms"] / 1000)
-        writer.write(json_response({"hold": name}))
+        writer.write(json_response({"hold": name}, said))
 
     async def _prefill(self, request, writer, identity):
         if self.role != "prefill":
@@ -391,6 +448,8 @@
         self.run_history = collections.defaultdict(list)
         self.running = collections.Counter()
         self.draining_since = {}
+        # When each server first said in an answer that it leaves.
+        self.leaving_since = {}
         self.prefills = collections.Counter()
         # Names of servers that received a call for another instance at the same address.
         self.superseded = []
@@ -462,6 +521,10 @@
         drained = self.draining_since.get(backend.name)
         if drained and now - drained > 2.0:
             self.report_violation(f"ran {attempt} at {backend.name} {now - drained:.1f} s after it began to drain")
+        leaving = self.leaving_since.get(backend.name)
+        if leaving and sent.sent_at - leaving > 2.0:
+            self.report_violation(f"ran {attempt} at {backend.name}, sent {sent.sent_at - leaving:.1f} s after it said"
+                                  " that it leaves")
         left = int(request.headers.get("x-deadline-ms", 10**9)) / 1000
         if now + left > sent.sent_at + sent.deadline_s + 0.5:
             self.report_violation(f"{attempt} was forwarded with more time than the caller has left")
