Log the decisions of failed requests; bound a prefill by its measured cost

Ruled out: lines written as they happen, since requests that go well would fill the bound.

Change: RequestTrace keeps a line for each decision with its inputs and writes them when the request fails, when one of its steps did, or for one request in a hundred; at most 40 a request. The lines reservation_failed, prefill_failed, hand_over_failed and attempt_failed are among them. EngineDemand::prefillTimeout follows the measured cost and wait; a prefill is not started if it would end after its reservation, which lasts as long as the configuration allows.

--- a/src/include/peridotgrade/core/serving/engine_demand.h
+++ b/src/include/peridotgrade/core/serving/engine_demand.h
@@ -45,6 +45,11 @@
     /// Without such requests, this share of the runs is quicker than the pace that is used.
     static constexpr double BusyQuantile = 0.85;
 
+    /// A prefill may take this many times its measured time and the average wait.
+    static constexpr int TimeoutCostFactor = 2;
+    static constexpr int TimeoutWaitFactor = 4;
+    /// Added for a lost packet, which is sent again after 0.2 s.
+    static constexpr std::chrono::milliseconds TimeoutMargin { 250 };
     /// Prefills wait long if they wait this many times as long as they keep an engine busy.
     static constexpr double LongWaitRatio = 2;
     /// Change of the correction for each long and each short wait, and its limit.
@@ -56,6 +61,10 @@
     void recordPrefill(std::uint32_t tokens, Duration took);
     void recordRun(const EngineSpec& engine, const CompletedRun& run);
 
+    /// How long a prefill of `tokens` may take before its engine counts as silent; nothing until enough
+    /// prefills were recorded. Load that it answers: engines that fall silent without closing their
+    /// connections, while each request holds memory at a decode engine.
+    std::optional<Duration> prefillTimeout(std::uint32_t tokens) const;
     /// Nothing until enough prefills and runs were recorded.
     std::optional<RoleDemand> current() const;
     /// True before the first prefill.
--- a/src/include/peridotgrade/core/serving/retry_budget_share.h
+++ b/src/include/peridotgrade/core/serving/retry_budget_share.h
@@ -37,6 +37,8 @@
     void recordRequest(TimePoint now);
     /// Takes one retry from the budget; returns false if none is left.
     bool trySpend(TimePoint now);
+    /// Retries that are left now; below one, none is.
+    double left(TimePoint now);
 
 private:
     void removeExpired(TimePoint now);
--- a/src/include/peridotgrade/gateway/final_answer.h
+++ b/src/include/peridotgrade/gateway/final_answer.h
@@ -35,9 +35,9 @@
 void abortStream(GatewayState& state, RequestContext& context, std::string_view reason,
     std::string_view server, std::string_view detail);
 /// Logs that a server's answer was sent completely.
-void noteAnswered(GatewayState& state, const RequestContext& context, std::uint16_t status,
-    std::string_view server, std::uint32_t attempts, std::optional<StreamTimes> times = {});
+void noteAnswered(GatewayState& state, RequestContext& context, std::uint16_t status, std::string_view server,
+    std::uint32_t attempts, std::optional<StreamTimes> times = {});
 /// Logs that the caller has disconnected.
-void noteCallerDisconnected(GatewayState& state, const RequestContext& context, std::string_view phase);
+void noteCallerDisconnected(GatewayState& state, RequestContext& context, std::string_view phase);
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -65,6 +65,8 @@
     std::shared_ptr<const RoutingConfiguration> configuration;
     /// False until the list of servers has been read once.
     bool hasServers = false;
+    /// When the list of servers was last read.
+    TimePoint serversReadAt {};
     bool isStopping = false;
     /// When a server of a service last appeared, began to drain, disappeared or was kept in an outage.
     std::map<ServiceId, TimePoint> serversChangedAt;
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -20,16 +20,16 @@
     boost::asio::awaitable<void> serve();
 
 private:
-    enum class Next : std::uint8_t { Done, Retry };
+    enum class Next : std::uint8_t { Done, Retry, GiveUp };
 
     /// One round of reservation, prefill and stream.
     boost::asio::awaitable<Next> attempt();
     boost::asio::awaitable<std::optional<KvLocation>> prefill(const EngineReservation& reservation);
-    boost::asio::awaitable<std::optional<KvLocation>> prefillAt(ServerId server);
+    boost::asio::awaitable<std::optional<KvLocation>> prefillAt(ServerId server, TimePoint due);
     /// True if all engines of a role have asked for a backoff that ends after the request's due time.
     bool mustWaitForBackoff() const;
     bool takeRunBudget();
-    void notePrefillFailure(const ServerId& server, const CallFailure& failed);
+    void notePrefillFailure(const ServerId& server, const CallFailure& failed, Duration took);
     boost::asio::awaitable<Next> stream(const EngineReservation& reservation, KvLocation kvCache);
     boost::asio::awaitable<Next> forward(ServerAnswer& answer, const ServerId& server);
     boost::asio::awaitable<bool> deliver(ServerAnswer& answer, std::string bytes);
@@ -41,6 +41,10 @@
     /// keeps its old role in the server list meanwhile, and would cost each entry one prefill after the
     /// other.
     void checkRoleInBackground(std::shared_ptr<ServerClient> decodeEngine);
+    /// Notes that another round is not started, and which limit forbids it.
+    void noteNoRetry(std::string_view limit);
+    /// Returns true if the request may go on with another round.
+    bool canContinue();
     /// Logs a failed hand-over of the KV cache.
     void noteFailedHandOver(const ServerId& server, const KvLocation& kvCache, std::string detail);
     /// Takes the KV cache of a failed hand-over, if its engine still keeps it.
--- a/src/include/peridotgrade/gateway/plain_call.h
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -25,6 +25,10 @@
     boost::asio::awaitable<Next> attempt(const ServerRecord& record);
     boost::asio::awaitable<Next> forwardAnswer(ServerAnswer& answer, const ServerId& server);
     boost::asio::awaitable<void> giveUp();
+    /// The limit that forbids another send, to `next` if it is not null; empty if there is none. Takes a
+    /// retry from the budget if the send is one.
+    std::string_view limitReached(const ServerRecord* next);
+    void noteNoSend(std::string_view limit);
     bool canRunAgain() const;
     Duration attemptTime() const;
 
--- a/src/include/peridotgrade/gateway/request_context.h
+++ b/src/include/peridotgrade/gateway/request_context.h
@@ -4,6 +4,7 @@
 #include "peridotgrade/core/serving/routing_configuration.h"
 #include "peridotgrade/gateway/cancellation_signal.h"
 #include "peridotgrade/gateway/gateway_request.h"
+#include "peridotgrade/gateway/request_trace.h"
 #include "peridotgrade/net/http_server.h"
 
 #include <memory>
@@ -20,6 +21,7 @@
     /// The caller's time-out or the route's, whichever ends first.
     TimePoint deadline;
     CancellationSignal& cancellation;
+    RequestTrace trace;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/gateway/reservation_broker.h
+++ b/src/include/peridotgrade/gateway/reservation_broker.h
@@ -4,6 +4,7 @@
 #include "peridotgrade/core/serving/admission_queue.h"
 #include "peridotgrade/gateway/cancellation_signal.h"
 #include "peridotgrade/gateway/gateway_state.h"
+#include "peridotgrade/gateway/request_trace.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -29,9 +30,14 @@
 public:
     ReservationBroker(GatewayState& state, ServiceId service);
 
+    /// Sets how long engines keep a reservation that is not used.
+    void setLifetime(std::chrono::milliseconds value) { this->lifetime = value; }
     /// Waits for a reservation until `due`. Returns nothing if none was granted or the caller disconnected.
+    /// Refusals are added to `trace`.
     boost::asio::awaitable<std::optional<EngineReservation>> acquire(
-        std::string attempt, std::uint32_t tokens, TimePoint due, CancellationSignal& cancellation);
+        RequestTrace& trace, std::uint32_t tokens, TimePoint due, CancellationSignal& cancellation);
+    /// Requests that wait.
+    std::size_t waitingRequests() const { return this->waiters.size(); }
     /// The run of a reservation has ended, so its memory is free again.
     void release(const EngineReservation& reservation);
     /// Cancels a reservation that no run will use.
@@ -50,6 +56,7 @@
 
     GatewayState& state;
     const ServiceId service;
+    std::chrono::milliseconds lifetime;
     AdmissionQueue queue;
     std::map<RequestId, std::shared_ptr<Waiter>> waiters;
     std::uint64_t lastId = 0;
--- a/src/include/peridotgrade/gateway/store_watch.h
+++ b/src/include/peridotgrade/gateway/store_watch.h
@@ -35,6 +35,8 @@
         std::function<void()> onBack;
         /// The store has come back from an older copy; a listing of that copy follows.
         std::function<void()> onNewEra;
+        /// The topic is up to date as of now.
+        std::function<void()> onRead;
     };
 
     StoreWatch(GatewayState& state, StoreClient& store, WatchedTopic topic, Callbacks callbacks);
--- a/src/include/peridotgrade/ops/logger.h
+++ b/src/include/peridotgrade/ops/logger.h
@@ -7,6 +7,7 @@
 #include <initializer_list>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -58,6 +59,7 @@
 
     /// An event of the process.
     void write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+    void write(LogLevel level, std::string_view event, std::span<const LogField> fields);
     /// An event of a request.
     void write(LogLevel level, std::string_view event, RequestId request,
         std::initializer_list<LogField> fields = {});
--- a/src/libperidotgrade/core/serving/engine_demand.cpp
+++ b/src/libperidotgrade/core/serving/engine_demand.cpp
@@ -33,6 +33,14 @@
     this->correction = std::clamp(this->correction, 1.0, MaxCorrection);
 }
 
+std::optional<Duration> EngineDemand::prefillTimeout(std::uint32_t tokens) const
+{
+    auto cost = this->prefill.estimate(tokens);
+    if (!cost)
+        return std::nullopt;
+    return *cost * TimeoutCostFactor + this->prefillWait * TimeoutWaitFactor + TimeoutMargin;
+}
+
 void EngineDemand::recordRun(const EngineSpec& engine, const CompletedRun& run)
 {
     if (run.events == 0)
--- a/src/libperidotgrade/core/serving/retry_budget_share.cpp
+++ b/src/libperidotgrade/core/serving/retry_budget_share.cpp
@@ -14,12 +14,17 @@
     this->requests.push_back(now);
 }
 
-bool RetryBudgetShare::trySpend(TimePoint now)
+double RetryBudgetShare::left(TimePoint now)
 {
     this->removeExpired(now);
     double allowed = UsableRatio * this->limits.ratio * static_cast<double>(this->requests.size())
         + UsableExtra * this->limits.extra * this->share;
-    if (static_cast<double>(this->spent.size()) + 1 > allowed)
+    return allowed - static_cast<double>(this->spent.size());
+}
+
+bool RetryBudgetShare::trySpend(TimePoint now)
+{
+    if (this->left(now) < 1)
         return false;
     this->spent.push_back(now);
     return true;
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -9,15 +9,17 @@
 
 namespace {
 
-    std::string millisecondsText(Duration duration)
+    void writeTrace(GatewayState& state, RequestContext& context, bool hasFailed)
     {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+        for (const RequestTrace::Line& line : context.trace.end(hasFailed))
+            state.log.write(LogLevel::Info, line.event, line.fields);
     }
 
-    void logEnd(GatewayState& state, const RequestContext& context, std::string_view outcome,
+    void logEnd(GatewayState& state, RequestContext& context, std::string_view outcome,
         std::string_view reason, std::string_view server, std::string_view detail)
     {
         state.metrics.countOutcome(std::string { outcome });
+        writeTrace(state, context, true);
         state.log.write(LogLevel::Info, "request_ended",
             { { "request", context.request.attempt }, { "outcome", std::string { outcome } },
                 { "reason", std::string { reason } }, { "route", context.route.name },
@@ -59,10 +61,11 @@
     context.exchange.abort();
 }
 
-void noteAnswered(GatewayState& state, const RequestContext& context, std::uint16_t status,
-    std::string_view server, std::uint32_t attempts, std::optional<StreamTimes> times)
+void noteAnswered(GatewayState& state, RequestContext& context, std::uint16_t status, std::string_view server,
+    std::uint32_t attempts, std::optional<StreamTimes> times)
 {
     Duration took = state.now() - context.request.arrivedAt;
+    writeTrace(state, context, false);
     state.metrics.countOutcome("answered");
     state.metrics.addAnswer(took);
     if (times)
@@ -77,7 +80,7 @@
             { "took_ms", millisecondsText(took) } });
 }
 
-void noteCallerDisconnected(GatewayState& state, const RequestContext& context, std::string_view phase)
+void noteCallerDisconnected(GatewayState& state, RequestContext& context, std::string_view phase)
 {
     logEnd(state, context, "caller_gone", phase, {}, {});
 }
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -160,8 +160,10 @@
         std::chrono::milliseconds time
             = std::min(request.callerTimeout.value_or(route.timeout), route.timeout);
         TimePoint deadline = request.arrivedAt + time;
+        bool isSampled = this->state.random.below(RequestTrace::SampleEvery) == 0;
+        RequestTrace trace(request.attempt, request.arrivedAt, isSampled);
         RequestContext context { exchange, std::move(request), configuration, route, this->pickService(route),
-            deadline, cancellation };
+            deadline, cancellation, std::move(trace) };
         const ServiceSpec* service = configuration->serviceNamed(context.service);
         bool isGeneration = service != nullptr && service->engine;
         if (this->isRejecting && (isGeneration || deadline > this->stopAt)) {
@@ -171,7 +173,10 @@
             co_await this->rejectEarly(exchange, context.request, "stopping", retryAfter);
         } else if (isGeneration) {
             OpenCount counted(this->openGenerations);
-            GenerationCall call(this->state, context, *service->engine, this->brokerOf(context.service));
+            auto broker = this->brokerOf(context.service);
+            if (service->engine->maxReservation.count() > 0)
+                broker->setLifetime(service->engine->maxReservation);
+            GenerationCall call(this->state, context, *service->engine, broker);
             co_await call.serve();
         } else {
             PlainCall call(this->state, context);
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -30,8 +30,8 @@
     constexpr std::uint32_t MaxPrefills = 4;
     // Delay before prefill engines that were all full are tried again: about half a prefill.
     constexpr std::chrono::milliseconds PrefillRetryDelay { 40 };
-    // A prefill takes 0.1 s; behind nine others it takes one second.
-    constexpr std::chrono::milliseconds PrefillTimeout { 1200 };
+    // Until the first prefills have been measured; then `EngineDemand::prefillTimeout` decides.
+    constexpr std::chrono::milliseconds InitialPrefillTimeout { 1200 };
     // A stream is resumed at another engine after a silence of this many times its route's longest pause.
     constexpr int StallGapCount = 5;
     // Time from the choice of another engine until it has requested the KV cache: a reservation and a
@@ -94,17 +94,44 @@
 asio::awaitable<void> GenerationCall::serve()
 {
     this->state.retryBudgetOf(this->context.service).recordRequest(this->state.now());
-    while (true) {
+    Next next = Next::Retry;
+    do {
         ++this->rounds;
-        if (co_await this->attempt() == Next::Done)
-            co_return;
-        bool canContinue = !this->context.cancellation.isCancelled() && this->rounds < MaxRounds
-            && (this->runs == 0 || this->canResume())
-            && timeLeft(this->state, this->context) > TimeToFirstEvent && this->takeRunBudget();
-        if (!canContinue)
-            break;
-    }
-    co_await this->giveUp();
+        next = co_await this->attempt();
+    } while (next == Next::Retry && this->canContinue());
+    if (next != Next::Done)
+        co_await this->giveUp();
+}
+
+bool GenerationCall::canContinue()
+{
+    if (this->context.cancellation.isCancelled())
+        return false;
+    std::string_view limit;
+    if (this->rounds >= MaxRounds)
+        limit = "rounds";
+    else if (this->runs > 0 && !this->canResume())
+        limit = this->context.route.isResumable ? "attempts" : "not_resumable";
+    else if (timeLeft(this->state, this->context) <= TimeToFirstEvent)
+        limit = "time";
+    else if (!this->takeRunBudget())
+        limit = "retry_budget";
+    if (limit.empty())
+        return true;
+    this->noteNoRetry(limit);
+    return false;
+}
+
+void GenerationCall::noteNoRetry(std::string_view limit)
+{
+    TimePoint now = this->state.now();
+    auto budget = static_cast<int>(this->state.retryBudgetOf(this->context.service).left(now));
+    this->context.trace.addFailure(now, "retry_refused",
+        { { "limit", std::string { limit } }, { "rounds", std::to_string(this->rounds) },
+            { "runs", std::to_string(this->runs) },
+            { "prefills", std::to_string(this->retryAccounting.prefillsReached()) },
+            { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
+            { "budget", std::to_string(budget) } });
 }
 
 asio::awaitable<void> GenerationCall::giveUp()
@@ -142,25 +169,36 @@
     TimePoint began = this->state.now();
     if (this->mustWaitForBackoff()) {
         this->failure = "servers_back_off";
-        this->rounds = MaxRounds;
-        co_return Next::Retry;
+        this->context.trace.addFailure(began, "rejected_early", { { "reason", "servers_back_off" } });
+        co_return Next::GiveUp;
     }
     this->failure = "no_capacity";
-    auto reservation = co_await this->broker->acquire(this->context.request.attempt, this->tokensNeeded(),
-        this->reservationDue(), this->context.cancellation);
+    auto candidates = this->state.healthyServers(this->context.service, ServerRole::Decode);
+    this->context.trace.add(began, "reservation_asked",
+        { { "round", std::to_string(this->rounds) }, { "tokens", std::to_string(this->tokensNeeded()) },
+            { "due_ms", millisecondsText(this->reservationDue() - began) },
+            { "candidates", std::to_string(candidates.size()) },
+            { "waiting", std::to_string(this->broker->waitingRequests()) },
+            { "list_age_ms", millisecondsText(began - this->state.serversReadAt) } });
+    auto reservation = co_await this->broker->acquire(
+        this->context.trace, this->tokensNeeded(), this->reservationDue(), this->context.cancellation);
     if (this->context.cancellation.isCancelled()) {
         if (reservation)
             this->broker->cancel(*reservation);
         co_return Next::Retry;
     }
     if (!reservation) {
+        this->context.trace.addFailure(this->state.now(), "reservation_missed",
+            { { "waited_ms", millisecondsText(this->state.now() - began) },
+                { "waiting", std::to_string(this->broker->waitingRequests()) } });
         // The request has waited as long as is useful; another round would meet the same engines.
-        this->rounds = MaxRounds;
-        co_return Next::Retry;
+        co_return Next::GiveUp;
     }
     this->reservationWait = this->state.now() - began;
     this->state.metrics.addReservationWait(this->reservationWait);
     this->lastServer = reservation->engine->record().id.raw();
+    this->context.trace.add(this->state.now(), "reservation_granted",
+        { { "server", this->lastServer }, { "waited_ms", millisecondsText(this->reservationWait) } });
     this->failure = "no_prefill";
     auto kvCache = this->takeUnusedCache();
     if (!kvCache)
@@ -190,7 +228,12 @@
 
 asio::awaitable<std::optional<KvLocation>> GenerationCall::prefill(const EngineReservation& reservation)
 {
-    TimePoint latest = std::min(reservation.expiresAt, this->context.deadline) - TimeToFirstEvent / 2;
+    // A prefill that ends later finds its reservation expired, and is wasted.
+    Duration cost = this->state.demandOf(this->context.service)
+                        .prefillCost()
+                        .estimate(this->promptTokens())
+                        .value_or(TimeToFirstEvent / 2);
+    TimePoint latest = std::min(reservation.expiresAt, this->context.deadline) - HandOverTime - cost;
     while (!this->context.cancellation.isCancelled() && this->state.now() < latest) {
         auto engines = this->state.healthyServers(this->context.service, ServerRole::Prefill);
         auto choice = this->state.prefillLoad.choose(engines, reservation.engine->record().dataCentre,
@@ -202,14 +245,23 @@
             co_await sleepFor(this->state.executor, PrefillRetryDelay);
             continue;
         }
-        bool isAllowed = this->retryAccounting.prefillsReached() < MaxPrefills
-            && this->retryAccounting.tryPrefill(this->state.now());
-        if (!isAllowed)
+        bool isLimitReached = this->retryAccounting.prefillsReached() >= MaxPrefills;
+        if (isLimitReached || !this->retryAccounting.tryPrefill(this->state.now())) {
+            this->noteNoRetry(isLimitReached ? "prefills" : "retry_budget");
             co_return std::nullopt;
-        auto kvCache = co_await this->prefillAt(*choice);
+        }
+        this->context.trace.add(this->state.now(), "prefill_sent",
+            { { "server", choice->raw() }, { "tokens", std::to_string(this->promptTokens()) },
+                { "candidates", std::to_string(engines.size()) },
+                { "own_tokens_there", std::to_string(this->state.prefillLoad.tokensAt(*choice)) } });
+        auto kvCache = co_await this->prefillAt(*choice, latest + cost);
         if (kvCache)
             co_return kvCache;
     }
+    if (!this->context.cancellation.isCancelled())
+        this->context.trace.addFailure(this->state.now(), "prefill_missed",
+            { { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
+                { "reservation_left_ms", millisecondsText(reservation.expiresAt - this->state.now()) } });
     co_return std::nullopt;
 }
 
@@ -223,7 +275,7 @@
     return true;
 }
 
-asio::awaitable<std::optional<KvLocation>> GenerationCall::prefillAt(ServerId server)
+asio::awaitable<std::optional<KvLocation>> GenerationCall::prefillAt(ServerId server, TimePoint due)
 {
     const ServerRecord* record = this->state.directory.find(server);
     if (record == nullptr)
@@ -231,15 +283,20 @@
     auto client = this->state.clients.clientFor(*record);
     TimePoint began = this->state.now();
     this->state.prefillLoad.reserve(server, this->promptTokens());
-    auto timeLimit = std::min(timeLeft(this->state, this->context), PrefillTimeout);
+    Duration longest = this->state.demandOf(this->context.service)
+                           .prefillTimeout(this->promptTokens())
+                           .value_or(InitialPrefillTimeout);
+    auto timeLimit = std::chrono::ceil<std::chrono::milliseconds>(std::min(longest, due - began));
     auto result = co_await client->prefill(this->context.request, timeLimit, this->context.cancellation);
     this->state.prefillLoad.release(server, this->promptTokens());
     if (auto* failed = std::get_if<CallFailure>(&result)) {
         if (failed->mayHaveRun || failed->isRefusal)
             this->retryAccounting.notePrefillReached();
-        this->notePrefillFailure(server, *failed);
+        this->notePrefillFailure(server, *failed, this->state.now() - began);
         co_return std::nullopt;
     }
+    this->context.trace.add(this->state.now(), "prefill_done",
+        { { "server", server.raw() }, { "took_ms", millisecondsText(this->state.now() - began) } });
     this->retryAccounting.notePrefillReached();
     this->state.health.record(server, ServerCallResult::Answered, this->state.now());
     this->state.prefillLoad.noteServed(server);
@@ -250,7 +307,7 @@
     co_return std::get<KvLocation>(std::move(result));
 }
 
-void GenerationCall::notePrefillFailure(const ServerId& server, const CallFailure& failed)
+void GenerationCall::notePrefillFailure(const ServerId& server, const CallFailure& failed, Duration took)
 {
     this->lastDetail = failed.detail;
     if (this->context.cancellation.isCancelled())
@@ -263,9 +320,8 @@
         this->state.prefillLoad.noteUnusable(server, now);
     else
         this->state.noteFailure(server, failed);
-    this->state.log.write(LogLevel::Info, "prefill_failed",
-        { { "request", this->context.request.attempt }, { "server", server.raw() },
-            { "detail", failed.detail } });
+    this->context.trace.addFailure(now, "prefill_failed",
+        { { "server", server.raw() }, { "took_ms", millisecondsText(took) }, { "detail", failed.detail } });
 }
 
 std::uint32_t GenerationCall::promptTokens() const
@@ -294,6 +350,10 @@
         options.lastEvent = this->framer.lastId();
     this->failure = "server_lost";
     TimePoint began = this->state.now();
+    this->context.trace.add(began, "run_sent",
+        { { "server", server.raw() }, { "prefill_server", kvCache.engineAddress },
+            { "cache_left_ms", millisecondsText(this->cacheUsableUntil - began) },
+            { "after_event", options.lastEvent ? std::to_string(*options.lastEvent) : "" } });
     auto result = co_await reservation.engine->run(
         this->context.request, options, this->readTimeout(), this->context.cancellation);
     if (auto* failed = std::get_if<CallFailure>(&result)) {
@@ -309,9 +369,9 @@
             this->unusedCache = std::move(kvCache);
         else
             this->freeInBackground(kvCache);
-        this->state.log.write(LogLevel::Info, "attempt_failed",
-            { { "request", this->context.request.attempt }, { "server", server.raw() },
-                { "may_have_run", failed->mayHaveRun ? "true" : "false" }, { "detail", failed->detail } });
+        this->context.trace.addFailure(this->state.now(), "attempt_failed",
+            { { "server", server.raw() }, { "may_have_run", failed->mayHaveRun ? "true" : "false" },
+                { "took_ms", millisecondsText(this->state.now() - began) }, { "detail", failed->detail } });
         co_return Next::Retry;
     }
     this->retryAccounting.noteRunReached();
@@ -350,9 +410,9 @@
 {
     this->failure = "hand_over_failed";
     this->lastDetail = std::move(detail);
-    this->state.log.write(LogLevel::Info, "hand_over_failed",
-        { { "request", this->context.request.attempt }, { "server", server.raw() },
-            { "prefill_server", kvCache.engineAddress }, { "detail", this->lastDetail } });
+    this->context.trace.addFailure(this->state.now(), "hand_over_failed",
+        { { "server", server.raw() }, { "prefill_server", kvCache.engineAddress },
+            { "detail", this->lastDetail } });
 }
 
 std::optional<KvLocation> GenerationCall::takeUnusedCache()
@@ -384,6 +444,10 @@
             this->failure
                 = timeLeft(this->state, this->context).count() == 0 ? "deadline_passed" : "server_lost";
             this->state.health.record(server, ServerCallResult::Unreachable, this->state.now());
+            this->context.trace.addFailure(this->state.now(), "stream_broken",
+                { { "server", server.raw() }, { "events", std::to_string(this->framer.events()) },
+                    { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
+                    { "detail", error->detail } });
             this->framer.dropPartialEvent();
             co_return Next::Retry;
         }
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -42,15 +42,9 @@
             co_return;
         }
         const ServerRecord* record = this->chooseServer();
-        bool canContinue = record != nullptr && this->sends < MaxSends
-            && timeLeft(this->state, this->context).count() > 0 && (this->runs == 0 || this->canRunAgain());
-        if (canContinue) {
-            bool isRetry = this->retryAccounting.isNextRunRetry();
-            canContinue = this->retryAccounting.tryRun(this->state.now());
-            if (canContinue && isRetry)
-                this->state.metrics.countRetry(this->context.service.raw());
-        }
-        if (!canContinue) {
+        std::string_view limit = this->limitReached(record);
+        if (!limit.empty()) {
+            this->noteNoSend(limit);
             co_await this->giveUp();
             co_return;
         }
@@ -59,6 +53,36 @@
     }
 }
 
+std::string_view PlainCall::limitReached(const ServerRecord* next)
+{
+    if (next == nullptr)
+        return "servers";
+    if (this->sends >= MaxSends)
+        return "sends";
+    if (timeLeft(this->state, this->context).count() == 0)
+        return "time";
+    if (this->runs > 0 && !this->canRunAgain())
+        return this->context.route.kind == CallKind::Idempotent ? "attempts" : "not_repeatable";
+    bool isRetry = this->retryAccounting.isNextRunRetry();
+    if (!this->retryAccounting.tryRun(this->state.now()))
+        return "retry_budget";
+    if (isRetry)
+        this->state.metrics.countRetry(this->context.service.raw());
+    return {};
+}
+
+void PlainCall::noteNoSend(std::string_view limit)
+{
+    TimePoint now = this->state.now();
+    auto budget = static_cast<int>(this->state.retryBudgetOf(this->context.service).left(now));
+    this->context.trace.add(now, "retry_refused",
+        { { "limit", std::string { limit } }, { "sends", std::to_string(this->sends) },
+            { "runs", std::to_string(this->runs) },
+            { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
+            { "list_age_ms", millisecondsText(now - this->state.serversReadAt) },
+            { "budget", std::to_string(budget) } });
+}
+
 bool PlainCall::canRunAgain() const
 {
     return this->context.route.kind == CallKind::Idempotent && this->runs < this->context.route.maxAttempts;
@@ -101,6 +125,10 @@
     RunOptions options;
     options.timeLeft = timeLeft(this->state, this->context);
     options.isRepeatable = this->context.route.kind == CallKind::Idempotent;
+    this->context.trace.add(this->state.now(), "call_sent",
+        { { "server", this->lastServer },
+            { "own_calls_there", std::to_string(this->state.reservedLoad.tokensAt(server)) },
+            { "limit_ms", millisecondsText(this->attemptTime()) } });
     // One token stands for one running request at plain servers.
     this->state.reservedLoad.reserve(server, 1);
     auto result = co_await client->run(
@@ -115,9 +143,9 @@
         if (this->context.cancellation.isCancelled())
             co_return Next::TryOther;
         this->state.noteFailure(server, *failure);
-        this->state.log.write(LogLevel::Info, "attempt_failed",
-            { { "request", this->context.request.attempt }, { "server", server.raw() },
-                { "may_have_run", failure->mayHaveRun ? "true" : "false" }, { "detail", failure->detail } });
+        this->context.trace.addFailure(this->state.now(), "attempt_failed",
+            { { "server", server.raw() }, { "may_have_run", failure->mayHaveRun ? "true" : "false" },
+                { "detail", failure->detail } });
         co_return Next::TryOther;
     }
     this->retryAccounting.noteRunReached();
@@ -140,6 +168,8 @@
     response.body = std::get<std::string>(std::move(body));
     if (answer.head().isNotRun) {
         this->lastDetail = "rejected with status " + std::to_string(response.status);
+        this->context.trace.addFailure(this->state.now(), "call_rejected",
+            { { "server", server.raw() }, { "detail", this->lastDetail } });
         this->state.health.record(server,
             answer.head().isMisdirected ? ServerCallResult::Superseded : ServerCallResult::Answered,
             this->state.now());
@@ -150,6 +180,8 @@
     this->state.health.record(server,
         isServerError ? ServerCallResult::ServerError : ServerCallResult::Answered, this->state.now());
     if (isServerError && this->canRunAgain()) {
+        this->context.trace.add(this->state.now(), "server_error",
+            { { "server", server.raw() }, { "status", std::to_string(response.status) } });
         this->lastAnswer = std::move(response);
         co_return Next::TryOther;
     }
--- a/src/libperidotgrade/gateway/reservation_broker.cpp
+++ b/src/libperidotgrade/gateway/reservation_broker.cpp
@@ -16,39 +16,45 @@
 namespace {
     // A reservation is answered within a round trip; an engine that takes this long is stuck.
     constexpr std::chrono::milliseconds ReserveTimeout { 250 };
-    // Prefill and hand-over end well within this time, or the request is late anyway.
-    constexpr std::chrono::milliseconds ReservationTime { 1500 };
+    // Lifetime of a reservation if the configuration states no limit.
+    constexpr std::chrono::milliseconds DefaultLifetime { 1500 };
+    // Refusals of one request that get a line each; in an overload there are dozens.
+    constexpr std::uint32_t MaxRefusalLines = 6;
 } // namespace
 
 struct ReservationBroker::Waiter {
-    Waiter(const asio::any_io_executor& executor, std::string attempt)
-        : attempt(std::move(attempt))
+    Waiter(const asio::any_io_executor& executor, RequestTrace& trace)
+        : trace(trace)
         , signal(executor, asio::steady_timer::time_point::max())
     {
     }
 
-    std::string attempt;
+    /// Of the waiting call, so it lives as long as the waiter is registered.
+    RequestTrace& trace;
     /// Never expires; it is cancelled to resume the waiting coroutine.
     asio::steady_timer signal;
     std::optional<EngineReservation> reservation;
     bool isFinished = false;
+    /// Engines that refused, of which the first `MaxRefusalLines` have a line of their own.
+    std::uint32_t refusals = 0;
 };
 
 ReservationBroker::ReservationBroker(GatewayState& state, ServiceId service)
     : state(state)
     , service(std::move(service))
+    , lifetime(DefaultLifetime)
     , queue(state.reservedLoad)
 {
 }
 
 asio::awaitable<std::optional<EngineReservation>> ReservationBroker::acquire(
-    std::string attempt, std::uint32_t tokens, TimePoint due, CancellationSignal& cancellation)
+    RequestTrace& trace, std::uint32_t tokens, TimePoint due, CancellationSignal& cancellation)
 {
     auto self = this->shared_from_this();
     RequestId id { ++this->lastId };
     if (!this->queue.add({ id, due, tokens }, this->state.now()))
         co_return std::nullopt;
-    auto waiter = std::make_shared<Waiter>(this->state.executor, std::move(attempt));
+    auto waiter = std::make_shared<Waiter>(this->state.executor, trace);
     this->waiters[id] = waiter;
     cancellation.setHandler([self, id] {
         self->queue.remove(id);
@@ -71,6 +77,9 @@
     this->waiters.erase(found);
     waiter->reservation = std::move(reservation);
     waiter->isFinished = true;
+    if (waiter->refusals > MaxRefusalLines)
+        waiter->trace.add(
+            this->state.now(), "reservation_refusals", { { "count", std::to_string(waiter->refusals) } });
     waiter->signal.cancel();
 }
 
@@ -120,8 +129,8 @@
 asio::awaitable<void> ReservationBroker::requestReservation(
     std::shared_ptr<ReservationBroker>, ReservationCall call, std::shared_ptr<ServerClient> engine)
 {
-    TimePoint expiresAt = this->state.now() + ReservationTime;
-    auto result = co_await engine->reserve(call.tokens, ReservationTime, ReserveTimeout);
+    TimePoint expiresAt = this->state.now() + this->lifetime;
+    auto result = co_await engine->reserve(call.tokens, this->lifetime, ReserveTimeout);
     TimePoint now = this->state.now();
     if (auto* id = std::get_if<std::string>(&result)) {
         this->state.metrics.countReservation("granted");
@@ -143,13 +152,16 @@
     this->state.metrics.countReservation(failure.isRefusal ? "refused" : "failed");
     this->queue.onAnswer(
         call, failure.isRefusal ? ReservationResult::Refused : ReservationResult::Failed, now);
-    if (failure.isRefusal && !failure.isMisdirected)
-        return;
-    this->state.noteFailure(call.engine, failure);
+    bool isRefused = failure.isRefusal && !failure.isMisdirected;
     auto waiter = this->waiters.find(call.request);
-    this->state.log.write(LogLevel::Info, "reservation_failed",
-        { { "request", waiter == this->waiters.end() ? "" : waiter->second->attempt },
-            { "server", call.engine.raw() }, { "detail", failure.detail } });
+    if (waiter != this->waiters.end() && ++waiter->second->refusals <= MaxRefusalLines) {
+        waiter->second->trace.add(now, isRefused ? "reservation_refused" : "reservation_failed",
+            { { "server", call.engine.raw() }, { "tokens", std::to_string(call.tokens) },
+                { "own_tokens_there", std::to_string(this->state.reservedLoad.tokensAt(call.engine)) },
+                { "detail", failure.detail } });
+    }
+    if (!isRefused)
+        this->state.noteFailure(call.engine, failure);
 }
 
 void ReservationBroker::release(const EngineReservation& reservation)
--- a/src/libperidotgrade/gateway/store_follower.cpp
+++ b/src/libperidotgrade/gateway/store_follower.cpp
@@ -47,14 +47,15 @@
               std::chrono::milliseconds { 0 } },
           { [this](const StoreListing& listing) { this->applyConfiguration(listing.records); },
               [this](const std::vector<StoreRecord>& records) { this->applyConfiguration(records); }, [] {},
-              [] {}, [] {} })
+              [] {}, [] {}, [] {} })
     , serverWatch(state, store,
           { std::string { wire_names::ServersTopic }, std::chrono::milliseconds { 0 }, ServersInterval },
           { [this](const StoreListing& listing) { this->replaceServers(listing); },
               [this](const std::vector<StoreRecord>& records) { this->applyServers(records); },
               [this] { this->state.directory.noteStoreLost(this->state.now()); },
               [this] { this->state.directory.noteStoreBack(this->state.now()); },
-              [this] { this->state.directory.startEra(this->state.now()); } })
+              [this] { this->state.directory.startEra(this->state.now()); },
+              [this] { this->state.serversReadAt = this->state.now(); } })
 {
 }
 
--- a/src/libperidotgrade/gateway/store_watch.cpp
+++ b/src/libperidotgrade/gateway/store_watch.cpp
@@ -108,6 +108,7 @@
 {
     bool wasLost = this->consecutiveFailures >= FailuresUntilLost;
     this->consecutiveFailures = 0;
+    this->callbacks.onRead();
     if (!wasLost)
         return;
     this->state.log.write(LogLevel::Info, "store_back", { { "topic", this->topic.name } });
--- a/src/libperidotgrade/ops/logger.cpp
+++ b/src/libperidotgrade/ops/logger.cpp
@@ -117,7 +117,7 @@
     }
 
     void write(LogLevel eventLevel, std::string_view event, const RequestId* request,
-        std::initializer_list<LogField> fields)
+        std::span<const LogField> fields)
     {
         std::string line = "level=" + std::string { nameOf(eventLevel) };
         appendField(line, "node", this->node);
@@ -156,6 +156,11 @@
 LogLevel Logger::level() const { return this->impl->level; }
 
 void Logger::write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    this->write(level, event, std::span<const LogField> { fields.begin(), fields.size() });
+}
+
+void Logger::write(LogLevel level, std::string_view event, std::span<const LogField> fields)
 {
     if (this->isEnabled(level))
         this->impl->write(level, event, nullptr, fields);
@@ -165,7 +170,7 @@
     LogLevel level, std::string_view event, RequestId request, std::initializer_list<LogField> fields)
 {
     if (this->isEnabled(level))
-        this->impl->write(level, event, &request, fields);
+        this->impl->write(level, event, &request, { fields.begin(), fields.size() });
 }
 
 } // namespace peridotgrade
