Move a tenth of the engines at most in one decision

In a burst with failing engines the leader measured a decode time of 618 ms, nearly twice the usual one, and sent five of twelve prefill engines to decode at once; the prefills of all entries then timed out (283) while further engines were lost.

Change: a decision moves a tenth of the engines, and the next one needs an agreement of its own. The pace of full engines is the median, so that some slow engines do not count as full ones. A further round is not started if its prefill would exceed the retry budget: on inc-26dd such requests took two more reservations in vain before they were rejected.

--- a/src/include/peridotgrade/core/serving/role_plan.h
+++ b/src/include/peridotgrade/core/serving/role_plan.h
@@ -39,8 +39,9 @@
     static constexpr std::chrono::seconds PaybackTime { 20 };
     /// Updates in a row that have to ask for a change in the same direction.
     static constexpr std::uint32_t AgreeingUpdates = 3;
-    /// Engines that may change their role at the same time, as a share of all; at least one.
-    static constexpr double MaxChangingShare = 0.15;
+    /// Engines that one decision moves to the other role, and engines that may change at the same time, as a
+    /// share of all; at least one. The demand in the middle of a failure says little about the time after it.
+    static constexpr double MaxChangingShare = 0.1;
 
     /// Engines that keep each role whatever was measured: the loss of a single one would stop all requests.
     static std::uint32_t minEnginesOfRole(std::size_t engines);
@@ -69,6 +70,7 @@
     bool isWorthChanging(std::size_t engines, std::uint32_t from, std::uint32_t to, const RoleDemand& demand,
         std::chrono::milliseconds roleSwitchTime) const;
     void countAgreement(int direction);
+    static std::uint32_t maxChanging(std::size_t engines);
 
     std::uint32_t target = 0;
     /// The target is that of a pool without requests, which is reached in one step.
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -28,6 +28,9 @@
     boost::asio::awaitable<std::optional<KvLocation>> prefillAt(ServerId server, TimePoint due);
     /// True if all engines of a role have asked for a backoff that ends after the request's due time.
     bool mustWaitForBackoff() const;
+    /// False if the next round needs a prefill for which the retry budget has nothing left: a reservation for
+    /// it would be taken in vain.
+    bool hasPrefillBudget();
     bool takeRunBudget();
     void notePrefillFailure(const ServerId& server, const CallFailure& failed, Duration took);
     boost::asio::awaitable<Next> stream(const EngineReservation& reservation, KvLocation kvCache);
--- a/src/libperidotgrade/core/serving/engine_demand.cpp
+++ b/src/libperidotgrade/core/serving/engine_demand.cpp
@@ -2,7 +2,6 @@
 #include "peridotgrade/core/serving/engine_demand.h"
 
 #include <algorithm>
-#include <numeric>
 #include <vector>
 
 namespace peridotgrade {
@@ -57,12 +56,12 @@
 
 Duration EngineDemand::fullPace() const
 {
-    if (this->fullPaces.size() >= MinRuns) {
-        Duration total = std::accumulate(this->fullPaces.begin(), this->fullPaces.end(), Duration::zero());
-        return total / static_cast<Duration::rep>(this->fullPaces.size());
-    }
-    std::vector<Duration> ordered(this->paces.begin(), this->paces.end());
-    auto at = static_cast<std::ptrdiff_t>(BusyQuantile * static_cast<double>(ordered.size() - 1));
+    bool hasFull = this->fullPaces.size() >= MinRuns;
+    const std::deque<Duration>& source = hasFull ? this->fullPaces : this->paces;
+    // The median, so that some slow engines do not count as full ones.
+    double quantile = hasFull ? 0.5 : BusyQuantile;
+    std::vector<Duration> ordered(source.begin(), source.end());
+    auto at = static_cast<std::ptrdiff_t>(quantile * static_cast<double>(ordered.size() - 1));
     std::nth_element(ordered.begin(), ordered.begin() + at, ordered.end());
     return ordered[static_cast<std::size_t>(at)];
 }
--- a/src/libperidotgrade/core/serving/engine_demand_test.cpp
+++ b/src/libperidotgrade/core/serving/engine_demand_test.cpp
@@ -85,6 +85,17 @@
         boost::test_tools::tolerance(0.01));
 }
 
+BOOST_AUTO_TEST_CASE(someSlowEnginesAreNotFullOnes)
+{
+    EngineDemand demand;
+    recordPrefills(demand, 20);
+    EngineSpec engine = engineOf(64, 40'000);
+    recordRuns(demand, engine, 20, { 4000, 60, seconds { 4 }, milliseconds { 300 } });
+    recordRuns(demand, engine, 9, { 4000, 60, seconds { 16 }, milliseconds { 300 } });
+    BOOST_TEST(secondsOf(demand.current()->decode) == withPrefill(demand, 0.4, 0.1),
+        boost::test_tools::tolerance(0.01));
+}
+
 BOOST_AUTO_TEST_CASE(raisesThePrefillTimeWhilePrefillsWaitLong)
 {
     EngineDemand demand;
--- a/src/libperidotgrade/core/serving/role_plan.cpp
+++ b/src/libperidotgrade/core/serving/role_plan.cpp
@@ -2,6 +2,7 @@
 #include "peridotgrade/core/serving/role_plan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace peridotgrade {
@@ -90,6 +91,12 @@
     this->lastDirection = direction;
 }
 
+std::uint32_t RolePlan::maxChanging(std::size_t engines)
+{
+    auto most = std::lround(MaxChangingShare * static_cast<double>(engines));
+    return static_cast<std::uint32_t>(std::max<long>(most, 1));
+}
+
 void RolePlan::updateIdle(const Engines& engines, const RoleDemand& expected)
 {
     this->isIdle = true;
@@ -114,8 +121,12 @@
     bool isWorth = this->isWorthChanging(engines.size(), prefill, best, *demand, roleSwitchTime);
     int direction = best > prefill ? 1 : -1;
     this->countAgreement(isWorth ? direction : 0);
-    if (isWorth && this->agreeing >= AgreeingUpdates)
-        this->target = best;
+    if (!isWorth || this->agreeing < AgreeingUpdates)
+        return;
+    std::uint32_t step = maxChanging(engines.size());
+    this->target = std::clamp(best, prefill - std::min(prefill, step), prefill + step);
+    // The next step needs an agreement of its own.
+    this->agreeing = 0;
 }
 
 std::optional<RoleAssignment> RolePlan::nextAssignment(const Engines& engines, std::size_t changing) const
@@ -126,8 +137,7 @@
     bool isTooMany = prefill > this->target;
     std::size_t ofRole = isTooMany ? engines.size() - prefill : prefill;
     bool isRoleShort = ofRole < minEnginesOfRole(engines.size());
-    auto most = static_cast<std::size_t>(MaxChangingShare * static_cast<double>(engines.size()));
-    if (!this->isIdle && !isRoleShort && changing >= std::max<std::size_t>(most, 1))
+    if (!this->isIdle && !isRoleShort && changing >= maxChanging(engines.size()))
         return std::nullopt;
     const ServerRecord* engine
         = engineOfLargestGroup(engines, isTooMany ? ServerRole::Prefill : ServerRole::Decode);
--- a/src/libperidotgrade/core/serving/role_plan_test.cpp
+++ b/src/libperidotgrade/core/serving/role_plan_test.cpp
@@ -181,6 +181,10 @@
     auto most = static_cast<std::size_t>(100 * RolePlan::MaxChangingShare);
     BOOST_TEST(plan.nextAssignment(pool.engines(), most - 1).has_value());
     BOOST_TEST(!plan.nextAssignment(pool.engines(), most));
+    // One decision moves no more than that, and the next one needs an agreement of its own.
+    BOOST_TEST(plan.prefillTarget() == 60 - most);
+    plan.update(pool.engines(), UsualDemand, seconds { 6 });
+    BOOST_TEST(plan.prefillTarget() == 60U);
     // A role without its minimum does not wait for other changes.
     Pool bare;
     bare.add("a", ServerRole::Decode, 100);
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -114,7 +114,7 @@
         limit = this->context.route.isResumable ? "attempts" : "not_resumable";
     else if (timeLeft(this->state, this->context) <= TimeToFirstEvent)
         limit = "time";
-    else if (!this->takeRunBudget())
+    else if (!this->hasPrefillBudget() || !this->takeRunBudget())
         limit = "retry_budget";
     if (limit.empty())
         return true;
@@ -122,6 +122,12 @@
     return false;
 }
 
+bool GenerationCall::hasPrefillBudget()
+{
+    bool isRetry = !this->unusedCache && this->retryAccounting.prefillsReached() > 0;
+    return !isRetry || this->state.retryBudgetOf(this->context.service).left(this->state.now()) >= 1;
+}
+
 void GenerationCall::noteNoRetry(std::string_view limit)
 {
     TimePoint now = this->state.now();
