Try prompts that take longer than a reservation; learn from prefills that time out

A prompt whose measured time exceeds the reservation's lifetime would never be tried, and engines that need more than the first time-out of 1.2 s never had a prefill completed, so their time was never measured.

Change: such a prompt is bounded by its deadline. A prefill that times out counts as a measurement; the fit follows the quickest ones, so a few silent engines do not change it.

--- a/src/include/peridotgrade/core/serving/engine_demand.h
+++ b/src/include/peridotgrade/core/serving/engine_demand.h
@@ -60,6 +60,9 @@
 
     /// Records a completed prefill.
     void recordPrefill(std::uint32_t tokens, Duration took);
+    /// Records a prefill that was given up after `took`. If all are, their estimate rises until they are
+    /// waited for; those at a few silent engines do not change it.
+    void recordTimedOutPrefill(std::uint32_t tokens, Duration took) { this->prefill.record(tokens, took); }
     void recordRun(const EngineSpec& engine, const CompletedRun& run);
 
     /// How long a prefill of `tokens` may take before its engine counts as silent; nothing until enough
--- a/src/libperidotgrade/core/serving/engine_demand_test.cpp
+++ b/src/libperidotgrade/core/serving/engine_demand_test.cpp
@@ -123,6 +123,22 @@
     BOOST_TEST(secondsOf(*demand.prefillTimeout(3000)) > 1);
 }
 
+BOOST_AUTO_TEST_CASE(waitsForEnginesThatAreSlowerThanTheFirstTimeout)
+{
+    EngineDemand demand;
+    for (int index = 0; index < 16; ++index)
+        demand.recordTimedOutPrefill(20'000, milliseconds { 1200 });
+    BOOST_TEST(secondsOf(*demand.prefillTimeout(20'000)) > 2.4);
+    // Some silent engines among quick ones change nothing.
+    EngineDemand mostlyQuick;
+    recordPrefills(mostlyQuick, 60);
+    Duration before = *mostlyQuick.prefillTimeout(3000);
+    for (int index = 0; index < 20; ++index)
+        mostlyQuick.recordTimedOutPrefill(3000, milliseconds { 700 });
+    BOOST_TEST(
+        secondsOf(*mostlyQuick.prefillTimeout(3000)) == secondsOf(before), boost::test_tools::tolerance(0.1));
+}
+
 BOOST_AUTO_TEST_CASE(ignoresARunWithoutEvents)
 {
     EngineDemand demand;
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -234,12 +234,15 @@
 
 asio::awaitable<std::optional<KvLocation>> GenerationCall::prefill(const EngineReservation& reservation)
 {
-    // A prefill that ends later finds its reservation expired, and is wasted.
     Duration cost = this->state.demandOf(this->context.service)
                         .prefillCost()
                         .estimate(this->promptTokens())
                         .value_or(TimeToFirstEvent / 2);
-    TimePoint latest = std::min(reservation.expiresAt, this->context.deadline) - HandOverTime - cost;
+    // A prefill that ends later finds its reservation expired, and is wasted. A prompt that takes longer than
+    // any reservation lasts is tried all the same: the decode engine may have room without one.
+    bool fits = this->state.now() + cost + HandOverTime < reservation.expiresAt;
+    TimePoint end = fits ? std::min(reservation.expiresAt, this->context.deadline) : this->context.deadline;
+    TimePoint latest = end - HandOverTime - cost;
     while (!this->context.cancellation.isCancelled() && this->state.now() < latest) {
         auto engines = this->state.healthyServers(this->context.service, ServerRole::Prefill);
         auto choice = this->state.prefillLoad.choose(engines, reservation.engine->record().dataCentre,
@@ -298,6 +301,9 @@
     if (auto* failed = std::get_if<CallFailure>(&result)) {
         if (failed->mayHaveRun || failed->isRefusal)
             this->retryAccounting.notePrefillReached();
+        Duration took = this->state.now() - began;
+        if (took >= timeLimit && !this->context.cancellation.isCancelled())
+            this->state.demandOf(this->context.service).recordTimedOutPrefill(this->promptTokens(), took);
         this->notePrefillFailure(server, *failed, this->state.now() - began);
         co_return std::nullopt;
     }
