Log how a server marked the end of its answer and whether a stream ended inside an event

The last line of these requests says outcome=answered, and nothing tells an answer that ends with its connection from a chunked one, nor a stream that ended at an event boundary from one that did not.

Change: HttpChannel and ServerAnswer tell the framing of a body; request_ended and stream_broken have framing, events and partial_event. No decision depends on them.

--- a/src/include/peridotgrade/gateway/final_answer.h
+++ b/src/include/peridotgrade/gateway/final_answer.h
@@ -3,6 +3,7 @@
 
 #include "peridotgrade/gateway/gateway_state.h"
 #include "peridotgrade/gateway/request_context.h"
+#include "peridotgrade/net/body_framing.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -13,12 +14,27 @@
 
 namespace peridotgrade {
 
-/// Timing of a stream as it reached the gateway.
-struct StreamTimes {
+/// A stream as it reached the gateway.
+struct StreamSummary {
     /// Time from the request's arrival to the first event.
     Duration firstEvent {};
     /// Longest time between two pieces of the stream.
     Duration longestPause {};
+    /// Complete events.
+    std::uint32_t events = 0;
+    /// Bytes followed the last complete event.
+    bool hasPartialEvent = false;
+};
+
+/// A server's answer that was sent to the caller.
+struct SentAnswer {
+    std::uint16_t status = 0;
+    std::string server;
+    /// Sends of the request, or rounds of a generation.
+    std::uint32_t attempts = 0;
+    /// How the server marked the end of its answer.
+    BodyFraming framing = BodyFraming::Length;
+    std::optional<StreamSummary> stream;
 };
 
 /// Time until the request's deadline; zero when it has passed.
@@ -35,8 +51,7 @@
 void abortStream(GatewayState& state, RequestContext& context, std::string_view reason,
     std::string_view server, std::string_view detail);
 /// Logs that a server's answer was sent completely.
-void noteAnswered(GatewayState& state, RequestContext& context, std::uint16_t status, std::string_view server,
-    std::uint32_t attempts, std::optional<StreamTimes> times = {});
+void noteAnswered(GatewayState& state, RequestContext& context, const SentAnswer& answer);
 /// Logs that the caller has disconnected.
 void noteCallerDisconnected(GatewayState& state, RequestContext& context, std::string_view phase);
 
--- a/src/include/peridotgrade/gateway/plain_call.h
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -41,6 +41,7 @@
     std::uint32_t sends = 0;
     /// The server error that is answered if no other server succeeds.
     std::optional<HttpResponse> lastAnswer;
+    BodyFraming lastFraming = BodyFraming::Length;
     std::string lastDetail;
     std::string lastServer;
 };
--- a/src/include/peridotgrade/net/http_channel.h
+++ b/src/include/peridotgrade/net/http_channel.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "peridotgrade/core/base/time.h"
+#include "peridotgrade/net/body_framing.h"
 #include "peridotgrade/net/endpoint.h"
 #include "peridotgrade/net/http_message.h"
 #include "peridotgrade/net/net_error.h"
@@ -28,6 +29,8 @@
     virtual void send(HttpRequest request) = 0;
     /// Reads status and fields of the next response; its body is empty.
     virtual boost::asio::awaitable<std::variant<HttpResponse, NetError>> readHead(Duration timeout) = 0;
+    /// How the end of the body is marked. Valid after `readHead`.
+    virtual BodyFraming framing() const = 0;
     /// Reads the next part of the body; empty at its end.
     virtual boost::asio::awaitable<std::variant<std::string, NetError>> readBody(Duration timeout) = 0;
     /// Closes the connection; operations in progress fail.
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -61,22 +61,25 @@
     context.exchange.abort();
 }
 
-void noteAnswered(GatewayState& state, RequestContext& context, std::uint16_t status, std::string_view server,
-    std::uint32_t attempts, std::optional<StreamTimes> times)
+void noteAnswered(GatewayState& state, RequestContext& context, const SentAnswer& answer)
 {
     Duration took = state.now() - context.request.arrivedAt;
     writeTrace(state, context, false);
     state.metrics.countOutcome("answered");
     state.metrics.addAnswer(took);
-    if (times)
-        state.metrics.addFirstEvent(times->firstEvent);
+    const auto& stream = answer.stream;
+    if (stream)
+        state.metrics.addFirstEvent(stream->firstEvent);
     state.log.write(LogLevel::Info, "request_ended",
         { { "request", context.request.attempt }, { "outcome", "answered" },
-            { "status", std::to_string(status) }, { "route", context.route.name },
-            { "service", context.service.raw() }, { "server", std::string { server } },
-            { "attempts", std::to_string(attempts) },
-            { "first_event_ms", times ? millisecondsText(times->firstEvent) : "" },
-            { "longest_pause_ms", times ? millisecondsText(times->longestPause) : "" },
+            { "status", std::to_string(answer.status) }, { "route", context.route.name },
+            { "service", context.service.raw() }, { "server", answer.server },
+            { "attempts", std::to_string(answer.attempts) },
+            { "framing", std::string { nameOf(answer.framing) } },
+            { "first_event_ms", stream ? millisecondsText(stream->firstEvent) : "" },
+            { "longest_pause_ms", stream ? millisecondsText(stream->longestPause) : "" },
+            { "events", stream ? std::to_string(stream->events) : "" },
+            { "partial_event", stream ? (stream->hasPartialEvent ? "true" : "false") : "" },
             { "took_ms", millisecondsText(took) } });
 }
 
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -460,7 +460,9 @@
                 = timeLeft(this->state, this->context).count() == 0 ? "deadline_passed" : "server_lost";
             this->state.health.record(server, ServerCallResult::Unreachable, this->state.now());
             this->context.trace.addFailure(this->state.now(), "stream_broken",
-                { { "server", server.raw() }, { "events", std::to_string(this->framer.events()) },
+                { { "server", server.raw() }, { "framing", std::string { nameOf(answer.framing()) } },
+                    { "events", std::to_string(this->framer.events()) },
+                    { "partial_event", this->framer.hasPartialEvent() ? "true" : "false" },
                     { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
                     { "detail", error->detail } });
             this->framer.dropPartialEvent();
@@ -480,8 +482,10 @@
         = this->context.request.size ? this->context.request.size->expectedOutputTokens : 0;
     this->state.outputs.record(
         this->context.route.name, expected, this->framer.events() * this->engine.tokensPerEvent);
-    noteAnswered(this->state, this->context, Success, server.raw(), this->rounds,
-        StreamTimes { this->firstEvent.value_or(Duration::zero()), this->longestPause });
+    noteAnswered(this->state, this->context,
+        { Success, server.raw(), this->rounds, answer.framing(),
+            StreamSummary { this->firstEvent.value_or(Duration::zero()), this->longestPause,
+                this->framer.events(), this->framer.hasPartialEvent() } });
     co_return Next::Done;
 }
 
@@ -524,7 +528,7 @@
     this->state.health.record(server, ServerCallResult::ServerError, this->state.now());
     std::uint16_t status = response.status;
     co_await this->context.exchange.respond(std::move(response));
-    noteAnswered(this->state, this->context, status, server.raw(), this->rounds);
+    noteAnswered(this->state, this->context, { status, server.raw(), this->rounds, answer.framing(), {} });
     co_return Next::Done;
 }
 
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -183,11 +183,12 @@
         this->context.trace.add(this->state.now(), "server_error",
             { { "server", server.raw() }, { "status", std::to_string(response.status) } });
         this->lastAnswer = std::move(response);
+        this->lastFraming = answer.framing();
         co_return Next::TryOther;
     }
     std::uint16_t status = response.status;
     co_await this->context.exchange.respond(std::move(response));
-    noteAnswered(this->state, this->context, status, server.raw(), this->sends);
+    noteAnswered(this->state, this->context, { status, server.raw(), this->sends, answer.framing(), {} });
     co_return Next::Done;
 }
 
@@ -196,7 +197,8 @@
     if (this->lastAnswer) {
         std::uint16_t status = this->lastAnswer->status;
         co_await this->context.exchange.respond(std::move(*this->lastAnswer));
-        noteAnswered(this->state, this->context, status, this->lastServer, this->sends);
+        noteAnswered(
+            this->state, this->context, { status, this->lastServer, this->sends, this->lastFraming, {} });
         co_return;
     }
     auto left = timeLeft(this->state, this->context);
--- a/src/libperidotgrade/net/http_channel.cpp
+++ b/src/libperidotgrade/net/http_channel.cpp
@@ -99,6 +99,13 @@
             co_return response;
         }
 
+        BodyFraming framing() const override
+        {
+            if (this->parser->need_eof())
+                return BodyFraming::ConnectionEnd;
+            return this->parser->chunked() ? BodyFraming::Chunked : BodyFraming::Length;
+        }
+
         asio::awaitable<std::variant<std::string, NetError>> readBody(Duration timeout) override
         {
             auto self = this->shared_from_this();
