Add a failing test of streams that end inside an event

The stand-in engines could only break off by a reset, which a gateway notices.

Change: stand-in engines and plain servers can mark the end of a body by the end of the connection and break a stream off in an orderly way; gateway_truncated_answers expects that no such answer looks complete.

--- /dev/null
+++ b/testsuite/gateway_truncated_answers/case.py
@@ -0,0 +1,56 @@
+"""An answer that its server broke off never reaches its caller as a complete one, however its end is marked."""
+from support.gateway import Caller, platform_site
+
+
+def check_stream(caller, path, engines, events, break_inside_event):
+    """Breaks the next stream off after `events` events; returns its answer."""
+    for engine in engines:
+        engine.break_after, engine.break_inside_event = events, break_inside_event
+    answer = caller.send(path)
+    for engine in engines:
+        engine.break_after = None
+    return answer
+
+
+def run(build):
+    with platform_site(build, events=30, decodes=3) as (platform, (gateway,)):
+        caller = Caller(platform, gateway)
+        decodes = platform.decodes()
+        for framing in ("chunked", "connection"):
+            for engine in decodes:
+                engine.framing = framing
+            for path in ("/text/whole", "/resume/whole"):
+                answer = caller.send(path)
+                assert answer.status == 200 and answer.is_whole and answer.events == 30, (framing, answer.__dict__)
+            # `FakePlatform.violations` has any answer that looks complete and is not.
+            for events in (1, 12, 29):
+                answer = check_stream(caller, "/text/torn", decodes, events, True)
+                assert not answer.is_whole, (framing, events, answer.__dict__)
+        # Without length and chunks, a stream without events is no complete one.
+        answer = check_stream(caller, "/text/empty", decodes, 0, False)
+        assert answer.status == 502, answer.__dict__
+
+        # One engine breaks off: another one goes on where the last complete event ended.
+        for framing, events, inside in (("chunked", 12, True), ("connection", 12, True), ("connection", 0, False)):
+            for engine in decodes:
+                engine.framing = framing
+                engine.break_after, engine.break_inside_event = None, inside
+            breaking = decodes[0]
+            breaking.break_after = events
+            attempts = 0
+            while breaking.break_after is not None and attempts < 20:
+                answer = caller.send("/resume/torn")
+                attempts += 1
+                assert answer.status == 200 and answer.is_whole, (framing, events, answer.__dict__)
+            assert breaking.break_after is None and platform.runs[answer.attempt] == 2, answer.__dict__
+
+        # A plain answer without a length ends with its connection; one that is reset is incomplete.
+        for server in platform.plain_servers:
+            server.framing = "connection"
+        for path, method in (("/act/whole", "POST"), ("/read/whole", "GET")):
+            assert caller.send(path, method, b"{}" if method == "POST" else b"").status == 200
+        for server in platform.plain_servers:
+            server.reset_inside_answers = True
+        assert caller.send("/act/reset").status == 502
+        assert caller.send("/read/reset", "GET", b"").status == 502
+        platform.wait_until_idle(3)
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -50,10 +50,14 @@
     return Request(method, target, headers, body)
 
 
-def response(status, body=b"", headers=None, chunked=False):
+def response(status, body=b"", headers=None, framing="length"):
+    """`framing` is length, chunked, or connection for a body that ends with the connection."""
     lines = [f"HTTP/1.1 {status} Status"]
     lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
-    lines.append("Transfer-Encoding: chunked" if chunked else f"Content-Length: {len(body)}")
+    if framing == "chunked":
+        lines.append("Transfer-Encoding: chunked")
+    elif framing == "length":
+        lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
@@ -61,6 +65,10 @@
     return response(200, json.dumps(value).encode(), {"Content-Type": "application/json", **(headers or {})})
 
 
+class ConnectionEnds(Exception):
+    """Raised by a handler to close its connection in an orderly way."""
+
+
 class HttpServer:
     """A listener that serves each connection one request at a time with `serve(request, writer, reader)`."""
 
@@ -96,7 +104,8 @@
                 request = await read_request(reader)
                 await self.serve(request, writer, reader)
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError, ValueError, RuntimeError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError, ValueError, RuntimeError,
+                ConnectionEnds):
             pass
         finally:
             self.tasks.discard(task)
@@ -323,6 +332,8 @@
         self.service_time_s = service_time_s
         self.lose_answers = False
         self.extra_answers = False
+        self.framing = "length"
+        self.reset_inside_answers = False
 
     async def handle_request(self, request, writer, reader, identity):
         attempt = self.record_run(request)
@@ -332,7 +343,15 @@
             return
         body = json.dumps({"attempt": attempt, "by": self.name, "body": request.body.decode()}).encode()
         headers = {"X-Attempt-Id": attempt, "X-Server-Seal": f"seal-{attempt}", "X-Server-Load": "1,0,6", **identity}
-        writer.write(response(200, body, headers))
+        if self.reset_inside_answers:
+            writer.write(response(200, body[:20], headers, self.framing))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+            return
+        writer.write(response(200, body, headers, self.framing))
+        if self.framing == "connection":
+            raise ConnectionEnds
         if self.extra_answers:
             writer.write(response(200, b"not for you", headers))
 
@@ -347,6 +366,11 @@
         self.event_s, self.prefill_s = event_s, prefill_s
         self.reset_state()
         self.reject_runs = False
+        self.framing = "chunked"
+        # The next run breaks off after this many events: inside the next event, or after the last one. A chunked
+        # answer ends as a complete one does, any other one with an orderly close.
+        self.break_after = None
+        self.break_inside_event = True
 
     def reset_state(self):
         self.used_tokens = 0
@@ -423,19 +447,32 @@
         try:
             seal = f"seal-{attempt}"
             writer.write(response(200, headers={"Content-Type": "text/event-stream", "X-Attempt-Id": attempt,
-                                                "X-Server-Seal": seal, **identity}, chunked=True))
-            for index in range(first, self.platform.events + 1):
+                                                "X-Server-Seal": seal, **identity}, framing=self.framing))
+            last = self.platform.events
+            is_broken_off = self.break_after is not None
+            if is_broken_off:
+                last, self.break_after = min(last, first - 1 + self.break_after), None
+            for index in range(first, last + 1):
                 await asyncio.sleep(self.event_s)
                 if writer.transport.is_closing():
                     return
                 event = f"id: {index}\ndata: {attempt} {index}\n\n".encode()
-                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                self._write_part(writer, event)
                 await writer.drain()
+            if is_broken_off and self.break_inside_event:
+                self._write_part(writer, f"id: {last + 1}\ndata: ".encode())
+            if self.framing == "connection":
+                raise ConnectionEnds
             writer.write(b"0\r\n\r\n")
         finally:
             self.used_tokens -= prompt
             self.platform.running[attempt] -= 1
 
+    def _write_part(self, writer, part):
+        if self.framing == "chunked":
+            part = f"{len(part):x}\r\n".encode() + part + b"\r\n"
+        writer.write(part)
+
 
 class FakePlatform:
     """The platform of one case. Its event loop runs in a thread of its own; `call` runs a coroutine in it."""
