Treat a stream that ends inside an event as broken off

Cause: the end of an answer was believed as soon as the transport marked it. An answer without length and chunks ends with its connection, and an orderly close inside an event was passed on as the last chunk. On resumable routes the partial event was kept back, so the stream even ended at an event boundary. The class of fault: the end of a lower layer taken for the end of the message of the layer above.

Change: a stream that ends inside an event, however its end is marked, counts as broken off: resumed where the route allows it, otherwise the caller's connection is closed without the last chunk. The same holds for an answer without length and chunks that brought no event at all. Looked for elsewhere: plain answers and the product's own engine client. A plain answer has no structure that shows a loss, and a reset is an error there already; the engine client requires a finish reason.

--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -34,7 +34,11 @@
     bool takeRunBudget();
     void notePrefillFailure(const ServerId& server, const CallFailure& failed, Duration took);
     boost::asio::awaitable<Next> stream(const EngineReservation& reservation, KvLocation kvCache);
+    /// Passes a stream on. A resumable one goes on elsewhere if the server breaks it off; a stream that ends
+    /// inside an event has been broken off, however its end is marked.
     boost::asio::awaitable<Next> forward(ServerAnswer& answer, const ServerId& server);
+    /// A stream ended before it was complete.
+    void noteBrokenStream(ServerAnswer& answer, const ServerId& server, std::string detail);
     boost::asio::awaitable<bool> deliver(ServerAnswer& answer, std::string bytes);
     boost::asio::awaitable<Next> forwardErrorAnswer(ServerAnswer& answer, const ServerId& server);
     boost::asio::awaitable<void> reject(std::string_view reason);
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -448,6 +448,7 @@
         this->lastDetail = "status " + std::to_string(answer.head().response.status) + " on resuming";
         co_return Next::Retry;
     }
+    bool isEmpty = true;
     while (true) {
         this->context.cancellation.setHandler([&answer] { answer.abort(); });
         auto piece = co_await answer.readBody(this->readTimeout());
@@ -455,25 +456,22 @@
         if (this->context.cancellation.isCancelled())
             co_return Next::Retry;
         if (auto* error = std::get_if<NetError>(&piece)) {
-            this->lastDetail = error->detail;
-            this->failure
-                = timeLeft(this->state, this->context).count() == 0 ? "deadline_passed" : "server_lost";
-            this->state.health.record(server, ServerCallResult::Unreachable, this->state.now());
-            this->context.trace.addFailure(this->state.now(), "stream_broken",
-                { { "server", server.raw() }, { "framing", std::string { nameOf(answer.framing()) } },
-                    { "events", std::to_string(this->framer.events()) },
-                    { "partial_event", this->framer.hasPartialEvent() ? "true" : "false" },
-                    { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
-                    { "detail", error->detail } });
-            this->framer.dropPartialEvent();
+            this->noteBrokenStream(answer, server, std::move(error->detail));
             co_return Next::Retry;
         }
         std::string& bytes = std::get<std::string>(piece);
         if (bytes.empty())
             break;
+        isEmpty = false;
         if (!co_await this->deliver(answer, std::move(bytes)))
             co_return Next::Retry;
     }
+    // The end of the connection alone does not tell a complete stream without events from a lost one.
+    bool isLost = isEmpty && answer.framing() == BodyFraming::ConnectionEnd;
+    if (isLost || this->framer.hasPartialEvent()) {
+        this->noteBrokenStream(answer, server, isLost ? "end of connection" : "end inside an event");
+        co_return Next::Retry;
+    }
     if (!this->hasBegun)
         co_await this->deliver(answer, {});
     co_await this->context.exchange.endStream();
@@ -489,6 +487,21 @@
     co_return Next::Done;
 }
 
+void GenerationCall::noteBrokenStream(ServerAnswer& answer, const ServerId& server, std::string detail)
+{
+    TimePoint now = this->state.now();
+    this->lastDetail = std::move(detail);
+    this->failure = timeLeft(this->state, this->context).count() == 0 ? "deadline_passed" : "server_lost";
+    this->state.health.record(server, ServerCallResult::Unreachable, now);
+    this->context.trace.addFailure(now, "stream_broken",
+        { { "server", server.raw() }, { "framing", std::string { nameOf(answer.framing()) } },
+            { "events", std::to_string(this->framer.events()) },
+            { "partial_event", this->framer.hasPartialEvent() ? "true" : "false" },
+            { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
+            { "detail", this->lastDetail } });
+    this->framer.dropPartialEvent();
+}
+
 asio::awaitable<bool> GenerationCall::deliver(ServerAnswer& answer, std::string bytes)
 {
     TimePoint now = this->state.now();
--- a/testsuite/gateway_soak/soak.py
+++ b/testsuite/gateway_soak/soak.py
@@ -133,15 +133,32 @@
             self.platform.call(self.platform.configure(self.version))
             time.sleep(0.1)
 
+    def streams_broken_off(self, _):
+        """Streams of some engines end with their connection, and some break off in an orderly way."""
+        engines = self.random.sample(self.platform.decodes(), 2)
+        for engine in engines:
+            engine.framing = "connection"
+            engine.break_after = self.random.randrange(self.platform.events)
+        self._pause()
+        for engine in engines:
+            engine.framing = "chunked"
+
     FAULTS = [gateway_killed, gateway_frozen, gateway_stopped, settings_reloaded, store_link_cut, store_link_stalled,
               store_down, server_crashed, server_unresponsive, answers_lost, extra_answers, runs_rejected,
               configuration_changed]
+    # Drawn by a generator of their own, so that a seed still plans the faults of `FAULTS` that it had.
+    FURTHER_FAULTS = [streams_broken_off]
 
     def plan(self):
+        further = random.Random(self.random.getstate()[1][0])
+        steps = self._draw(self.random, self.FAULTS, 1.5) + self._draw(further, self.FURTHER_FAULTS, 3.0)
+        return sorted(steps, key=lambda step: step[0])
+
+    def _draw(self, generator, faults, longest_gap):
         at, steps = 1.0, []
         while at < self.seconds - 2:
-            steps.append((at, self.random.choice(self.FAULTS), self.random.randrange(GATEWAYS)))
-            at += self.random.uniform(0.2, 1.5)
+            steps.append((at, generator.choice(faults), generator.randrange(GATEWAYS)))
+            at += generator.uniform(0.2, longest_gap)
         return steps
 
     def send_requests(self, number):
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import random
+import socket
 import struct
 import threading
 import time
@@ -65,6 +66,12 @@
     return response(200, json.dumps(value).encode(), {"Content-Type": "application/json", **(headers or {})})
 
 
+def reset(writer):
+    """Ends a connection with a reset; `abort` alone sends an orderly end if everything was read."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class ConnectionEnds(Exception):
     """Raised by a handler to close its connection in an orderly way."""
 
@@ -347,7 +354,7 @@
             writer.write(response(200, body[:20], headers, self.framing))
             await writer.drain()
             await asyncio.sleep(0.05)
-            writer.transport.abort()
+            reset(writer)
             return
         writer.write(response(200, body, headers, self.framing))
         if self.framing == "connection":
@@ -371,6 +378,8 @@
         # answer ends as a complete one does, any other one with an orderly close.
         self.break_after = None
         self.break_inside_event = True
+        # Connections of runs whose body ends with the connection.
+        self.unframed = set()
 
     def reset_state(self):
         self.used_tokens = 0
@@ -446,8 +455,11 @@
         self.platform.running[attempt] += 1
         try:
             seal = f"seal-{attempt}"
+            framing = self.framing
+            if framing == "connection":
+                self.unframed.add(writer)
             writer.write(response(200, headers={"Content-Type": "text/event-stream", "X-Attempt-Id": attempt,
-                                                "X-Server-Seal": seal, **identity}, framing=self.framing))
+                                                "X-Server-Seal": seal, **identity}, framing=framing))
             last = self.platform.events
             is_broken_off = self.break_after is not None
             if is_broken_off:
@@ -457,19 +469,27 @@
                 if writer.transport.is_closing():
                     return
                 event = f"id: {index}\ndata: {attempt} {index}\n\n".encode()
-                self._write_part(writer, event)
+                self._write_part(writer, event, framing)
                 await writer.drain()
             if is_broken_off and self.break_inside_event:
-                self._write_part(writer, f"id: {last + 1}\ndata: ".encode())
-            if self.framing == "connection":
+                self._write_part(writer, f"id: {last + 1}\ndata: ".encode(), framing)
+            if framing == "connection":
                 raise ConnectionEnds
             writer.write(b"0\r\n\r\n")
         finally:
+            self.unframed.discard(writer)
             self.used_tokens -= prompt
             self.platform.running[attempt] -= 1
 
-    def _write_part(self, writer, part):
-        if self.framing == "chunked":
+    async def stop(self):
+        # Only a reset tells that a stream without a length that stopped between two events is incomplete.
+        for writer in list(self.unframed):
+            reset(writer)
+        await super().stop()
+
+    @staticmethod
+    def _write_part(writer, part, framing):
+        if framing == "chunked":
             part = f"{len(part):x}\r\n".encode() + part + b"\r\n"
         writer.write(part)
 
