--- a/src/include/peridotgrade/core/serving/server_record.h
+++ b/src/include/peridotgrade/core/serving/server_record.h
@@ -13,6 +13,9 @@
 /// Name of a backend server in the platform's list; a restarted server may keep it.
 using ServerId = StrongId<struct ServerIdTag, std::string>;
 
+/// Version of a server's software, as the server states it. Not the version of its weights.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag, std::string>;
+
 /// Current role of a language model server.
 enum class ServerRole : std::uint8_t { None, Prefill, Decode };
 
@@ -25,6 +28,7 @@
     /// IP address and port, as the server published it.
     std::string address;
     DataCentreId dataCentre;
+    SoftwareVersion softwareVersion;
     bool isDraining = false;
     ServerRole role = ServerRole::None;
     std::uint32_t slots = 0;
--- a/src/include/peridotgrade/gateway/gateway_request.h
+++ b/src/include/peridotgrade/gateway/gateway_request.h
@@ -32,6 +32,11 @@
     std::optional<GenerationSize> size;
     /// Id of the last event that the caller has, if it resumes a stream.
     std::optional<std::uint64_t> lastEvent;
+    /// Id of the attempt that brought the stream's first event, if the caller resumes a stream.
+    std::optional<std::string> resumedAttempt;
+
+    /// True if events of the stream were delivered by another attempt.
+    bool isResumption() const { return this->lastEvent || this->resumedAttempt; }
 };
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/core/serving/server_directory.cpp
+++ b/src/libperidotgrade/core/serving/server_directory.cpp
@@ -35,7 +35,8 @@
     bool isSameForRouting(const ServerRecord& one, const ServerRecord& other)
     {
         return one.service == other.service && one.address == other.address && one.role == other.role
-            && one.isDraining == other.isDraining && one.startedAt == other.startedAt;
+            && one.softwareVersion == other.softwareVersion && one.isDraining == other.isDraining
+            && one.startedAt == other.startedAt;
     }
 
 } // namespace
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -102,6 +102,7 @@
         this->log.write(LogLevel::Info, "server_changed",
             { { "server", change.id.raw() }, { "change", std::string { nameOf(change.kind) } },
                 { "address", record ? record->address : "" },
+                { "version", record ? record->softwareVersion.raw() : "" },
                 { "stage", record ? std::string { nameOf(record->role) } : "" },
                 { "data_centre", record ? record->dataCentre.raw() : "" } });
         if (change.kind == DirectoryChange::Kind::Changed)
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -94,6 +94,11 @@
 asio::awaitable<void> GenerationCall::serve()
 {
     this->state.retryBudgetOf(this->context.service).recordRequest(this->state.now());
+    const GatewayRequest& request = this->context.request;
+    if (request.isResumption())
+        this->context.trace.addFailure(this->state.now(), "resumption",
+            { { "resumes", request.resumedAttempt.value_or("") },
+                { "after_event", request.lastEvent ? std::to_string(*request.lastEvent) : "" } });
     Next next = Next::Retry;
     do {
         ++this->rounds;
@@ -366,7 +371,8 @@
     this->failure = "server_lost";
     TimePoint began = this->state.now();
     this->context.trace.add(began, "run_sent",
-        { { "server", server.raw() }, { "prefill_server", kvCache.engineAddress },
+        { { "server", server.raw() }, { "version", reservation.engine->record().softwareVersion.raw() },
+            { "prefill_server", kvCache.engineAddress },
             { "cache_left_ms", millisecondsText(this->cacheUsableUntil - began) },
             { "after_event", options.lastEvent ? std::to_string(*options.lastEvent) : "" } });
     auto result = co_await reservation.engine->run(
