--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -141,6 +141,8 @@
         self.era = 1
         # Times at which the records of each topic were written.
         self.written = collections.defaultdict(list)
+        # Offset of the oldest record of each topic that is still retained.
+        self.first = collections.Counter()
 
     def restore(self, age_s):
         """Loses what was written in the last `age_s` seconds. Calls that wait get no answer."""
@@ -158,8 +160,12 @@
         return json_response(value, {"Store-Era": str(self.era)})
 
     async def put(self, topic, key, value):
-        self.topics[topic].append((key, value))
-        self.written[topic].append(time.monotonic())
+        """Appends a record of a keyed topic; without a value it deletes the key."""
+        await self.append(topic, [bytes([len(key)]) + key.encode() + (value or "").encode()])
+
+    async def append(self, topic, records):
+        self.topics[topic] += records
+        self.written[topic] += [time.monotonic()] * len(records)
         async with self.changed:
             self.changed.notify_all()
 
@@ -176,6 +182,8 @@
             self._newest(request, writer)
         elif request.path == "/api/log-read":
             await self._read(request, writer)
+        elif request.path == "/api/log-append":
+            await self._append(request, writer)
         elif request.path == "/api/log-join":
             self._join(request, writer)
         else:
@@ -184,18 +192,20 @@
     def _newest(self, request, writer):
         records = self.topics[request.query["topic"]]
         newest = {}
-        for offset, (key, value) in enumerate(records):
-            newest[key] = (offset, value)
-        items = [{"key": key, "value": base64.b64encode(value.encode()).decode(), "offset": offset}
-                 for key, (offset, value) in newest.items() if value is not None]
+        for offset, content in enumerate(records):
+            key_size = content[0]
+            newest[content[1:1 + key_size].decode()] = (offset, content[1 + key_size:])
+        items = [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                 for key, (offset, value) in newest.items() if value]
         writer.write(self.answer_json({"items": items, "truncated": False, "end": len(records)}))
 
     async def _read(self, request, writer):
         records = self.topics[request.query["topic"]]
         start = int(request.query["from"])
         until = time.monotonic() + int(request.query.get("wait_ms", 0)) / 1000
-        if start > len(records):
-            writer.write(response(410, b'{"first": 0}', {"Store-Era": str(self.era)}))
+        first = self.first[request.query["topic"]]
+        if start > len(records) or start < first:
+            writer.write(response(410, b'{"first": %d}' % first, {"Store-Era": str(self.era)}))
             return
         while len(records) <= start and time.monotonic() < until:
             async with self.changed:
@@ -203,12 +213,21 @@
                     await asyncio.wait_for(self.changed.wait(), max(0.001, until - time.monotonic()))
         if self.mode != "serving":
             await asyncio.sleep(3600)
-        body = struct.pack(">QQ", len(records), 0)
-        for key, value in records[start:]:
-            content = bytes([len(key)]) + key.encode() + (value or "").encode()
+        body = struct.pack(">QQ", len(records), first)
+        for content in records[start:]:
             body += struct.pack(">I", len(content)) + content
         writer.write(response(200, body, {"Store-Era": str(self.era)}))
 
+    async def _append(self, request, writer):
+        at, records = 0, []
+        while at < len(request.body):
+            size = struct.unpack_from(">I", request.body, at)[0]
+            records.append(request.body[at + 4:at + 4 + size])
+            at += 4 + size
+        offset = len(self.topics[request.query["topic"]])
+        await self.append(request.query["topic"], records)
+        writer.write(self.answer_json({"offset": offset, "end": offset + len(records)}))
+
     def _join(self, request, writer):
         fields = request.json()
         now = time.monotonic()
@@ -230,6 +249,7 @@
         super().__init__()
         self.platform, self.service, self.zone, self.role = platform, service, zone, role
         self.name = ""
+        self.version = "v1"
         self.sequence = 0
         self.state = "ready"
         self.started_ms = 0
@@ -275,8 +295,8 @@
 
     async def publish(self):
         self.sequence += 1
-        record = {"service": self.service, "addr": self.address, "zone": self.zone, "version": "v1", "slots": 64,
-                  "state": self.state, "cold_left_ms": 0, "seq": self.sequence, "born": self.started_ms}
+        record = {"service": self.service, "addr": self.address, "zone": self.zone, "version": self.version,
+                  "slots": 64, "state": self.state, "cold_left_ms": 0, "seq": self.sequence, "born": self.started_ms}
         if self.role:
             record["stage"] = self.role
         if self.platform.store.mode == "serving":
@@ -469,6 +489,7 @@
                 if writer.transport.is_closing():
                     return
                 event = f"id: {index}\ndata: {attempt} {index}\n\n".encode()
+                self.platform.record_event(attempt, self)
                 self._write_part(writer, event, framing)
                 await writer.drain()
             if is_broken_off and self.break_inside_event:
@@ -497,13 +518,15 @@
 class FakePlatform:
     """The platform of one case. Its event loop runs in a thread of its own; `call` runs a coroutine in it."""
 
-    def __init__(self, seed=1, prefills=2, decodes=3, plain_servers=2, events=40):
+    def __init__(self, seed=1, prefills=2, decodes=3, plain_servers=2, events=40, versions=("v1",)):
         self.random = random.Random(seed)
         self.events = events
         self.sent = {}
         self.runs = collections.Counter()
         self.run_history = collections.defaultdict(list)
         self.running = collections.Counter()
+        # Software versions of the events of each stream, by the attempt that began it.
+        self.stream_versions = collections.defaultdict(set)
         self.draining_since = {}
         # When each server first said in an answer that it leaves.
         self.leaving_since = {}
@@ -516,14 +539,17 @@
         self.loop = asyncio.new_event_loop()
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
         self.store = None
-        self.call(self._start(prefills, decodes, plain_servers))
+        self.call(self._start(prefills, decodes, plain_servers, versions))
 
-    async def _start(self, prefills, decodes, plain_servers):
+    async def _start(self, prefills, decodes, plain_servers, versions):
         self.store = Store(self)
         await self.store.listen()
         zones = ["north", "south"]
         self.engines = [Engine(self, zones[i % 2], "prefill") for i in range(prefills)]
         self.engines += [Engine(self, zones[i % 2], "decode") for i in range(decodes)]
+        for index, engine in enumerate(self.engines[prefills:]):
+            # Each version has engines in both zones.
+            engine.version = versions[index // len(zones) % len(versions)]
         self.plain_servers = [PlainServer(self, zones[i % 2]) for i in range(plain_servers)]
         for backend in self.engines + self.plain_servers:
             await backend.start()
@@ -586,6 +612,14 @@
         if now + left > sent.sent_at + sent.deadline_s + 0.5:
             self.report_violation(f"{attempt} was forwarded with more time than the caller has left")
 
+    def record_event(self, attempt, engine):
+        """Checks that all events of a stream are of one software version, over all attempts of its caller."""
+        versions = self.stream_versions[self.sent[attempt].stream if attempt in self.sent else attempt]
+        if engine.version not in versions:
+            versions.add(engine.version)
+            if len(versions) > 1:
+                self.report_violation(f"{attempt} goes on at version {engine.version}, which did not begin its stream")
+
     def wait_until_idle(self, seconds=5):
         """Waits until no run, reservation or KV handle is left."""
         until = time.monotonic() + seconds
--- a/testsuite/support/gateway.py
+++ b/testsuite/support/gateway.py
@@ -64,15 +64,22 @@
 
 
 class SentRequest:
-    def __init__(self, message, is_repeatable, deadline_s):
+    def __init__(self, message, is_repeatable, deadline_s, stream):
         self.message, self.is_repeatable, self.deadline_s = message, is_repeatable, deadline_s
+        # The attempt that began the stream to which this one belongs.
+        self.stream = stream
         self.sent_at = time.monotonic()
 
 
 class Answer:
-    def __init__(self, attempt, status=None, body=b"", is_whole=False, headers=None):
+    def __init__(self, attempt, status=None, body=b"", is_whole=False, headers=None, first_event=1):
         self.attempt, self.status, self.body, self.is_whole = attempt, status, body, is_whole
         self.headers = headers or {}
+        self.first_event = first_event
+
+    @property
+    def last_event(self):
+        return self.first_event - 1 + self.events
 
     @property
     def events(self):
@@ -92,15 +99,20 @@
             self.connection = None
 
     def send(self, path, method="POST", body=b"{}", deadline_s=8.0, tokens="3000,1760", hint=440,
-             disconnect_after=None):
+             disconnect_after=None, resumed=None):
+        """With `disconnect_after` it reads that many bytes only. `resumed` is the incomplete answer of a stream that
+        this request resumes."""
         attempt = uuid.uuid4().hex[:16]
         is_repeatable = path.startswith(("/read/", "/resume/"))
-        self.platform.sent[attempt] = SentRequest((method, path, body), is_repeatable, deadline_s)
+        stream = self.platform.sent[resumed.attempt].stream if resumed else attempt
+        self.platform.sent[attempt] = SentRequest((method, path, body), is_repeatable, deadline_s, stream)
         headers = {"Host": HOST, "X-Attempt-Id": attempt, "X-Deadline-Ms": str(int(deadline_s * 1000))}
         if path.startswith(("/text/", "/resume/")):
             headers |= {"X-Model": "m", "X-Token-Counts": tokens, "X-Length-Hint": str(hint),
                         "X-Prompt-Prefix": "5c1e:200,91bd:2800"}
-        answer = Answer(attempt)
+        answer = Answer(attempt, first_event=resumed.last_event + 1 if resumed else 1)
+        if resumed:
+            headers |= {"Last-Event-Id": str(resumed.last_event), "Resumes": stream}
         try:
             if self.connection is None:
                 self.connection = http.client.HTTPConnection("127.0.0.1", self.gateway.port, timeout=deadline_s + 2)
@@ -131,7 +143,7 @@
             report(f"{attempt} was told that it had not run, and ran")
         if answer.status == 200 and answer.is_whole and path.startswith(("/text/", "/resume/")):
             expected = b"".join(b"id: %d\ndata: %s %d\n\n" % (i, attempt.encode(), i)
-                                for i in range(1, self.platform.events + 1))
+                                for i in range(answer.first_event, self.platform.events + 1))
             if answer.body != expected:
                 report(f"{attempt} got a stream that is incomplete or of another request: {answer.events} events")
         if answer.status == 200 and answer.is_whole and path.startswith(("/act/", "/read/")):
