Let a stream go on only at the software version that began it

Cause: the choice of an engine for a stream that goes on looked at load, place and role only. Within one answer a retry took any decode engine; and when a caller resumed its stream, the entry that it met knew neither the attempt named in Resumes nor the version of its first event. The class of fault: state that a stream depends on was held by one entry, or by nobody, and was not part of the choice.

Evidence: gateway_mixed_versions failed on the code before, within the answer and over attempts.

Change: a generation keeps the version of its first event, and the admission queue reserves for it at engines of that version only. While several versions have served within the last 30 s, entries append the origins of their streams to a topic of the store, every 100 ms at most, less often the more entries there are; an entry reads the topic when a caller resumes a stream that it does not know. A stream without a record goes on at the only version there is; if there are several, or the store is not reachable and the list is old, it is rejected at once as not run, as is one whose version has no usable engine. On a split route a stream goes on at the service that began it. Plain calls on streaming routes heed the version too.

--- a/src/include/peridotgrade/core/serving/deadline_queue.h
+++ b/src/include/peridotgrade/core/serving/deadline_queue.h
@@ -3,6 +3,7 @@
 
 #include "peridotgrade/core/base/ids.h"
 #include "peridotgrade/core/base/time.h"
+#include "peridotgrade/core/serving/server_record.h"
 
 #include <cstdint>
 #include <map>
@@ -17,6 +18,8 @@
     /// After this time the request can no longer be served usefully and is rejected.
     TimePoint due;
     std::uint32_t tokens = 0;
+    /// The only software version that may serve the request; nothing if any may.
+    std::optional<SoftwareVersion> version;
 };
 
 /// Orders requests by due time, earliest first. A first attempt is due when its first event would be late; a
--- /dev/null
+++ b/src/include/peridotgrade/core/serving/stream_origin.h
@@ -0,0 +1,23 @@
+// The servers to which a resumed stream may go.
+#pragma once
+
+#include "peridotgrade/core/serving/server_record.h"
+
+#include <string>
+
+namespace peridotgrade {
+
+/// Service and software version of the server that sent the first event of a stream. The events of two
+/// versions do not fit together, so the stream may go on at servers of that version only.
+struct StreamOrigin {
+    ServiceId service;
+    SoftwareVersion version;
+};
+
+/// The origin of a stream, by the id of the caller's attempt that brought its first event.
+struct StreamOriginRecord {
+    std::string attempt;
+    StreamOrigin origin;
+};
+
+} // namespace peridotgrade
--- a/src/include/peridotgrade/gateway/gateway_metrics.h
+++ b/src/include/peridotgrade/gateway/gateway_metrics.h
@@ -4,6 +4,7 @@
 #include "peridotgrade/ops/metrics.h"
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 
 namespace peridotgrade {
@@ -19,6 +20,8 @@
     void countRefusal(const std::string& reason);
     void countReservation(const std::string& result);
     void countRetry(const std::string& service);
+    void countResumption(const std::string& origin);
+    void countPublishedOrigins(const std::string& result, std::size_t streams);
     void addFirstEvent(std::chrono::nanoseconds time) { this->firstEvent.add(time); }
     void addAnswer(std::chrono::nanoseconds time) { this->answer.add(time); }
     void addReservationWait(std::chrono::nanoseconds time) { this->reservationWait.add(time); }
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -11,6 +11,7 @@
 #include "peridotgrade/core/serving/server_backoff.h"
 #include "peridotgrade/core/serving/server_directory.h"
 #include "peridotgrade/core/serving/server_health.h"
+#include "peridotgrade/core/serving/version_history.h"
 #include "peridotgrade/gateway/gateway_metrics.h"
 #include "peridotgrade/gateway/gateway_settings.h"
 #include "peridotgrade/gateway/server_clients.h"
@@ -19,6 +20,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -38,6 +40,8 @@
     void subscribeAfter(Duration delay, TimerService::Callback callback);
     RetryBudgetShare& retryBudgetOf(const ServiceId& service);
     void setRetryShare(double retryShare);
+    /// Entries of the group, from this one's share of the retries; 1 if it has none.
+    std::uint32_t entryCount() const;
     EngineDemand& demandOf(const ServiceId& service) { return this->demands[service]; }
     /// Servers of a service that may get requests and are not ejected; all of them if every one is ejected.
     /// Servers that have asked for a backoff are never among them.
@@ -71,6 +75,10 @@
     /// When a server of a service last appeared, began to drain, disappeared or was kept in an outage.
     std::map<ServiceId, TimePoint> serversChangedAt;
     ServerDirectory directory;
+    /// Software versions of the servers of each service.
+    std::map<ServiceId, VersionHistory> versions;
+    /// Called when the versions of a service have changed and are several.
+    std::function<void()> onMixedVersions;
     ServerHealth health;
     ServerBackoff backoff;
     /// Tokens reserved at decode engines; at plain servers, running requests.
@@ -81,6 +89,8 @@
     ServerClients clients;
 
 private:
+    void updateVersions(const ServiceId& service);
+
     double retryShare = 0;
     std::map<ServiceId, RetryBudgetShare> retryBudgets;
     std::map<ServiceId, EngineDemand> demands;
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -6,6 +6,7 @@
 #include "peridotgrade/gateway/gateway_state.h"
 #include "peridotgrade/gateway/request_context.h"
 #include "peridotgrade/gateway/reservation_broker.h"
+#include "peridotgrade/gateway/stream_origin_log.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -16,7 +17,7 @@
 class GenerationCall {
 public:
     GenerationCall(GatewayState& state, RequestContext& context, const EngineSpec& engine,
-        std::shared_ptr<ReservationBroker> broker);
+        std::shared_ptr<ReservationBroker> broker, StreamOriginLog& originLog);
     boost::asio::awaitable<void> serve();
 
 private:
@@ -26,6 +27,8 @@
     boost::asio::awaitable<Next> attempt();
     boost::asio::awaitable<std::optional<KvLocation>> prefill(const EngineReservation& reservation);
     boost::asio::awaitable<std::optional<KvLocation>> prefillAt(ServerId server, TimePoint due);
+    /// Decode engines at which the stream may go on, or begin.
+    std::vector<const ServerRecord*> decodeEngines();
     /// True if all engines of a role have asked for a backoff that ends after the request's due time.
     bool mustWaitForBackoff() const;
     /// False if the next round needs a prefill for which the retry budget has nothing left: a reservation for
@@ -37,6 +40,8 @@
     /// Passes a stream on. A resumable one goes on elsewhere if the server breaks it off; a stream that ends
     /// inside an event has been broken off, however its end is marked.
     boost::asio::awaitable<Next> forward(ServerAnswer& answer, const ServerId& server);
+    /// The first event is about to be delivered, so the stream stays at the version of this run.
+    void noteBegun();
     /// A stream ended before it was complete.
     void noteBrokenStream(ServerAnswer& answer, const ServerId& server, std::string detail);
     boost::asio::awaitable<bool> deliver(ServerAnswer& answer, std::string bytes);
@@ -68,7 +73,13 @@
     RequestContext& context;
     const EngineSpec& engine;
     std::shared_ptr<ReservationBroker> broker;
+    StreamOriginLog& originLog;
     EventFramer framer;
+    /// Version of the engines that may serve the stream; nothing while any may. Invariant: once set, it does
+    /// not change, since the events of two versions do not fit together.
+    std::optional<SoftwareVersion> version;
+    /// Version of the engine of the current run.
+    SoftwareVersion runVersion;
     std::uint32_t rounds = 0;
     /// Runs that an engine may have started.
     std::uint32_t runs = 0;
--- a/src/include/peridotgrade/gateway/group_member.h
+++ b/src/include/peridotgrade/gateway/group_member.h
@@ -27,8 +27,6 @@
     boost::asio::awaitable<bool> join();
     boost::asio::awaitable<void> assignRoles();
     boost::asio::awaitable<void> changeRoleOf(ServiceId service, RoleAssignment assignment);
-    /// Entries of the group, from this one's share of the partitions.
-    std::uint32_t entryCount() const;
     void enterEra(std::uint64_t newEra);
     /// Never decreases, also when the store comes back from an older copy.
     std::uint64_t fencingToken() const;
--- a/src/include/peridotgrade/gateway/request_context.h
+++ b/src/include/peridotgrade/gateway/request_context.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include "peridotgrade/core/serving/routing_configuration.h"
+#include "peridotgrade/core/serving/server_record.h"
 #include "peridotgrade/gateway/cancellation_signal.h"
 #include "peridotgrade/gateway/gateway_request.h"
 #include "peridotgrade/gateway/request_trace.h"
 #include "peridotgrade/net/http_server.h"
 
 #include <memory>
+#include <optional>
 
 namespace peridotgrade {
 
@@ -18,6 +20,8 @@
     std::shared_ptr<const RoutingConfiguration> configuration;
     const ServiceRoute& route;
     ServiceId service;
+    /// The only software version that may serve the request, if it resumes a stream.
+    std::optional<SoftwareVersion> version;
     /// The caller's time-out or the route's, whichever ends first.
     TimePoint deadline;
     CancellationSignal& cancellation;
--- a/src/include/peridotgrade/gateway/reservation_broker.h
+++ b/src/include/peridotgrade/gateway/reservation_broker.h
@@ -32,10 +32,11 @@
 
     /// Sets how long engines keep a reservation that is not used.
     void setLifetime(std::chrono::milliseconds value) { this->lifetime = value; }
-    /// Waits for a reservation until `due`. Returns nothing if none was granted or the caller disconnected.
-    /// Refusals are added to `trace`.
-    boost::asio::awaitable<std::optional<EngineReservation>> acquire(
-        RequestTrace& trace, std::uint32_t tokens, TimePoint due, CancellationSignal& cancellation);
+    /// Waits for a reservation until `due`, at an engine of `version` if there is one given. Returns nothing
+    /// if none was granted or the caller disconnected. Refusals are added to `trace`.
+    boost::asio::awaitable<std::optional<EngineReservation>> acquire(RequestTrace& trace,
+        std::uint32_t tokens, std::optional<SoftwareVersion> version, TimePoint due,
+        CancellationSignal& cancellation);
     /// Requests that wait.
     std::size_t waitingRequests() const { return this->waiters.size(); }
     /// The run of a reservation has ended, so its memory is free again.
--- a/src/libperidotgrade/core/serving/admission_queue.cpp
+++ b/src/libperidotgrade/core/serving/admission_queue.cpp
@@ -5,6 +5,17 @@
 
 namespace peridotgrade {
 
+namespace {
+
+    std::vector<const ServerRecord*> ofVersion(
+        std::vector<const ServerRecord*> servers, const SoftwareVersion& version)
+    {
+        std::erase_if(servers, [&](const ServerRecord* each) { return each->softwareVersion != version; });
+        return servers;
+    }
+
+} // namespace
+
 bool AdmissionQueue::add(const WaitingRequest& request, TimePoint now)
 {
     if (!this->forecast.canServe(now, this->waiting.tokensAhead(request), request.due - now))
@@ -28,7 +39,9 @@
             isAnyRequestWaiting = true;
             return false;
         }
-        auto engine = this->load.choose(candidates, ownDataCentre, request.tokens, now, random);
+        auto engine
+            = this->load.choose(request.version ? ofVersion(candidates, *request.version) : candidates,
+                ownDataCentre, request.tokens, now, random);
         if (!engine) {
             isAnyRequestWaiting = true;
             return true;
--- a/src/libperidotgrade/gateway/gateway_metrics.cpp
+++ b/src/libperidotgrade/gateway/gateway_metrics.cpp
@@ -39,6 +39,22 @@
         .add();
 }
 
+void GatewayMetrics::countResumption(const std::string& origin)
+{
+    this->registry
+        .counter({ "peridot_gateway_resumptions_total",
+            "Streams that callers resume, by how their origin was found", "origin", origin })
+        .add();
+}
+
+void GatewayMetrics::countPublishedOrigins(const std::string& result, std::size_t streams)
+{
+    this->registry
+        .counter({ "peridot_gateway_published_streams_total", "Streams whose origin was sent to the store",
+            "result", result })
+        .add(streams);
+}
+
 void GatewayMetrics::countRetry(const std::string& service)
 {
     this->registry
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -8,13 +8,16 @@
 #include "peridotgrade/gateway/group_member.h"
 #include "peridotgrade/gateway/plain_call.h"
 #include "peridotgrade/gateway/store_follower.h"
+#include "peridotgrade/gateway/stream_origin_log.h"
 #include "platform/caller_protocol.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace peridotgrade {
@@ -78,6 +81,7 @@
         , store(this->context.get_executor(), this->state.settings.store)
         , follower(this->state, this->store)
         , groupMember(this->state, this->store)
+        , originLog(this->state, this->store)
         , signals(this->context, SIGTERM, SIGINT, SIGHUP)
         , callers(this->context.get_executor(), serverSettings(this->state.settings.callersListen),
               [this](HttpExchange& exchange) { return this->serveCaller(exchange); })
@@ -163,7 +167,8 @@
         bool isSampled = this->state.random.below(RequestTrace::SampleEvery) == 0;
         RequestTrace trace(request.attempt, request.arrivedAt, isSampled);
         RequestContext context { exchange, std::move(request), configuration, route, this->pickService(route),
-            deadline, cancellation, std::move(trace) };
+            std::nullopt, deadline, cancellation, std::move(trace) };
+        bool mayGoOn = co_await this->chooseOrigin(context);
         const ServiceSpec* service = configuration->serviceNamed(context.service);
         bool isGeneration = service != nullptr && service->engine;
         if (this->isRejecting && (isGeneration || deadline > this->stopAt)) {
@@ -171,12 +176,15 @@
             // finds no other entry, so it is told to wait for one to start.
             auto retryAfter = chooseRetryAfter(timeLeft(this->state, context), this->state.random);
             co_await this->rejectEarly(exchange, context.request, "stopping", retryAfter);
+        } else if (!mayGoOn) {
+            auto retryAfter = chooseRetryAfter(timeLeft(this->state, context), this->state.random);
+            co_await answerNotRun(this->state, context, "unknown_stream", retryAfter);
         } else if (isGeneration) {
             OpenCount counted(this->openGenerations);
             auto broker = this->brokerOf(context.service);
             if (service->engine->maxReservation.count() > 0)
                 broker->setLifetime(service->engine->maxReservation);
-            GenerationCall call(this->state, context, *service->engine, broker);
+            GenerationCall call(this->state, context, *service->engine, broker, this->originLog);
             co_await call.serve();
         } else {
             PlainCall call(this->state, context);
@@ -185,6 +193,29 @@
         exchange.onClientDisconnect(nullptr);
     }
 
+    /// Finds where the stream that the request resumes may go on. Returns false if it is not known.
+    asio::awaitable<bool> chooseOrigin(RequestContext& context)
+    {
+        const GatewayRequest& request = context.request;
+        if (context.route.kind != CallKind::Streaming || !request.isResumption())
+            co_return true;
+        auto origin = co_await this->originLog.originOf(request, context.service);
+        context.trace.addFailure(this->state.now(), "resumption",
+            { { "resumes", request.resumedAttempt.value_or("") },
+                { "after_event", request.lastEvent ? std::to_string(*request.lastEvent) : "" },
+                { "service", origin ? origin->service.raw() : "" },
+                { "version", origin ? origin->version.raw() : "unknown" } });
+        const auto& services = context.route.services;
+        bool isOffered = origin
+            && std::any_of(services.begin(), services.end(),
+                [&](const WeightedService& each) { return each.service == origin->service; });
+        if (!isOffered)
+            co_return false;
+        context.service = origin->service;
+        context.version = origin->version;
+        co_return true;
+    }
+
     asio::awaitable<void> rejectEarly(HttpExchange& exchange, const GatewayRequest& request,
         std::string_view reason, std::chrono::milliseconds retryAfter)
     {
@@ -303,6 +334,7 @@
     StoreClient store;
     StoreFollower follower;
     GroupMember groupMember;
+    StreamOriginLog originLog;
     std::map<ServiceId, std::shared_ptr<ReservationBroker>> brokers;
     asio::signal_set signals;
     HttpServer callers;
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -2,6 +2,8 @@
 #include "peridotgrade/gateway/gateway_state.h"
 
 #include <algorithm>
+#include <cmath>
+#include <set>
 
 namespace peridotgrade {
 
@@ -53,6 +55,11 @@
         share.setShare(retryShare);
 }
 
+std::uint32_t GatewayState::entryCount() const
+{
+    return this->retryShare > 0 ? static_cast<std::uint32_t>(std::lround(1 / this->retryShare)) : 1;
+}
+
 std::vector<const ServerRecord*> GatewayState::healthyServers(const ServiceId& service, ServerRole role)
 {
     std::vector<const ServerRecord*> servers = this->directory.usable(service);
@@ -117,6 +124,24 @@
         this->reservedLoad.forget(change.id);
         this->prefillLoad.forget(change.id);
     }
+    std::set<ServiceId> services;
+    for (const DirectoryChange& change : changes)
+        services.insert(change.service);
+    for (const ServiceId& service : services)
+        this->updateVersions(service);
+}
+
+void GatewayState::updateVersions(const ServiceId& service)
+{
+    std::set<SoftwareVersion> serving;
+    for (const ServerRecord* record : this->directory.all()) {
+        if (record->service == service)
+            serving.insert(record->softwareVersion);
+    }
+    VersionHistory& history = this->versions[service];
+    history.update(serving, this->now());
+    if (history.isMixed(this->now()) && this->onMixedVersions)
+        this->onMixedVersions();
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -43,11 +43,13 @@
 } // namespace
 
 GenerationCall::GenerationCall(GatewayState& state, RequestContext& context, const EngineSpec& engine,
-    std::shared_ptr<ReservationBroker> broker)
+    std::shared_ptr<ReservationBroker> broker, StreamOriginLog& originLog)
     : state(state)
     , context(context)
     , engine(engine)
     , broker(std::move(broker))
+    , originLog(originLog)
+    , version(context.version)
     , retryAccounting(state.retryBudgetOf(context.service))
 {
 }
@@ -94,11 +96,6 @@
 asio::awaitable<void> GenerationCall::serve()
 {
     this->state.retryBudgetOf(this->context.service).recordRequest(this->state.now());
-    const GatewayRequest& request = this->context.request;
-    if (request.isResumption())
-        this->context.trace.addFailure(this->state.now(), "resumption",
-            { { "resumes", request.resumedAttempt.value_or("") },
-                { "after_event", request.lastEvent ? std::to_string(*request.lastEvent) : "" } });
     Next next = Next::Retry;
     do {
         ++this->rounds;
@@ -184,15 +181,21 @@
         co_return Next::GiveUp;
     }
     this->failure = "no_capacity";
-    auto candidates = this->state.healthyServers(this->context.service, ServerRole::Decode);
+    auto candidates = this->decodeEngines();
+    if (this->version && candidates.empty()) {
+        this->failure = "no_server_of_version";
+        this->context.trace.addFailure(began, "rejected_early",
+            { { "reason", "no_server_of_version" }, { "version", this->version->raw() } });
+        co_return Next::GiveUp;
+    }
     this->context.trace.add(began, "reservation_asked",
         { { "round", std::to_string(this->rounds) }, { "tokens", std::to_string(this->tokensNeeded()) },
             { "due_ms", millisecondsText(this->reservationDue() - began) },
             { "candidates", std::to_string(candidates.size()) },
             { "waiting", std::to_string(this->broker->waitingRequests()) },
             { "list_age_ms", millisecondsText(began - this->state.serversReadAt) } });
-    auto reservation = co_await this->broker->acquire(
-        this->context.trace, this->tokensNeeded(), this->reservationDue(), this->context.cancellation);
+    auto reservation = co_await this->broker->acquire(this->context.trace, this->tokensNeeded(),
+        this->version, this->reservationDue(), this->context.cancellation);
     if (this->context.cancellation.isCancelled()) {
         if (reservation)
             this->broker->cancel(*reservation);
@@ -226,6 +229,15 @@
     co_return co_await this->stream(*reservation, std::move(*kvCache));
 }
 
+std::vector<const ServerRecord*> GenerationCall::decodeEngines()
+{
+    auto engines = this->state.healthyServers(this->context.service, ServerRole::Decode);
+    if (this->version)
+        std::erase_if(
+            engines, [this](const ServerRecord* each) { return each->softwareVersion != *this->version; });
+    return engines;
+}
+
 bool GenerationCall::mustWaitForBackoff() const
 {
     TimePoint due = this->reservationDue();
@@ -416,6 +428,7 @@
     }
     this->state.reservedLoad.noteServed(server);
     ++this->runs;
+    this->runVersion = reservation.engine->record().softwareVersion;
     Next next = co_await this->forward(*answer, server);
     answer->abort();
     if (next == Next::Done)
@@ -482,6 +495,7 @@
         co_await this->deliver(answer, {});
     co_await this->context.exchange.endStream();
     this->state.health.record(server, ServerCallResult::Answered, this->state.now());
+    this->originLog.noteCompleted(this->context.request);
     std::uint32_t expected
         = this->context.request.size ? this->context.request.size->expectedOutputTokens : 0;
     this->state.outputs.record(
@@ -493,6 +507,15 @@
     co_return Next::Done;
 }
 
+void GenerationCall::noteBegun()
+{
+    if (this->version)
+        return;
+    this->version = this->runVersion;
+    if (this->context.route.isResumable)
+        this->originLog.noteBegun(this->context.request.attempt, { this->context.service, this->runVersion });
+}
+
 void GenerationCall::noteBrokenStream(ServerAnswer& answer, const ServerId& server, std::string detail)
 {
     TimePoint now = this->state.now();
@@ -520,6 +543,7 @@
     bool isOk = true;
     if (!this->hasBegun && (!sent.empty() || bytes.empty())) {
         this->hasBegun = true;
+        this->noteBegun();
         this->firstEvent = this->state.now() - this->context.request.arrivedAt;
         HttpResponse head = answer.head().response;
         head.body = std::move(sent);
--- a/src/libperidotgrade/gateway/group_member.cpp
+++ b/src/libperidotgrade/gateway/group_member.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace peridotgrade {
 
@@ -182,7 +181,7 @@
     if (expected && this->state.demandOf(service).isUnused())
         plan.updateIdle(engines, *expected);
     else
-        plan.update(engines, demand, { engine.roleSwitchTime, this->entryCount() }, this->state.now());
+        plan.update(engines, demand, { engine.roleSwitchTime, this->state.entryCount() }, this->state.now());
     if (plan.prefillTarget() != before)
         this->logTarget(service, engines.size(), before, demand);
     std::size_t changing = this->countChanging(service);
@@ -200,11 +199,6 @@
     co_return true;
 }
 
-std::uint32_t GroupMember::entryCount() const
-{
-    return this->retryShare > 0 ? static_cast<std::uint32_t>(std::lround(1 / this->retryShare)) : 1;
-}
-
 void GroupMember::logTarget(const ServiceId& service, std::size_t engines, std::uint32_t before,
     const std::optional<RoleDemand>& demand)
 {
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -101,7 +101,8 @@
     const ServerRecord* best = nullptr;
     double bestCost = 0;
     for (const ServerRecord* server : this->state.healthyServers(this->context.service, ServerRole::None)) {
-        if (this->tried.contains(server->id))
+        bool isOtherVersion = this->context.version && server->softwareVersion != *this->context.version;
+        if (isOtherVersion || this->tried.contains(server->id))
             continue;
         double cost = static_cast<double>(this->state.reservedLoad.tokensAt(server->id))
             + FailureWeight * this->state.health.failureShare(server->id) + this->state.random.unit() / 2;
--- a/src/libperidotgrade/gateway/reservation_broker.cpp
+++ b/src/libperidotgrade/gateway/reservation_broker.cpp
@@ -47,12 +47,13 @@
 {
 }
 
-asio::awaitable<std::optional<EngineReservation>> ReservationBroker::acquire(
-    RequestTrace& trace, std::uint32_t tokens, TimePoint due, CancellationSignal& cancellation)
+asio::awaitable<std::optional<EngineReservation>> ReservationBroker::acquire(RequestTrace& trace,
+    std::uint32_t tokens, std::optional<SoftwareVersion> version, TimePoint due,
+    CancellationSignal& cancellation)
 {
     auto self = this->shared_from_this();
     RequestId id { ++this->lastId };
-    if (!this->queue.add({ id, due, tokens }, this->state.now()))
+    if (!this->queue.add({ id, due, tokens, std::move(version) }, this->state.now()))
         co_return std::nullopt;
     auto waiter = std::make_shared<Waiter>(this->state.executor, trace);
     this->waiters[id] = waiter;
--- /dev/null
+++ b/src/libperidotgrade/gateway/stream_origin_log.cpp
@@ -0,0 +1,226 @@
+// Publication and search of stream origins.
+#include "peridotgrade/gateway/stream_origin_log.h"
+
+#include "peridotgrade/net/sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr const char* Topic = "peridotgrade.streams";
+    // A stream is on record this long after its first event. The store takes a few hundred writes a second
+    // from all entries together, so the interval grows with their number.
+    constexpr std::chrono::milliseconds MinPublishInterval { 100 };
+    constexpr std::chrono::milliseconds PublishIntervalPerEntry { 10 };
+    constexpr std::chrono::milliseconds PublishTimeout { 500 };
+    // A caller that resumes a stream waits meanwhile. The store answers within a few milliseconds.
+    constexpr std::chrono::milliseconds ReadTimeout { 200 };
+    // A record may still be on its way when its caller has already found another entry.
+    constexpr std::chrono::milliseconds SearchTime { 350 };
+    constexpr std::chrono::milliseconds SearchInterval { 60 };
+    // The list of servers is read every 1.4 s; one that is older than two reads may lack a new version.
+    constexpr std::chrono::milliseconds MaxListAge { 3000 };
+    // The length of a key is one byte.
+    constexpr std::size_t MaxKeyBytes = 255;
+    constexpr char Separator = '\n';
+
+    StoreRecord recordOf(const StreamOriginRecord& record)
+    {
+        return { {}, record.attempt, record.origin.version.raw() + Separator + record.origin.service.raw() };
+    }
+
+    std::optional<StreamOriginRecord> originFrom(const StoreRecord& record)
+    {
+        std::size_t end = record.value ? record.value->find(Separator) : std::string::npos;
+        if (end == std::string::npos)
+            return std::nullopt;
+        return StreamOriginRecord { record.key,
+            { ServiceId { record.value->substr(end + 1) },
+                SoftwareVersion { record.value->substr(0, end) } } };
+    }
+
+} // namespace
+
+/// One read of the topic, for all who wait for it.
+struct StreamOriginLog::Reading {
+    explicit Reading(const asio::any_io_executor& executor)
+        : done(executor, asio::steady_timer::time_point::max())
+    {
+    }
+
+    /// Never expires; it is cancelled to resume the waiting coroutines.
+    asio::steady_timer done;
+    bool isDone = false;
+    bool hasSucceeded = false;
+};
+
+StreamOriginLog::StreamOriginLog(GatewayState& state, StoreClient& store)
+    : state(state)
+    , store(store)
+{
+    // Streams that began while there was one version are published when there are two.
+    this->state.onMixedVersions = [this] { this->publishSoon(); };
+}
+
+void StreamOriginLog::noteBegun(const std::string& attempt, const StreamOrigin& origin)
+{
+    this->origins.noteBegun(attempt, origin, this->state.now());
+    if (this->isMixed(origin.service))
+        this->publishSoon();
+}
+
+void StreamOriginLog::noteCompleted(const GatewayRequest& request)
+{
+    this->origins.noteCompleted(request.attempt);
+    if (request.resumedAttempt)
+        this->origins.noteCompleted(*request.resumedAttempt);
+}
+
+bool StreamOriginLog::isMixed(const ServiceId& service) const
+{
+    auto found = this->state.versions.find(service);
+    return found != this->state.versions.end() && found->second.isMixed(this->state.now());
+}
+
+asio::awaitable<std::optional<StreamOrigin>> StreamOriginLog::originOf(
+    const GatewayRequest& request, ServiceId service)
+{
+    Missing missing = Missing::NotRecorded;
+    if (request.resumedAttempt) {
+        auto found = co_await this->find(*request.resumedAttempt, this->isMixed(service));
+        if (auto* origin = std::get_if<StreamOrigin>(&found)) {
+            this->state.metrics.countResumption("recorded");
+            co_return std::move(*origin);
+        }
+        missing = std::get<Missing>(found);
+    }
+    auto only = this->state.versions[service].onlyVersion(this->state.now());
+    bool isListCurrent = this->state.now() - this->state.serversReadAt <= MaxListAge;
+    if (only && (missing == Missing::NotRecorded || isListCurrent)) {
+        this->state.metrics.countResumption("only_version");
+        co_return StreamOrigin { std::move(service), std::move(*only) };
+    }
+    this->state.metrics.countResumption(
+        missing == Missing::NotRecorded ? "not_recorded" : "store_unavailable");
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::variant<StreamOrigin, StreamOriginLog::Missing>> StreamOriginLog::find(
+    const std::string& attempt, bool isMixed)
+{
+    TimePoint end = this->state.now() + SearchTime;
+    bool wasRead = false;
+    while (true) {
+        if (auto origin = this->origins.find(attempt))
+            co_return std::move(*origin);
+        // While there is one version, entries publish nothing that could still arrive.
+        if (this->state.now() >= end || (wasRead && !isMixed))
+            co_return wasRead ? Missing::NotRecorded : Missing::StoreUnavailable;
+        bool isRead = co_await this->refresh();
+        wasRead = wasRead || isRead;
+        if (!this->origins.find(attempt) && (isMixed || !isRead))
+            co_await sleepFor(this->state.executor, SearchInterval);
+    }
+}
+
+asio::awaitable<bool> StreamOriginLog::refresh()
+{
+    boost::system::error_code ignored;
+    // A read that has begun may have passed the place of the record.
+    if (auto earlier = this->current; earlier && !earlier->isDone)
+        co_await earlier->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    auto reading = this->current;
+    if (!reading || reading->isDone) {
+        reading = std::make_shared<Reading>(this->state.executor);
+        this->current = reading;
+        reading->hasSucceeded = co_await this->readToEnd();
+        reading->isDone = true;
+        reading->done.cancel();
+    } else {
+        co_await reading->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return reading->hasSucceeded;
+}
+
+asio::awaitable<bool> StreamOriginLog::readToEnd()
+{
+    TimePoint end = this->state.now() + ReadTimeout;
+    while (this->state.now() < end) {
+        auto left = std::chrono::ceil<std::chrono::milliseconds>(end - this->state.now());
+        auto batch = co_await this->store.read(Topic, this->next, std::chrono::milliseconds { 0 }, left);
+        if (auto* error = std::get_if<StoreError>(&batch)) {
+            if (error->kind != StoreError::Kind::Trimmed || error->first == this->next)
+                co_return false;
+            this->next = error->first;
+            continue;
+        }
+        auto& read = std::get<StoreBatch>(batch);
+        if (read.era != this->era) {
+            this->enterEra(read.era);
+            continue;
+        }
+        for (const StoreRecord& record : read.records) {
+            if (auto origin = originFrom(record))
+                this->origins.notePublished(*origin, this->state.now());
+        }
+        if (read.next == this->next)
+            co_return true;
+        this->next = read.next;
+    }
+    co_return false;
+}
+
+void StreamOriginLog::enterEra(std::uint64_t newEra)
+{
+    // Offsets start anew, and what was published last may be lost.
+    this->era = newEra;
+    this->next = LogOffset { 0 };
+    this->origins.startAnew();
+    this->publishSoon();
+}
+
+void StreamOriginLog::publishSoon()
+{
+    if (std::exchange(this->isPublishing, true))
+        return;
+    auto interval = std::max(MinPublishInterval, PublishIntervalPerEntry * this->state.entryCount());
+    this->state.subscribeAfter(
+        interval, [this] { asio::co_spawn(this->state.executor, this->publish(), asio::detached); });
+}
+
+asio::awaitable<void> StreamOriginLog::publish()
+{
+    auto records
+        = this->origins.takeUnpublished([this](const ServiceId& service) { return this->isMixed(service); });
+    std::vector<StoreRecord> batch;
+    for (const StreamOriginRecord& record : records) {
+        if (record.attempt.size() <= MaxKeyBytes)
+            batch.push_back(recordOf(record));
+    }
+    bool hasFailed = false;
+    if (!batch.empty()) {
+        auto appended = co_await this->store.append(Topic, batch, PublishTimeout);
+        hasFailed = std::holds_alternative<StoreError>(appended);
+        this->state.metrics.countPublishedOrigins(hasFailed ? "failed" : "appended", batch.size());
+        if (hasFailed)
+            this->origins.returnUnpublished(records);
+        else if (std::get<StoreAppended>(appended).era != this->era)
+            this->enterEra(std::get<StoreAppended>(appended).era);
+    }
+    this->isPublishing = false;
+    if (hasFailed)
+        this->publishSoon();
+}
+
+} // namespace peridotgrade
--- a/testsuite/gateway_soak/soak.py
+++ b/testsuite/gateway_soak/soak.py
@@ -31,7 +31,8 @@
     def __init__(self, build, seed, seconds, folder):
         self.random = random.Random(seed)
         self.seconds = seconds
-        self.platform = FakePlatform(seed=seed, prefills=2, decodes=4, plain_servers=3, events=60)
+        self.platform = FakePlatform(seed=seed, prefills=2, decodes=4, plain_servers=3, events=60,
+                                     versions=("v1", "v2"))
         self.links = [Relay(self.platform.store.address) for _ in range(GATEWAYS)]
         self.gateways = [Gateway(build, folder, f"gateway-{i}", link.address) for i, link in enumerate(self.links)]
         self.version = 10
@@ -172,6 +173,9 @@
             answer = caller.send(path, method, body, deadline_s=4.0, disconnect_after=leave)
             self.counts["sent"] += 1
             self.counts["served"] += answer.status == 200
+            if path.startswith("/resume/") and answer.status == 200 and not answer.is_whole and answer.events:
+                # The caller resumes its stream at some entry.
+                choice.choice(callers).send(path, method, body, deadline_s=4.0, resumed=answer)
             time.sleep(choice.uniform(0, 0.1))
 
     def run(self):
