--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import base64
+import bisect
 import collections
 import contextlib
 import json
@@ -13,6 +14,7 @@
 import struct
 import threading
 import time
+import weakref
 
 HOST = "site.example"
 MODEL_SERVICE = "reminders"
@@ -361,10 +363,21 @@
         self.extra_answers = False
         self.framing = "length"
         self.reset_inside_answers = False
+        # Answers with an error of its own.
+        self.fails = False
+        # Reads a further request on a connection and closes it without an answer.
+        self.ends_reused_connections = False
+        self.used_connections = weakref.WeakSet()
 
     async def handle_request(self, request, writer, reader, identity):
         attempt = self.record_run(request)
+        if self.ends_reused_connections and writer in self.used_connections:
+            raise ConnectionEnds
+        self.used_connections.add(writer)
         await asyncio.sleep(self.service_time_s)
+        if self.fails:
+            writer.write(response(500, headers={"X-Attempt-Id": attempt, "X-Server-Seal": f"seal-{attempt}"}))
+            return
         if self.lose_answers:
             writer.transport.abort()
             return
@@ -612,6 +625,18 @@
         if now + left > sent.sent_at + sent.deadline_s + 0.5:
             self.report_violation(f"{attempt} was forwarded with more time than the caller has left")
 
+    def check_retry_budget(self, ratio, extra, window_s):
+        """Checks that in each window the runs beyond the first of each request stay within the budget of all entries:
+        `ratio` of the requests of that window or the one before it, and `extra`."""
+        retries = sorted(at for history in self.run_history.values() for at, _ in history[1:])
+        requests = sorted(sent.sent_at for sent in self.sent.values())
+        count = lambda times, begin, end: bisect.bisect_left(times, end) - bisect.bisect_left(times, begin)
+        worst = max(((count(retries, begin, begin + window_s)
+                      - ratio * max(count(requests, begin - age, begin - age + window_s) for age in (0, window_s)),
+                      begin) for begin in retries), default=(0, 0))
+        if worst[0] > extra:
+            self.report_violation(f"{worst[0]:.1f} retries beyond the ratio within {window_s} s, {extra} are allowed")
+
     def record_event(self, attempt, engine):
         """Checks that all events of a stream are of one software version, over all attempts of its caller."""
         versions = self.stream_versions[self.sent[attempt].stream if attempt in self.sent else attempt]
--- a/testsuite/support/gateway.py
+++ b/testsuite/support/gateway.py
@@ -19,12 +19,13 @@
 
 
 class Gateway(Process):
-    def __init__(self, build, folder, name, store_address, stop_within=6):
+    def __init__(self, build, folder, name, store_address, stop_within=6, retries=None):
         self.port, self.ready_port, self.metrics_port = free_port(), free_port(), free_port()
         settings = {"nodeName": name, "dataCentre": "north", "callersListen": f"127.0.0.1:{self.port}",
                     "readinessListen": f"127.0.0.1:{self.ready_port}",
                     "metricsListen": f"127.0.0.1:{self.metrics_port}", "store": store_address, "storePartitions": 12,
-                    "retries": {"ratio": 0.2, "extra": 52, "windowSeconds": 10}, "stopWithinSeconds": stop_within,
+                    "retries": {"windowSeconds": 10, **(retries or {"ratio": 0.2, "extra": 52})},
+                    "stopWithinSeconds": stop_within,
                     "dutyLeaseMs": 1000}
         self.settings_path = os.path.join(folder, f"{name}.json")
         with open(self.settings_path, "w") as file:
@@ -152,11 +153,11 @@
 
 
 @contextlib.contextmanager
-def platform_site(build, gateways=1, stop_within=6, **options):
+def platform_site(build, gateways=1, stop_within=6, retries=None, **options):
     """A fake platform with gateways that are ready. Stops everything at the end and fails on any violation."""
     with tempfile.TemporaryDirectory() as folder:
         platform = FakePlatform(**options)
-        nodes = [Gateway(build, folder, f"gateway-{i + 1}", platform.store.address, stop_within)
+        nodes = [Gateway(build, folder, f"gateway-{i + 1}", platform.store.address, stop_within, retries)
                  for i in range(gateways)]
         try:
             for node in nodes:
