Take the retry budget before a request is sent again on a new connection

Cause: if a kept connection ended before the first byte of an answer, the server client sent a repeatable request once more by itself, as after a close of an idle connection. The request may have arrived, and the retry budget, which is kept above the client, never heard of the second send. One reset of many connections repeats every read and every prefill that they carry. The class of fault: a repeat below the layer that counts repeats.

Calls that are no attempts of a request (reports, reservations, releases) are sent again as before. Looked for elsewhere: refused connections add no load and stay free; plain calls and prefills were the only repeatable attempts.

--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -35,6 +35,8 @@
     /// it would be taken in vain.
     bool hasPrefillBudget();
     bool takeRunBudget();
+    /// Takes the budget for sending a prefill once more after its connection has ended.
+    bool takePrefillResendBudget();
     void notePrefillFailure(const ServerId& server, const CallFailure& failed, Duration took);
     boost::asio::awaitable<Next> stream(const EngineReservation& reservation, KvLocation kvCache);
     /// Passes a stream on. A resumable one goes on elsewhere if the server breaks it off; a stream that ends
--- a/src/include/peridotgrade/gateway/plain_call.h
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -28,6 +28,8 @@
     /// The limit that forbids another send, to `next` if it is not null; empty if there is none. Takes a
     /// retry from the budget if the send is one.
     std::string_view limitReached(const ServerRecord* next);
+    /// Takes the budget for sending a request once more after its connection has ended.
+    bool takeResendBudget();
     void noteNoSend(std::string_view limit);
     bool canRunAgain() const;
     Duration attemptTime() const;
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -291,6 +291,15 @@
     co_return std::nullopt;
 }
 
+bool GenerationCall::takePrefillResendBudget()
+{
+    this->retryAccounting.notePrefillReached();
+    if (this->retryAccounting.tryPrefill(this->state.now()))
+        return true;
+    this->noteNoRetry("retry_budget");
+    return false;
+}
+
 bool GenerationCall::takeRunBudget()
 {
     bool isRetry = this->retryAccounting.isNextRunRetry();
@@ -313,7 +322,9 @@
                            .prefillTimeout(this->promptTokens())
                            .value_or(InitialPrefillTimeout);
     auto timeLimit = std::chrono::ceil<std::chrono::milliseconds>(std::min(longest, due - began));
-    auto result = co_await client->prefill(this->context.request, timeLimit, this->context.cancellation);
+    auto result = co_await client->prefill(
+        this->context.request, timeLimit, [this] { return this->takePrefillResendBudget(); },
+        this->context.cancellation);
     this->state.prefillLoad.release(server, this->promptTokens());
     if (auto* failed = std::get_if<CallFailure>(&result)) {
         if (failed->mayHaveRun || failed->isRefusal)
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -71,6 +71,17 @@
     return {};
 }
 
+bool PlainCall::takeResendBudget()
+{
+    this->retryAccounting.noteRunReached();
+    if (!this->retryAccounting.tryRun(this->state.now())) {
+        this->noteNoSend("retry_budget");
+        return false;
+    }
+    this->state.metrics.countRetry(this->context.service.raw());
+    return true;
+}
+
 void PlainCall::noteNoSend(std::string_view limit)
 {
     TimePoint now = this->state.now();
@@ -125,7 +136,8 @@
     this->lastServer = server.raw();
     RunOptions options;
     options.timeLeft = timeLeft(this->state, this->context);
-    options.isRepeatable = this->context.route.kind == CallKind::Idempotent;
+    if (this->context.route.kind == CallKind::Idempotent)
+        options.mayResend = [this] { return this->takeResendBudget(); };
     this->context.trace.add(this->state.now(), "call_sent",
         { { "server", this->lastServer },
             { "own_calls_there", std::to_string(this->state.reservedLoad.tokensAt(server)) },
