Let a gained share of the retry budget refill before it is spent

Cause: an entry that started, or gained partitions of the group, could spend its new share of the fixed allowance at once, although the former holder of that share, or the same entry before its restart, may have spent it within the same window. The class of fault: a limit over all nodes that is kept by each node's own memory, which a change of hands or a restart forgets.

Change: the fixed allowance is a token bucket, which starts empty, holds the share and refills once in a window. A retry is paid by the ratio of own requests first and by the bucket for the rest. All entries together spend at most a full bucket and its refill within a window, whatever moves.

Shares that move every 0.2 s and every second stay within the bounds. Two checks expected that a share can be spent at the moment it is set, and that all of it returns after a window: they are replaced by ones that expect nothing then, and the refill at its rate.

--- a/src/include/peridotgrade/core/serving/retry_budget_share.h
+++ b/src/include/peridotgrade/core/serving/retry_budget_share.h
@@ -18,22 +18,26 @@
     std::chrono::milliseconds window { 10000 };
 };
 
-/// Allows retries up to the ratio of the entry's own requests plus its share of the fixed allowance, counted
-/// over a sliding window. The shares of all entries sum to at most one, so their retries stay within the
-/// limits for any number of entries. There is one object for each service. Not thread safe.
+/// Allows retries up to the ratio of the entry's own requests within a sliding window, plus its share of the
+/// fixed allowance. The shares of all entries sum to at most one, so their retries stay within the limits for
+/// any number of entries. There is one object for each service. Not thread safe.
+///
+/// The fixed allowance is a token bucket that holds the share and refills once in a window. A share that is
+/// gained, also by an entry that has just started, brings no tokens: its former holder may have spent them.
+/// So within a window all entries together spend what their buckets held at its begin and what refills since,
+/// however often shares move.
 class RetryBudgetShare {
 public:
     /// Usable part of the ratio, which applies to this entry's own requests: the window in which the limit is
     /// checked and this window may start at different times.
     static constexpr double UsableRatio = 0.85;
-    /// Usable part of the fixed allowance: a share may move to another entry within a window, and be spent by
-    /// both.
+    /// Usable part of the fixed allowance: within one window a full bucket and its refill may be spent.
     static constexpr double UsableExtra = 0.5;
 
     explicit RetryBudgetShare(RetryBudgetLimits limits);
 
     /// Sets this entry's share of the fixed allowance, 0 to 1.
-    void setShare(double value) { this->share = value; }
+    void setShare(double value, TimePoint now);
     void recordRequest(TimePoint now);
     /// Takes one retry from the budget; returns false if none is left.
     bool trySpend(TimePoint now);
@@ -42,11 +46,24 @@
 
 private:
     void removeExpired(TimePoint now);
+    void refill(TimePoint now);
+    /// Retries that the ratio still allows; zero if requests that allowed some have expired.
+    double ratioLeft() const;
+
+    /// Part of a retry that the ratio paid for; the bucket paid for the rest.
+    struct Payment {
+        TimePoint at;
+        double amount = 0;
+    };
 
     RetryBudgetLimits limits;
-    double share = 0;
+    /// Tokens that the bucket holds when it is full.
+    double capacity = 0;
+    /// Invariant: at most `capacity`.
+    double tokens = 0;
+    TimePoint refilledAt {};
     std::deque<TimePoint> requests;
-    std::deque<TimePoint> spent;
+    std::deque<Payment> paidByRatio;
 };
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/core/serving/retry_accounting_test.cpp
+++ b/src/libperidotgrade/core/serving/retry_accounting_test.cpp
@@ -8,16 +8,16 @@
 
 namespace {
 
-/// A budget of exactly one retry.
+constexpr TimePoint Now { 100s };
+
+/// A budget of exactly one retry, held for a window.
 RetryBudgetShare budgetOfOneRetry()
 {
     RetryBudgetShare share(RetryBudgetLimits { 0, 1 / RetryBudgetShare::UsableExtra, 10s });
-    share.setShare(1);
+    share.setShare(1, Now - 10s);
     return share;
 }
 
-constexpr TimePoint Now { 100s };
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RetryAccountingTest)
--- a/src/libperidotgrade/core/serving/retry_budget_share_test.cpp
+++ b/src/libperidotgrade/core/serving/retry_budget_share_test.cpp
@@ -16,23 +16,47 @@
 {
     RetryBudgetShare share(RetryBudgetLimits { 0.2, 52, 10s });
     BOOST_TEST(!share.trySpend(TimePoint { 1s }));
-    share.setShare(1);
-    BOOST_TEST(share.trySpend(TimePoint { 1s }));
+    share.setShare(1, TimePoint { 1s });
+    BOOST_TEST(share.trySpend(TimePoint { 11s }));
+}
+
+BOOST_AUTO_TEST_CASE(shareThatIsGainedBringsNothingThatItsFormerHolderMayHaveSpent)
+{
+    RetryBudgetShare share(RetryBudgetLimits { 0, 52, 10s });
+    share.setShare(1, TimePoint { 1s });
+    BOOST_TEST(!share.trySpend(TimePoint { 1s }));
+    share.setShare(0, TimePoint { 11s });
+    share.setShare(1, TimePoint { 11s });
+    BOOST_TEST(!share.trySpend(TimePoint { 11s }));
 }
 
-BOOST_AUTO_TEST_CASE(budgetReturnsWhenTheWindowHasPassed)
+BOOST_AUTO_TEST_CASE(bucketRefillsOnceInAWindow)
 {
     RetryBudgetShare share(RetryBudgetLimits { 0, 4, 10s });
-    share.setShare(1);
-    BOOST_TEST(share.trySpend(TimePoint { 1s }));
-    BOOST_TEST(share.trySpend(TimePoint { 1s }));
-    BOOST_TEST(!share.trySpend(TimePoint { 10s }));
+    share.setShare(1, TimePoint { 1s });
+    BOOST_TEST(share.trySpend(TimePoint { 11s }));
+    BOOST_TEST(share.trySpend(TimePoint { 11s }));
+    BOOST_TEST(!share.trySpend(TimePoint { 15s }));
+    BOOST_TEST(share.trySpend(TimePoint { 16s }));
+    BOOST_TEST(!share.trySpend(TimePoint { 20s }));
+    BOOST_TEST(share.trySpend(TimePoint { 21s }));
+}
+
+BOOST_AUTO_TEST_CASE(ratioAndBucketPayForARetryTogether)
+{
+    RetryBudgetShare share(RetryBudgetLimits { 0.2 / RetryBudgetShare::UsableRatio, 1, 10s });
+    share.setShare(1, TimePoint { 1s });
+    for (int request = 0; request < 3; ++request)
+        share.recordRequest(TimePoint { 11s });
     BOOST_TEST(share.trySpend(TimePoint { 11s }));
+    BOOST_TEST(share.left(TimePoint { 11s }) < 0.2);
 }
 
-BOOST_AUTO_TEST_CASE(allEntriesTogetherStayWithinTheBounds)
+namespace {
+
+// Shares move between entries in the middle of a window, as when entries join and leave.
+void checkThatEntriesStayWithinTheBounds(int stepsBetweenMoves)
 {
-    // Shares move between entries in the middle of a window, as when entries join and leave.
     constexpr std::size_t Entries = 7;
     constexpr RetryBudgetLimits Limits { 0.2, 52, 10s };
     for (std::uint64_t seed = 1; seed <= 50; ++seed) {
@@ -42,10 +66,10 @@
         std::vector<TimePoint> retries;
         for (int step = 0; step < 4000; ++step) {
             TimePoint now { 10ms * step };
-            if (step % 1000 == 0) {
+            if (step % stepsBetweenMoves == 0) {
                 std::size_t holders = 1 + random.below(Entries);
                 for (std::size_t entry = 0; entry < Entries; ++entry)
-                    shares[entry].setShare(entry < holders ? 1.0 / static_cast<double>(holders) : 0);
+                    shares[entry].setShare(entry < holders ? 1.0 / static_cast<double>(holders) : 0, now);
             }
             RetryBudgetShare& share = shares[random.below(Entries)];
             if (random.below(4) == 0) {
@@ -66,4 +90,14 @@
     }
 }
 
+} // namespace
+
+BOOST_AUTO_TEST_CASE(allEntriesTogetherStayWithinTheBounds) { checkThatEntriesStayWithinTheBounds(1000); }
+
+BOOST_AUTO_TEST_CASE(sharesThatMoveManyTimesInAWindowAreNotSpentEachTime)
+{
+    checkThatEntriesStayWithinTheBounds(100);
+    checkThatEntriesStayWithinTheBounds(20);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -44,7 +44,7 @@
 {
     auto [share, isNew] = this->retryBudgets.try_emplace(service, this->settings.retries);
     if (isNew)
-        share->second.setShare(this->retryShare);
+        share->second.setShare(this->retryShare, this->now());
     return share->second;
 }
 
@@ -52,7 +52,7 @@
 {
     this->retryShare = retryShare;
     for (auto& [service, share] : this->retryBudgets)
-        share.setShare(retryShare);
+        share.setShare(retryShare, this->now());
 }
 
 std::uint32_t GatewayState::entryCount() const
