Read stream origins with one call, and publish them sooner at large sites

Cause: a read of the topic was followed by another one only to find its end, and with 60 entries an origin was on record 600 ms after its first event, longer than an entry looks for it.

Change: a batch knows the end of its topic; 5 ms of interval for each entry, and the search lasts an interval and 250 ms.

--- a/src/include/peridotgrade/gateway/stream_origin_log.h
+++ b/src/include/peridotgrade/gateway/stream_origin_log.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -51,6 +52,7 @@
     boost::asio::awaitable<bool> refresh();
     boost::asio::awaitable<bool> readToEnd();
     bool isMixed(const ServiceId& service) const;
+    std::chrono::milliseconds publishInterval() const;
     void publishSoon();
     boost::asio::awaitable<void> publish();
     void enterEra(std::uint64_t newEra);
--- a/src/libperidotgrade/gateway/stream_origin_log.cpp
+++ b/src/libperidotgrade/gateway/stream_origin_log.cpp
@@ -22,12 +22,13 @@
     // A stream is on record this long after its first event. The store takes a few hundred writes a second
     // from all entries together, so the interval grows with their number.
     constexpr std::chrono::milliseconds MinPublishInterval { 100 };
-    constexpr std::chrono::milliseconds PublishIntervalPerEntry { 10 };
+    constexpr std::chrono::milliseconds PublishIntervalPerEntry { 5 };
     constexpr std::chrono::milliseconds PublishTimeout { 500 };
     // A caller that resumes a stream waits meanwhile. The store answers within a few milliseconds.
     constexpr std::chrono::milliseconds ReadTimeout { 200 };
-    // A record may still be on its way when its caller has already found another entry.
-    constexpr std::chrono::milliseconds SearchTime { 350 };
+    // A record may still be on its way when its caller has already found another entry: an interval, and
+    // this.
+    constexpr std::chrono::milliseconds SearchMargin { 250 };
     constexpr std::chrono::milliseconds SearchInterval { 60 };
     // The list of servers is read every 1.4 s; one that is older than two reads may lack a new version.
     constexpr std::chrono::milliseconds MaxListAge { 3000 };
@@ -119,7 +120,7 @@
 asio::awaitable<std::variant<StreamOrigin, StreamOriginLog::Missing>> StreamOriginLog::find(
     const std::string& attempt, bool isMixed)
 {
-    TimePoint end = this->state.now() + SearchTime;
+    TimePoint end = this->state.now() + this->publishInterval() + SearchMargin;
     bool wasRead = false;
     while (true) {
         if (auto origin = this->origins.find(attempt))
@@ -174,9 +175,9 @@
             if (auto origin = originFrom(record))
                 this->origins.notePublished(*origin, this->state.now());
         }
-        if (read.next == this->next)
-            co_return true;
         this->next = read.next;
+        if (read.next >= read.end)
+            co_return true;
     }
     co_return false;
 }
@@ -190,13 +191,18 @@
     this->publishSoon();
 }
 
+std::chrono::milliseconds StreamOriginLog::publishInterval() const
+{
+    return std::max<std::chrono::milliseconds>(
+        MinPublishInterval, PublishIntervalPerEntry * this->state.entryCount());
+}
+
 void StreamOriginLog::publishSoon()
 {
     if (std::exchange(this->isPublishing, true))
         return;
-    auto interval = std::max(MinPublishInterval, PublishIntervalPerEntry * this->state.entryCount());
-    this->state.subscribeAfter(
-        interval, [this] { asio::co_spawn(this->state.executor, this->publish(), asio::detached); });
+    this->state.subscribeAfter(this->publishInterval(),
+        [this] { asio::co_spawn(this->state.executor, this->publish(), asio::detached); });
 }
 
 asio::awaitable<void> StreamOriginLog::publish()
