--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -23,6 +23,10 @@
 private:
     enum class Next : std::uint8_t { Done, Retry, GiveUp };
 
+    /// Prefill, hand-over and the first event at a busy engine take about this long after a reservation is
+    /// granted.
+    static constexpr std::chrono::milliseconds TimeToFirstEvent { 300 };
+
     /// One round of reservation, prefill and stream.
     boost::asio::awaitable<Next> attempt();
     boost::asio::awaitable<std::optional<KvLocation>> prefill(const EngineReservation& reservation);
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -1,13 +1,8 @@
-// Rounds of reservation, prefill and stream of a generation, with their retries.
+// Rounds of a generation: reservations, runs and their retries.
 #include "peridotgrade/gateway/generation_call.h"
 
 #include "peridotgrade/core/serving/retry_after.h"
 #include "peridotgrade/gateway/final_answer.h"
-#include "peridotgrade/net/sleep.h"
-#include "peridotgrade/net/whole_body.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 
@@ -16,9 +11,6 @@
 namespace asio = boost::asio;
 
 namespace {
-    // Prefill, hand-over and the first event at a busy engine take about this long after a reservation is
-    // granted.
-    constexpr std::chrono::milliseconds TimeToFirstEvent { 300 };
     // Callers give up a stream without an event after four seconds at the earliest.
     constexpr std::chrono::milliseconds MaxSilence { 3300 };
     // A caller's first attempt has at least this share of the route's time.
@@ -27,19 +19,6 @@
     constexpr std::chrono::milliseconds MinReservationWait { 250 };
     // Rounds of reservation, prefill and stream of one request.
     constexpr std::uint32_t MaxRounds = 3;
-    constexpr std::uint32_t MaxPrefills = 4;
-    // Delay before prefill engines that were all full are tried again: about half a prefill.
-    constexpr std::chrono::milliseconds PrefillRetryDelay { 40 };
-    // Until the first prefills have been measured; then `EngineDemand::prefillTimeout` decides.
-    constexpr std::chrono::milliseconds InitialPrefillTimeout { 1200 };
-    // A stream is resumed at another engine after a silence of this many times its route's longest pause.
-    constexpr int StallGapCount = 5;
-    // Time from the choice of another engine until it has requested the KV cache: a reservation and a
-    // request, with a round trip of some milliseconds each, and the engine's next step.
-    constexpr std::chrono::milliseconds HandOverTime { 100 };
-    // A report is answered within a round trip.
-    constexpr std::chrono::milliseconds ReportTimeout { 500 };
-    constexpr std::uint16_t Success = 200;
 } // namespace
 
 GenerationCall::GenerationCall(GatewayState& state, RequestContext& context, const EngineSpec& engine,
@@ -85,14 +64,6 @@
     return std::min(size.promptTokens + output, this->engine.kvCapacityTokens);
 }
 
-Duration GenerationCall::readTimeout() const
-{
-    Duration left
-        = std::max<Duration>(this->context.deadline - this->state.now(), std::chrono::milliseconds { 1 });
-    bool isStallWatched = this->hasBegun && this->canResume() && this->context.route.gapTarget.count() > 0;
-    return isStallWatched ? std::min<Duration>(left, this->context.route.gapTarget * StallGapCount) : left;
-}
-
 asio::awaitable<void> GenerationCall::serve()
 {
     this->state.retryBudgetOf(this->context.service).recordRequest(this->state.now());
@@ -124,12 +95,6 @@
     return false;
 }
 
-bool GenerationCall::hasPrefillBudget()
-{
-    bool isRetry = !this->unusedCache && this->retryAccounting.prefillsReached() > 0;
-    return !isRetry || this->state.retryBudgetOf(this->context.service).left(this->state.now()) >= 1;
-}
-
 void GenerationCall::noteNoRetry(std::string_view limit)
 {
     TimePoint now = this->state.now();
@@ -249,57 +214,6 @@
     return false;
 }
 
-asio::awaitable<std::optional<KvLocation>> GenerationCall::prefill(const EngineReservation& reservation)
-{
-    Duration cost = this->state.demandOf(this->context.service)
-                        .prefillCost()
-                        .estimate(this->promptTokens())
-                        .value_or(TimeToFirstEvent / 2);
-    // A prefill that ends later finds its reservation expired, and is wasted. A prompt that takes longer than
-    // any reservation lasts is tried all the same: the decode engine may have room without one.
-    bool fits = this->state.now() + cost + HandOverTime < reservation.expiresAt;
-    TimePoint end = fits ? std::min(reservation.expiresAt, this->context.deadline) : this->context.deadline;
-    TimePoint latest = end - HandOverTime - cost;
-    while (!this->context.cancellation.isCancelled() && this->state.now() < latest) {
-        auto engines = this->state.healthyServers(this->context.service, ServerRole::Prefill);
-        auto choice = this->state.prefillLoad.choose(engines, reservation.engine->record().dataCentre,
-            this->promptTokens(), this->state.now(), this->state.random);
-        if (!choice) {
-            auto until = this->state.allBackingOffUntil(this->context.service, ServerRole::Prefill);
-            if (until && *until >= latest)
-                co_return std::nullopt;
-            co_await sleepFor(this->state.executor, PrefillRetryDelay);
-            continue;
-        }
-        bool isLimitReached = this->retryAccounting.prefillsReached() >= MaxPrefills;
-        if (isLimitReached || !this->retryAccounting.tryPrefill(this->state.now())) {
-            this->noteNoRetry(isLimitReached ? "prefills" : "retry_budget");
-            co_return std::nullopt;
-        }
-        this->context.trace.add(this->state.now(), "prefill_sent",
-            { { "server", choice->raw() }, { "tokens", std::to_string(this->promptTokens()) },
-                { "candidates", std::to_string(engines.size()) },
-                { "own_tokens_there", std::to_string(this->state.prefillLoad.tokensAt(*choice)) } });
-        auto kvCache = co_await this->prefillAt(*choice, latest + cost);
-        if (kvCache)
-            co_return kvCache;
-    }
-    if (!this->context.cancellation.isCancelled())
-        this->context.trace.addFailure(this->state.now(), "prefill_missed",
-            { { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
-                { "reservation_left_ms", millisecondsText(reservation.expiresAt - this->state.now()) } });
-    co_return std::nullopt;
-}
-
-bool GenerationCall::takePrefillResendBudget()
-{
-    this->retryAccounting.notePrefillReached();
-    if (this->retryAccounting.tryPrefill(this->state.now()))
-        return true;
-    this->noteNoRetry("retry_budget");
-    return false;
-}
-
 bool GenerationCall::takeRunBudget()
 {
     bool isRetry = this->retryAccounting.isNextRunRetry();
@@ -310,68 +224,6 @@
     return true;
 }
 
-asio::awaitable<std::optional<KvLocation>> GenerationCall::prefillAt(ServerId server, TimePoint due)
-{
-    const ServerRecord* record = this->state.directory.find(server);
-    if (record == nullptr)
-        co_return std::nullopt;
-    auto client = this->state.clients.clientFor(*record);
-    TimePoint began = this->state.now();
-    this->state.prefillLoad.reserve(server, this->promptTokens());
-    Duration longest = this->state.demandOf(this->context.service)
-                           .prefillTimeout(this->promptTokens())
-                           .value_or(InitialPrefillTimeout);
-    auto timeLimit = std::chrono::ceil<std::chrono::milliseconds>(std::min(longest, due - began));
-    auto result = co_await client->prefill(
-        this->context.request, timeLimit, [this] { return this->takePrefillResendBudget(); },
-        this->context.cancellation);
-    this->state.prefillLoad.release(server, this->promptTokens());
-    if (auto* failed = std::get_if<CallFailure>(&result)) {
-        if (failed->mayHaveRun || failed->isRefusal)
-            this->retryAccounting.notePrefillReached();
-        Duration took = this->state.now() - began;
-        if (took >= timeLimit && !this->context.cancellation.isCancelled())
-            this->state.demandOf(this->context.service).recordTimedOutPrefill(this->promptTokens(), took);
-        this->notePrefillFailure(server, *failed, this->state.now() - began);
-        co_return std::nullopt;
-    }
-    this->context.trace.add(this->state.now(), "prefill_done",
-        { { "server", server.raw() }, { "took_ms", millisecondsText(this->state.now() - began) } });
-    this->retryAccounting.notePrefillReached();
-    this->state.health.record(server, ServerCallResult::Answered, this->state.now());
-    this->state.prefillLoad.noteServed(server);
-    this->cacheUsableUntil = this->state.now() + this->engine.kvHandleLifetime - HandOverTime;
-    this->state.demandOf(this->context.service)
-        .recordPrefill(this->promptTokens(), this->state.now() - began);
-    this->state.metrics.addPrefill(this->state.now() - began);
-    co_return std::get<KvLocation>(std::move(result));
-}
-
-void GenerationCall::notePrefillFailure(const ServerId& server, const CallFailure& failed, Duration took)
-{
-    this->lastDetail = failed.detail;
-    if (this->context.cancellation.isCancelled())
-        return;
-    TimePoint now = this->state.now();
-    // An engine in the other role answers like another server; it may still serve in that role.
-    if (failed.isMisdirected) {
-        this->state.prefillLoad.noteSuperseded(server, now);
-    } else if (failed.isRefusal) {
-        this->state.prefillLoad.noteUnusable(server, now);
-        if (const ServerRecord* record = this->state.directory.find(server))
-            this->checkRoleInBackground(this->state.clients.clientFor(*record), ServerRole::Prefill);
-    } else {
-        this->state.noteFailure(server, failed);
-    }
-    this->context.trace.addFailure(now, "prefill_failed",
-        { { "server", server.raw() }, { "took_ms", millisecondsText(took) }, { "detail", failed.detail } });
-}
-
-std::uint32_t GenerationCall::promptTokens() const
-{
-    return this->context.request.size ? this->context.request.size->promptTokens : 1;
-}
-
 asio::awaitable<GenerationCall::Next> GenerationCall::stream(
     const EngineReservation& reservation, KvLocation kvCache)
 {
@@ -460,165 +312,4 @@
             { "detail", this->lastDetail } });
 }
 
-std::optional<KvLocation> GenerationCall::takeUnusedCache()
-{
-    auto cache = std::exchange(this->unusedCache, std::nullopt);
-    if (cache && this->state.now() < this->cacheUsableUntil)
-        return cache;
-    if (cache)
-        this->freeInBackground(*cache);
-    return std::nullopt;
-}
-
-asio::awaitable<GenerationCall::Next> GenerationCall::forward(ServerAnswer& answer, const ServerId& server)
-{
-    if (answer.head().response.status != Success && !this->hasBegun)
-        co_return co_await this->forwardErrorAnswer(answer, server);
-    if (answer.head().response.status != Success) {
-        this->lastDetail = "status " + std::to_string(answer.head().response.status) + " on resuming";
-        co_return Next::Retry;
-    }
-    bool isEmpty = true;
-    while (true) {
-        this->context.cancellation.setHandler([&answer] { answer.abort(); });
-        auto piece = co_await answer.readBody(this->readTimeout());
-        this->context.cancellation.clearHandler();
-        if (this->context.cancellation.isCancelled())
-            co_return Next::Retry;
-        if (auto* error = std::get_if<NetError>(&piece)) {
-            this->noteBrokenStream(answer, server, std::move(error->detail));
-            co_return Next::Retry;
-        }
-        std::string& bytes = std::get<std::string>(piece);
-        if (bytes.empty())
-            break;
-        isEmpty = false;
-        if (!co_await this->deliver(answer, std::move(bytes)))
-            co_return Next::Retry;
-    }
-    // The end of the connection alone does not tell a complete stream without events from a lost one.
-    bool isLost = isEmpty && answer.framing() == BodyFraming::ConnectionEnd;
-    if (isLost || this->framer.hasPartialEvent()) {
-        this->noteBrokenStream(answer, server, isLost ? "end of connection" : "end inside an event");
-        co_return Next::Retry;
-    }
-    if (!this->hasBegun)
-        co_await this->deliver(answer, {});
-    co_await this->context.exchange.endStream();
-    this->state.health.record(server, ServerCallResult::Answered, this->state.now());
-    this->originLog.noteCompleted(this->context.request);
-    std::uint32_t expected
-        = this->context.request.size ? this->context.request.size->expectedOutputTokens : 0;
-    this->state.outputs.record(
-        this->context.route.name, expected, this->framer.events() * this->engine.tokensPerEvent);
-    noteAnswered(this->state, this->context,
-        { Success, server.raw(), this->rounds, answer.framing(),
-            StreamSummary { this->firstEvent.value_or(Duration::zero()), this->longestPause,
-                this->framer.events(), this->framer.hasPartialEvent() } });
-    co_return Next::Done;
-}
-
-void GenerationCall::noteBegun()
-{
-    if (this->version)
-        return;
-    this->version = this->runVersion;
-    if (this->context.route.isResumable)
-        this->originLog.noteBegun(this->context.request.attempt, { this->context.service, this->runVersion });
-}
-
-void GenerationCall::noteBrokenStream(ServerAnswer& answer, const ServerId& server, std::string detail)
-{
-    TimePoint now = this->state.now();
-    this->lastDetail = std::move(detail);
-    this->failure = timeLeft(this->state, this->context).count() == 0 ? "deadline_passed" : "server_lost";
-    this->state.health.record(server, ServerCallResult::Unreachable, now);
-    this->context.trace.addFailure(now, "stream_broken",
-        { { "server", server.raw() }, { "framing", std::string { nameOf(answer.framing()) } },
-            { "events", std::to_string(this->framer.events()) },
-            { "partial_event", this->framer.hasPartialEvent() ? "true" : "false" },
-            { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
-            { "detail", this->lastDetail } });
-    this->framer.dropPartialEvent();
-}
-
-asio::awaitable<bool> GenerationCall::deliver(ServerAnswer& answer, std::string bytes)
-{
-    TimePoint now = this->state.now();
-    if (this->hasBegun)
-        this->longestPause = std::max(this->longestPause, now - this->lastPieceAt);
-    this->lastPieceAt = now;
-    std::string completeEvents = this->framer.push(bytes);
-    // Only resumable streams have to be cut at event boundaries.
-    std::string& sent = this->context.route.isResumable ? completeEvents : bytes;
-    bool isOk = true;
-    if (!this->hasBegun && (!sent.empty() || bytes.empty())) {
-        this->hasBegun = true;
-        this->noteBegun();
-        this->firstEvent = this->state.now() - this->context.request.arrivedAt;
-        HttpResponse head = answer.head().response;
-        head.body = std::move(sent);
-        isOk = co_await this->context.exchange.beginStream(std::move(head));
-    } else if (!sent.empty()) {
-        isOk = co_await this->context.exchange.writeChunk(std::move(sent));
-    }
-    if (!isOk)
-        this->context.cancellation.cancel();
-    co_return isOk;
-}
-
-asio::awaitable<GenerationCall::Next> GenerationCall::forwardErrorAnswer(
-    ServerAnswer& answer, const ServerId& server)
-{
-    HttpResponse response = answer.head().response;
-    this->context.cancellation.setHandler([&answer] { answer.abort(); });
-    auto body = co_await readWholeBody(answer, this->context.deadline);
-    this->context.cancellation.clearHandler();
-    if (auto* error = std::get_if<NetError>(&body)) {
-        this->lastDetail = error->detail;
-        co_return Next::Retry;
-    }
-    response.body = std::get<std::string>(std::move(body));
-    this->state.health.record(server, ServerCallResult::ServerError, this->state.now());
-    std::uint16_t status = response.status;
-    co_await this->context.exchange.respond(std::move(response));
-    noteAnswered(this->state, this->context, { status, server.raw(), this->rounds, answer.framing(), {} });
-    co_return Next::Done;
-}
-
-void GenerationCall::checkRoleInBackground(std::shared_ptr<ServerClient> engineClient, ServerRole role)
-{
-    if (this->state.isBackingOff(engineClient->record()))
-        return;
-    asio::co_spawn(
-        this->state.executor,
-        [](GatewayState& state, std::shared_ptr<ServerClient> client, ServerRole role,
-            Duration switchTime) -> asio::awaitable<void> {
-            auto report = co_await client->report(ReportTimeout);
-            auto* found = std::get_if<EngineReport>(&report);
-            if (found == nullptr || (!found->isCommandInProgress && found->role == role))
-                co_return;
-            EngineLoad& load = role == ServerRole::Prefill ? state.prefillLoad : state.reservedLoad;
-            load.noteChangingRole(client->record().id, state.now() + switchTime);
-            state.log.write(LogLevel::Info, "role_change_seen", { { "server", client->record().id.raw() } });
-        }(this->state, std::move(engineClient), role, this->engine.roleSwitchTime),
-        asio::detached);
-}
-
-void GenerationCall::freeInBackground(const KvLocation& kvCache)
-{
-    for (const ServerRecord* record : this->state.directory.all()) {
-        // The engine frees an unused KV cache by itself soon after.
-        if (record->address != kvCache.engineAddress || this->state.isBackingOff(*record))
-            continue;
-        asio::co_spawn(
-            this->state.executor,
-            [](std::shared_ptr<ServerClient> client, KvHandle handle) -> asio::awaitable<void> {
-                co_await client->freeKvCache(std::move(handle));
-            }(this->state.clients.clientFor(*record), kvCache.handle),
-            asio::detached);
-        return;
-    }
-}
-
 } // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/gateway/generation_prefill.cpp
@@ -0,0 +1,196 @@
+// Prefill of a generation: choice of the engine, retries, and what becomes of a KV cache.
+#include "peridotgrade/gateway/generation_call.h"
+
+#include "peridotgrade/gateway/final_answer.h"
+#include "peridotgrade/net/sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::uint32_t MaxPrefills = 4;
+    // Delay before prefill engines that were all full are tried again: about half a prefill.
+    constexpr std::chrono::milliseconds PrefillRetryDelay { 40 };
+    // Until the first prefills have been measured; then `EngineDemand::prefillTimeout` decides.
+    constexpr std::chrono::milliseconds InitialPrefillTimeout { 1200 };
+    // Time from the choice of another engine until it has requested the KV cache: a reservation and a
+    // request, with a round trip of some milliseconds each, and the engine's next step.
+    constexpr std::chrono::milliseconds HandOverTime { 100 };
+    // A report is answered within a round trip.
+    constexpr std::chrono::milliseconds ReportTimeout { 500 };
+
+} // namespace
+
+bool GenerationCall::hasPrefillBudget()
+{
+    bool isRetry = !this->unusedCache && this->retryAccounting.prefillsReached() > 0;
+    return !isRetry || this->state.retryBudgetOf(this->context.service).left(this->state.now()) >= 1;
+}
+
+asio::awaitable<std::optional<KvLocation>> GenerationCall::prefill(const EngineReservation& reservation)
+{
+    Duration cost = this->state.demandOf(this->context.service)
+                        .prefillCost()
+                        .estimate(this->promptTokens())
+                        .value_or(TimeToFirstEvent / 2);
+    // A prefill that ends later finds its reservation expired, and is wasted. A prompt that takes longer than
+    // any reservation lasts is tried all the same: the decode engine may have room without one.
+    bool fits = this->state.now() + cost + HandOverTime < reservation.expiresAt;
+    TimePoint end = fits ? std::min(reservation.expiresAt, this->context.deadline) : this->context.deadline;
+    TimePoint latest = end - HandOverTime - cost;
+    while (!this->context.cancellation.isCancelled() && this->state.now() < latest) {
+        auto engines = this->state.healthyServers(this->context.service, ServerRole::Prefill);
+        auto choice = this->state.prefillLoad.choose(engines, reservation.engine->record().dataCentre,
+            this->promptTokens(), this->state.now(), this->state.random);
+        if (!choice) {
+            auto until = this->state.allBackingOffUntil(this->context.service, ServerRole::Prefill);
+            if (until && *until >= latest)
+                co_return std::nullopt;
+            co_await sleepFor(this->state.executor, PrefillRetryDelay);
+            continue;
+        }
+        bool isLimitReached = this->retryAccounting.prefillsReached() >= MaxPrefills;
+        if (isLimitReached || !this->retryAccounting.tryPrefill(this->state.now())) {
+            this->noteNoRetry(isLimitReached ? "prefills" : "retry_budget");
+            co_return std::nullopt;
+        }
+        this->context.trace.add(this->state.now(), "prefill_sent",
+            { { "server", choice->raw() }, { "tokens", std::to_string(this->promptTokens()) },
+                { "candidates", std::to_string(engines.size()) },
+                { "own_tokens_there", std::to_string(this->state.prefillLoad.tokensAt(*choice)) } });
+        auto kvCache = co_await this->prefillAt(*choice, latest + cost);
+        if (kvCache)
+            co_return kvCache;
+    }
+    if (!this->context.cancellation.isCancelled())
+        this->context.trace.addFailure(this->state.now(), "prefill_missed",
+            { { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
+                { "reservation_left_ms", millisecondsText(reservation.expiresAt - this->state.now()) } });
+    co_return std::nullopt;
+}
+
+bool GenerationCall::takePrefillResendBudget()
+{
+    this->retryAccounting.notePrefillReached();
+    if (this->retryAccounting.tryPrefill(this->state.now()))
+        return true;
+    this->noteNoRetry("retry_budget");
+    return false;
+}
+
+asio::awaitable<std::optional<KvLocation>> GenerationCall::prefillAt(ServerId server, TimePoint due)
+{
+    const ServerRecord* record = this->state.directory.find(server);
+    if (record == nullptr)
+        co_return std::nullopt;
+    auto client = this->state.clients.clientFor(*record);
+    TimePoint began = this->state.now();
+    this->state.prefillLoad.reserve(server, this->promptTokens());
+    Duration longest = this->state.demandOf(this->context.service)
+                           .prefillTimeout(this->promptTokens())
+                           .value_or(InitialPrefillTimeout);
+    auto timeLimit = std::chrono::ceil<std::chrono::milliseconds>(std::min(longest, due - began));
+    auto result = co_await client->prefill(
+        this->context.request, timeLimit, [this] { return this->takePrefillResendBudget(); },
+        this->context.cancellation);
+    this->state.prefillLoad.release(server, this->promptTokens());
+    if (auto* failed = std::get_if<CallFailure>(&result)) {
+        if (failed->mayHaveRun || failed->isRefusal)
+            this->retryAccounting.notePrefillReached();
+        Duration took = this->state.now() - began;
+        if (took >= timeLimit && !this->context.cancellation.isCancelled())
+            this->state.demandOf(this->context.service).recordTimedOutPrefill(this->promptTokens(), took);
+        this->notePrefillFailure(server, *failed, this->state.now() - began);
+        co_return std::nullopt;
+    }
+    this->context.trace.add(this->state.now(), "prefill_done",
+        { { "server", server.raw() }, { "took_ms", millisecondsText(this->state.now() - began) } });
+    this->retryAccounting.notePrefillReached();
+    this->state.health.record(server, ServerCallResult::Answered, this->state.now());
+    this->state.prefillLoad.noteServed(server);
+    this->cacheUsableUntil = this->state.now() + this->engine.kvHandleLifetime - HandOverTime;
+    this->state.demandOf(this->context.service)
+        .recordPrefill(this->promptTokens(), this->state.now() - began);
+    this->state.metrics.addPrefill(this->state.now() - began);
+    co_return std::get<KvLocation>(std::move(result));
+}
+
+void GenerationCall::notePrefillFailure(const ServerId& server, const CallFailure& failed, Duration took)
+{
+    this->lastDetail = failed.detail;
+    if (this->context.cancellation.isCancelled())
+        return;
+    TimePoint now = this->state.now();
+    // An engine in the other role answers like another server; it may still serve in that role.
+    if (failed.isMisdirected) {
+        this->state.prefillLoad.noteSuperseded(server, now);
+    } else if (failed.isRefusal) {
+        this->state.prefillLoad.noteUnusable(server, now);
+        if (const ServerRecord* record = this->state.directory.find(server))
+            this->checkRoleInBackground(this->state.clients.clientFor(*record), ServerRole::Prefill);
+    } else {
+        this->state.noteFailure(server, failed);
+    }
+    this->context.trace.addFailure(now, "prefill_failed",
+        { { "server", server.raw() }, { "took_ms", millisecondsText(took) }, { "detail", failed.detail } });
+}
+
+std::uint32_t GenerationCall::promptTokens() const
+{
+    return this->context.request.size ? this->context.request.size->promptTokens : 1;
+}
+
+std::optional<KvLocation> GenerationCall::takeUnusedCache()
+{
+    auto cache = std::exchange(this->unusedCache, std::nullopt);
+    if (cache && this->state.now() < this->cacheUsableUntil)
+        return cache;
+    if (cache)
+        this->freeInBackground(*cache);
+    return std::nullopt;
+}
+
+void GenerationCall::checkRoleInBackground(std::shared_ptr<ServerClient> engineClient, ServerRole role)
+{
+    if (this->state.isBackingOff(engineClient->record()))
+        return;
+    asio::co_spawn(
+        this->state.executor,
+        [](GatewayState& state, std::shared_ptr<ServerClient> client, ServerRole role,
+            Duration switchTime) -> asio::awaitable<void> {
+            auto report = co_await client->report(ReportTimeout);
+            auto* found = std::get_if<EngineReport>(&report);
+            if (found == nullptr || (!found->isCommandInProgress && found->role == role))
+                co_return;
+            EngineLoad& load = role == ServerRole::Prefill ? state.prefillLoad : state.reservedLoad;
+            load.noteChangingRole(client->record().id, state.now() + switchTime);
+            state.log.write(LogLevel::Info, "role_change_seen", { { "server", client->record().id.raw() } });
+        }(this->state, std::move(engineClient), role, this->engine.roleSwitchTime),
+        asio::detached);
+}
+
+void GenerationCall::freeInBackground(const KvLocation& kvCache)
+{
+    for (const ServerRecord* record : this->state.directory.all()) {
+        // The engine frees an unused KV cache by itself soon after.
+        if (record->address != kvCache.engineAddress || this->state.isBackingOff(*record))
+            continue;
+        asio::co_spawn(
+            this->state.executor,
+            [](std::shared_ptr<ServerClient> client, KvHandle handle) -> asio::awaitable<void> {
+                co_await client->freeKvCache(std::move(handle));
+            }(this->state.clients.clientFor(*record), kvCache.handle),
+            asio::detached);
+        return;
+    }
+}
+
+} // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -0,0 +1,146 @@
+// The answer of a generation: its stream, or its error.
+#include "peridotgrade/gateway/generation_call.h"
+
+#include "peridotgrade/gateway/final_answer.h"
+#include "peridotgrade/net/whole_body.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotgrade {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // A stream is resumed at another engine after a silence of this many times its route's longest pause.
+    constexpr int StallGapCount = 5;
+    constexpr std::uint16_t Success = 200;
+
+} // namespace
+
+asio::awaitable<GenerationCall::Next> GenerationCall::forward(ServerAnswer& answer, const ServerId& server)
+{
+    if (answer.head().response.status != Success && !this->hasBegun)
+        co_return co_await this->forwardErrorAnswer(answer, server);
+    if (answer.head().response.status != Success) {
+        this->lastDetail = "status " + std::to_string(answer.head().response.status) + " on resuming";
+        co_return Next::Retry;
+    }
+    bool isEmpty = true;
+    while (true) {
+        this->context.cancellation.setHandler([&answer] { answer.abort(); });
+        auto piece = co_await answer.readBody(this->readTimeout());
+        this->context.cancellation.clearHandler();
+        if (this->context.cancellation.isCancelled())
+            co_return Next::Retry;
+        if (auto* error = std::get_if<NetError>(&piece)) {
+            this->noteBrokenStream(answer, server, std::move(error->detail));
+            co_return Next::Retry;
+        }
+        std::string& bytes = std::get<std::string>(piece);
+        if (bytes.empty())
+            break;
+        isEmpty = false;
+        if (!co_await this->deliver(answer, std::move(bytes)))
+            co_return Next::Retry;
+    }
+    // The end of the connection alone does not tell a complete stream without events from a lost one.
+    bool isLost = isEmpty && answer.framing() == BodyFraming::ConnectionEnd;
+    if (isLost || this->framer.hasPartialEvent()) {
+        this->noteBrokenStream(answer, server, isLost ? "end of connection" : "end inside an event");
+        co_return Next::Retry;
+    }
+    if (!this->hasBegun)
+        co_await this->deliver(answer, {});
+    co_await this->context.exchange.endStream();
+    this->state.health.record(server, ServerCallResult::Answered, this->state.now());
+    this->originLog.noteCompleted(this->context.request);
+    std::uint32_t expected
+        = this->context.request.size ? this->context.request.size->expectedOutputTokens : 0;
+    this->state.outputs.record(
+        this->context.route.name, expected, this->framer.events() * this->engine.tokensPerEvent);
+    noteAnswered(this->state, this->context,
+        { Success, server.raw(), this->rounds, answer.framing(),
+            StreamSummary { this->firstEvent.value_or(Duration::zero()), this->longestPause,
+                this->framer.events(), this->framer.hasPartialEvent() } });
+    co_return Next::Done;
+}
+
+asio::awaitable<bool> GenerationCall::deliver(ServerAnswer& answer, std::string bytes)
+{
+    TimePoint now = this->state.now();
+    if (this->hasBegun)
+        this->longestPause = std::max(this->longestPause, now - this->lastPieceAt);
+    this->lastPieceAt = now;
+    std::string completeEvents = this->framer.push(bytes);
+    // Only resumable streams have to be cut at event boundaries.
+    std::string& sent = this->context.route.isResumable ? completeEvents : bytes;
+    bool isOk = true;
+    if (!this->hasBegun && (!sent.empty() || bytes.empty())) {
+        this->hasBegun = true;
+        this->noteBegun();
+        this->firstEvent = this->state.now() - this->context.request.arrivedAt;
+        HttpResponse head = answer.head().response;
+        head.body = std::move(sent);
+        isOk = co_await this->context.exchange.beginStream(std::move(head));
+    } else if (!sent.empty()) {
+        isOk = co_await this->context.exchange.writeChunk(std::move(sent));
+    }
+    if (!isOk)
+        this->context.cancellation.cancel();
+    co_return isOk;
+}
+
+void GenerationCall::noteBegun()
+{
+    if (this->version)
+        return;
+    this->version = this->runVersion;
+    if (this->context.route.isResumable)
+        this->originLog.noteBegun(this->context.request.attempt, { this->context.service, this->runVersion });
+}
+
+void GenerationCall::noteBrokenStream(ServerAnswer& answer, const ServerId& server, std::string detail)
+{
+    TimePoint now = this->state.now();
+    this->lastDetail = std::move(detail);
+    this->failure = timeLeft(this->state, this->context).count() == 0 ? "deadline_passed" : "server_lost";
+    this->state.health.record(server, ServerCallResult::Unreachable, now);
+    this->context.trace.addFailure(now, "stream_broken",
+        { { "server", server.raw() }, { "framing", std::string { nameOf(answer.framing()) } },
+            { "events", std::to_string(this->framer.events()) },
+            { "partial_event", this->framer.hasPartialEvent() ? "true" : "false" },
+            { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
+            { "detail", this->lastDetail } });
+    this->framer.dropPartialEvent();
+}
+
+asio::awaitable<GenerationCall::Next> GenerationCall::forwardErrorAnswer(
+    ServerAnswer& answer, const ServerId& server)
+{
+    HttpResponse response = answer.head().response;
+    this->context.cancellation.setHandler([&answer] { answer.abort(); });
+    auto body = co_await readWholeBody(answer, this->context.deadline);
+    this->context.cancellation.clearHandler();
+    if (auto* error = std::get_if<NetError>(&body)) {
+        this->lastDetail = error->detail;
+        co_return Next::Retry;
+    }
+    response.body = std::get<std::string>(std::move(body));
+    this->state.health.record(server, ServerCallResult::ServerError, this->state.now());
+    std::uint16_t status = response.status;
+    co_await this->context.exchange.respond(std::move(response));
+    noteAnswered(this->state, this->context, { status, server.raw(), this->rounds, answer.framing(), {} });
+    co_return Next::Done;
+}
+
+Duration GenerationCall::readTimeout() const
+{
+    Duration left
+        = std::max<Duration>(this->context.deadline - this->state.now(), std::chrono::milliseconds { 1 });
+    bool isStallWatched = this->hasBegun && this->canResume() && this->context.route.gapTarget.count() > 0;
+    return isStallWatched ? std::min<Duration>(left, this->context.route.gapTarget * StallGapCount) : left;
+}
+
+} // namespace peridotgrade
