Bound the list of unpublished streams; let a new service start with the share held so far

While all servers have one version nothing was taken out of the list of unpublished streams, so it grew by every stream. And the bucket of a service started empty at its first request, although the entry had held its share for long before.

Change: streams that have ended leave the list in order of time; a service starts with a copy of a budget that nobody has spent from.

--- a/src/include/peridotgrade/core/serving/stream_origin.h
+++ b/src/include/peridotgrade/core/serving/stream_origin.h
@@ -1,4 +1,4 @@
-// The servers to which a resumed stream may go.
+// Service and software version at which a stream began.
 #pragma once
 
 #include "peridotgrade/core/serving/server_record.h"
--- a/src/include/peridotgrade/core/serving/stream_origins.h
+++ b/src/include/peridotgrade/core/serving/stream_origins.h
@@ -52,8 +52,10 @@
     }
     /// The streams were not published after all.
     void returnUnpublished(const std::vector<StreamOriginRecord>& records);
-    /// What was published is lost: all streams of this entry are to be published again.
-    void startAnew();
+    /// What was published may be lost: all streams of this entry are to be published again.
+    void republishAll();
+    /// Streams to be published; some may be complete by now.
+    std::size_t unpublishedStreams() const { return this->unpublished.size(); }
 
 private:
     struct Stream {
@@ -68,7 +70,7 @@
     void add(const std::string& attempt, Stream stream, TimePoint now);
 
     std::unordered_map<std::string, Stream> streams;
-    /// In order of time. Invariant: has each of `streams`; those of removed streams are skipped.
+    /// In order of time. Invariant: has each of `streams`; streams that were removed before have no effect.
     std::deque<Expiry> expiries;
     /// Attempts of own streams; some may have been removed from `streams`.
     std::deque<std::string> unpublished;
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -92,6 +92,8 @@
     void updateVersions(const ServiceId& service);
 
     double retryShare = 0;
+    /// Budget of a service without requests so far; it holds what the entry's share has brought until now.
+    RetryBudgetShare unusedRetryBudget;
     std::map<ServiceId, RetryBudgetShare> retryBudgets;
     std::map<ServiceId, EngineDemand> demands;
 };
--- a/src/libperidotgrade/core/serving/stream_origins.cpp
+++ b/src/libperidotgrade/core/serving/stream_origins.cpp
@@ -31,7 +31,7 @@
         this->unpublished.push_back(record.attempt);
 }
 
-void StreamOrigins::startAnew()
+void StreamOrigins::republishAll()
 {
     this->unpublished.clear();
     for (const auto& [attempt, stream] : this->streams) {
@@ -47,6 +47,9 @@
         this->streams.erase(this->expiries.front().attempt);
         this->expiries.pop_front();
     }
+    // While all servers have one version, nothing is taken out of the list otherwise.
+    while (!this->unpublished.empty() && !this->streams.contains(this->unpublished.front()))
+        this->unpublished.pop_front();
     this->streams.insert_or_assign(attempt, std::move(stream));
     this->expiries.push_back({ now + Lifetime, attempt });
 }
--- a/src/libperidotgrade/core/serving/stream_origins_test.cpp
+++ b/src/libperidotgrade/core/serving/stream_origins_test.cpp
@@ -59,7 +59,7 @@
     BOOST_REQUIRE(taken.size() == 1U);
     origins.returnUnpublished(taken);
     BOOST_TEST(takenFrom(origins, Service).size() == 1U);
-    origins.startAnew();
+    origins.republishAll();
     BOOST_TEST(takenFrom(origins, Service) == std::vector<std::string> { "a" });
     BOOST_TEST(takenFrom(origins, OtherService).empty());
 }
@@ -84,6 +84,18 @@
     BOOST_TEST(origins.find(std::to_string(StreamOrigins::MaxStreams)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(streamsThatAreNeverPublishedDoNotAccumulate)
+{
+    StreamOrigins origins;
+    for (int second = 0; second < 300; ++second) {
+        std::string attempt = std::to_string(second);
+        origins.noteBegun(attempt, First, Now + std::chrono::seconds { second });
+        if (second % 2 == 0)
+            origins.noteCompleted(attempt);
+    }
+    BOOST_TEST(origins.unpublishedStreams() <= 31U);
+}
+
 BOOST_AUTO_TEST_CASE(versionCountsUntilItsStreamsCannotBeResumed)
 {
     VersionHistory history;
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -21,9 +21,11 @@
     , log(LoggerOptions { this->settings.nodeName, this->settings.logLevel, LogTarget::StandardOutput,
           this->settings.maxLogLinesPerSecond })
     , metrics(registry)
-    , clients(executor, [this](const ServerRecord& server, const ServerNotice& notice) {
-        this->noteServerNotice(server, notice);
-    })
+    , clients(executor,
+          [this](const ServerRecord& server, const ServerNotice& notice) {
+              this->noteServerNotice(server, notice);
+          })
+    , unusedRetryBudget(this->settings.retries)
 {
 }
 
@@ -42,15 +44,13 @@
 
 RetryBudgetShare& GatewayState::retryBudgetOf(const ServiceId& service)
 {
-    auto [share, isNew] = this->retryBudgets.try_emplace(service, this->settings.retries);
-    if (isNew)
-        share->second.setShare(this->retryShare, this->now());
-    return share->second;
+    return this->retryBudgets.try_emplace(service, this->unusedRetryBudget).first->second;
 }
 
 void GatewayState::setRetryShare(double retryShare)
 {
     this->retryShare = retryShare;
+    this->unusedRetryBudget.setShare(retryShare, this->now());
     for (auto& [service, share] : this->retryBudgets)
         share.setShare(retryShare, this->now());
 }
--- a/src/libperidotgrade/gateway/stream_origin_log.cpp
+++ b/src/libperidotgrade/gateway/stream_origin_log.cpp
@@ -187,7 +187,7 @@
     // Offsets start anew, and what was published last may be lost.
     this->era = newEra;
     this->next = LogOffset { 0 };
-    this->origins.startAnew();
+    this->origins.republishAll();
     this->publishSoon();
 }
 
