--- a/testsuite/gateway_mixed_versions/case.py
+++ b/testsuite/gateway_mixed_versions/case.py
@@ -6,6 +6,7 @@
 from support.http_calls import wait_for
 
 BYTES_OF_SOME_EVENTS = 400
+TOPIC = "peridotgrade.streams"
 
 
 def begin_stream(caller):
@@ -27,7 +28,9 @@
 
 
 def run(build):
-    options = {"events": 40, "decodes": 4, "versions": ("v1", "v2")}
+    # The retry budget, which is small after a start, must not limit what is tested here.
+    retries = {"ratio": 1, "extra": 1000}
+    options = {"events": 40, "decodes": 4, "versions": ("v1", "v2"), "retries": retries}
     with platform_site(build, gateways=3, **options) as (platform, gateways):
         callers = [Caller(platform, gateway) for gateway in gateways]
         # An engine breaks a stream off: the other engine of its version goes on within the answer.
@@ -41,7 +44,9 @@
             engine.break_after = None
         assert not platform.violations, platform.violations
 
-        # Callers resume their streams at another entry.
+        # Callers resume their streams at another entry, which has read nothing while old records were still retained.
+        platform.store.first[TOPIC] = len(platform.store.topics[TOPIC])
+        assert platform.store.first[TOPIC] > 0
         for number in range(12):
             begun = begin_stream(callers[0])
             answer = callers[1].send("/resume/begun", resumed=begun)
