Let an entry that starts retry a few times at once

Change: the first share of an entry brings a tenth of its part of the allowance; the buckets hold 0.4 of it instead of 0.5, so that full buckets, their refill and two starts of every entry within a window stay within the limit.

--- a/src/include/peridotgrade/core/serving/retry_budget_share.h
+++ b/src/include/peridotgrade/core/serving/retry_budget_share.h
@@ -23,16 +23,21 @@
 /// any number of entries. There is one object for each service. Not thread safe.
 ///
 /// The fixed allowance is a token bucket that holds the share and refills once in a window. A share that is
-/// gained, also by an entry that has just started, brings no tokens: its former holder may have spent them.
-/// So within a window all entries together spend what their buckets held at its begin and what refills since,
-/// however often shares move.
+/// gained brings no tokens, since its former holder may have spent them. Only the first share of an entry
+/// brings a few, so that it can retry at once after its start. So within a window all entries together spend
+/// what their buckets held at its begin, what refills since, and what starts bring, however often shares
+/// move.
 class RetryBudgetShare {
 public:
     /// Usable part of the ratio, which applies to this entry's own requests: the window in which the limit is
     /// checked and this window may start at different times.
     static constexpr double UsableRatio = 0.85;
-    /// Usable part of the fixed allowance: within one window a full bucket and its refill may be spent.
-    static constexpr double UsableExtra = 0.5;
+    /// Part of the fixed allowance in the buckets: within one window full buckets and their refill may be
+    /// spent.
+    static constexpr double UsableExtra = 0.4;
+    /// Part of the fixed allowance that the first share brings at once. The rest of the allowance covers two
+    /// starts of every entry within a window.
+    static constexpr double StartExtra = 0.1;
 
     explicit RetryBudgetShare(RetryBudgetLimits limits);
 
@@ -62,6 +67,8 @@
     /// Invariant: at most `capacity`.
     double tokens = 0;
     TimePoint refilledAt {};
+    /// The entry has had a share before.
+    bool hasStarted = false;
     std::deque<TimePoint> requests;
     std::deque<Payment> paidByRatio;
 };
--- a/src/libperidotgrade/core/serving/retry_budget_share.cpp
+++ b/src/libperidotgrade/core/serving/retry_budget_share.cpp
@@ -21,6 +21,10 @@
 {
     this->refill(now);
     this->capacity = UsableExtra * this->limits.extra * value;
+    if (value > 0 && !this->hasStarted) {
+        this->hasStarted = true;
+        this->tokens = StartExtra * this->limits.extra * value;
+    }
     this->tokens = std::min(this->tokens, this->capacity);
 }
 
