--- /dev/null
+++ b/testsuite/support/crashing_requests.py
@@ -0,0 +1,50 @@
+"""Callers of requests that crash their servers, and checks of how often these reach one."""
+import json
+import threading
+import time
+
+from support.gateway import Caller
+from support.http_calls import call
+
+MAX_LATE_RUNS = 3
+CONTACT_S = 2.0
+
+
+def send_again_and_again(platform, gateways, path, seconds, deadline_s=3.0):
+    """A caller that comes back every 0.3 s, each time at another entry. It resumes a stream that broke off."""
+    until = time.monotonic() + seconds
+    number, begun = 0, None
+    while time.monotonic() < until:
+        caller = Caller(platform, gateways[number % len(gateways)])
+        answer = caller.send(path, "GET" if path.startswith("/read/") else "POST", b"", deadline_s=deadline_s, resumed=begun)
+        if path.startswith("/resume/"):
+            begun = answer if answer.status == 200 and not answer.is_whole and answer.events else begun
+        caller.close()
+        time.sleep(0.3)
+        number += 1
+
+
+def crash_all(platform, gateways, paths, seconds, deadline_s=3.0):
+    threads = [threading.Thread(target=send_again_and_again, args=(platform, gateways, path, seconds, deadline_s))
+               for path in paths]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def runs_after(platform, path, begin):
+    return [run for run in platform.crash_runs[path] if run[0] > begin]
+
+
+def check_late_runs(platform, path):
+    """At most three sends reach servers later than two seconds after the third crash."""
+    runs = platform.crash_runs[path]
+    assert len(runs) >= 3, f"{path} crashed {len(runs)} servers, so this run shows nothing"
+    late = runs_after(platform, path, runs[2][0] + CONTACT_S)
+    assert len(late) <= MAX_LATE_RUNS, (f"{path} reached servers {len(runs)} times, {len(late)} of them later than"
+                                        f" {CONTACT_S} s after it had crashed the third")
+
+
+def quarantined_at(gateway):
+    return json.loads(call(f"127.0.0.1:{gateway.metrics_port}", "GET", "/quarantine").body)["quarantined"]
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -545,6 +545,8 @@
                 self.platform.record_event(attempt, self)
                 self._write_part(writer, event, framing)
                 await writer.drain()
+                if index - first + 1 == self.platform.events // 4 and self.crashes_at(request, "stream"):
+                    await asyncio.sleep(3600)
             if is_broken_off and self.break_inside_event:
                 self._write_part(writer, f"id: {last + 1}\ndata: ".encode(), framing)
             if framing == "connection":
