--- a/src/include/peridotgrade/gateway/gateway_request.h
+++ b/src/include/peridotgrade/gateway/gateway_request.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace peridotgrade {
 
@@ -29,6 +30,8 @@
     std::string host;
     /// Equal for every attempt with the same caller, method, target and body.
     Fingerprint fingerprint;
+    /// Parts of the prompt that other requests share, by their identity.
+    std::vector<Fingerprint> promptParts;
     TimePoint arrivedAt;
     /// How long the caller waits, counted from when it sent the request.
     std::optional<std::chrono::milliseconds> callerTimeout;
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -16,6 +16,17 @@
             state.log.write(LogLevel::Info, line.event, line.fields);
     }
 
+    // The parts of a longer prompt do not fit a line.
+    constexpr std::size_t MaxLoggedParts = 8;
+
+    std::string textOfParts(const std::vector<Fingerprint>& parts)
+    {
+        std::string text;
+        for (std::size_t index = 0; index < std::min(parts.size(), MaxLoggedParts); ++index)
+            text += (text.empty() ? "" : ",") + textOf(parts[index]);
+        return text;
+    }
+
     void logEnd(GatewayState& state, RequestContext& context, std::string_view outcome,
         std::string_view reason, std::string_view server, std::string_view detail)
     {
@@ -24,6 +35,7 @@
         state.log.write(LogLevel::Info, "request_ended",
             { { "request", context.request.attempt }, { "outcome", std::string { outcome } },
                 { "reason", std::string { reason } }, { "content", textOf(context.request.fingerprint) },
+                { "prompt_parts", textOfParts(context.request.promptParts) },
                 { "route", context.route.name }, { "service", context.service.raw() },
                 { "server", std::string { server } },
                 { "took_ms", millisecondsText(state.now() - context.request.arrivedAt) },
