--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -250,6 +250,12 @@
         writer.write(self.answer_json({"generation": self.generation, "ttl_ms": fields["ttl_ms"], "parts": rows}))
 
 
+def causes_of(request):
+    """What may crash a server: the path of a request, or a part of its prompt other than the last one."""
+    parts = request.headers.get("x-prompt-prefix", "").split(",")
+    return [request.path, *(part.split(":")[0] for part in parts[:-1])]
+
+
 class Backend(HttpServer):
     """Common part of engines and plain servers: identity, heartbeats to the store and the record of runs."""
 
@@ -301,11 +307,13 @@
             self.platform.store.put("keyed.servers", name, None)))
 
     def crashes_at(self, request, stage):
-        """Ends this server if the request crashes servers that begin that stage of it. It is back a second later."""
-        if self.platform.crashing.get(request.path) != stage:
+        """Ends this server if the request, or a part of its prompt, crashes servers that begin that stage of it. It is
+        back a second later."""
+        cause = next((each for each in causes_of(request) if self.platform.crashing.get(each) == stage), None)
+        if cause is None:
             return False
         now = time.monotonic()
-        self.platform.crash_runs[request.path].append((now, self.name))
+        self.platform.crash_runs[cause].append((now, self.name))
         asyncio.ensure_future(self._crash_and_return(1.0, request.path in self.platform.crashing_silently))
         return True
 
@@ -342,6 +350,9 @@
     async def serve(self, request, writer, reader):
         if self.is_unresponsive:
             await asyncio.sleep(3600)
+        for cause in causes_of(request) if "x-attempt-id" in request.headers else []:
+            if cause in self.platform.crashing:
+                self.platform.crashing_arrivals[cause].append((time.monotonic(), request.headers["x-attempt-id"]))
         expected = request.headers.get("x-expect-instance")
         identity = {"X-Instance-Id": self.name}
         if self.limit is not None:
@@ -533,6 +544,9 @@
                 self.unframed.add(writer)
             writer.write(response(200, headers={"Content-Type": "text/event-stream", "X-Attempt-Id": attempt,
                                                 "X-Server-Seal": seal, **identity}, framing=framing))
+            await writer.drain()
+            if self.crashes_at(request, "answer"):
+                await asyncio.sleep(3600)
             last = self.platform.events
             is_broken_off = self.break_after is not None
             if is_broken_off:
@@ -586,10 +600,11 @@
         # When each server first said in an answer that it leaves.
         self.leaving_since = {}
         self.prefills = collections.Counter()
-        # Paths of requests that crash their servers -> the stage at which they do, and each send that reached a
-        # server: time and server.
+        # Paths of requests, or parts of prompts, that crash their servers -> the stage at which they do. Of each, the
+        # crashes (time and server) and all arrivals at servers (time and attempt).
         self.crashing = {}
         self.crash_runs = collections.defaultdict(list)
+        self.crashing_arrivals = collections.defaultdict(list)
         self.crashing_silently = set()
         # Names of servers that received a call for another instance at the same address.
         self.superseded = []
--- a/testsuite/support/gateway.py
+++ b/testsuite/support/gateway.py
@@ -117,9 +117,9 @@
             self.connection = None
 
     def send(self, path, method="POST", body=b"{}", deadline_s=8.0, tokens="3000,1760", hint=440,
-             disconnect_after=None, resumed=None):
+             disconnect_after=None, resumed=None, parts="5c1e:200,91bd:2800"):
         """With `disconnect_after` it reads that many bytes only. `resumed` is the incomplete answer of a stream that
-        this request resumes."""
+        this request resumes. `parts` are those of the prompt."""
         attempt = uuid.uuid4().hex[:16]
         is_repeatable = path.startswith(("/read/", "/resume/"))
         stream = self.platform.sent[resumed.attempt].stream if resumed else attempt
@@ -127,7 +127,7 @@
         headers = {"Host": HOST, "X-Attempt-Id": attempt, "X-Deadline-Ms": str(int(deadline_s * 1000))}
         if path.startswith(("/text/", "/resume/")):
             headers |= {"X-Model": "m", "X-Token-Counts": tokens, "X-Length-Hint": str(hint),
-                        "X-Prompt-Prefix": "5c1e:200,91bd:2800"}
+                        "X-Prompt-Prefix": parts}
         answer = Answer(attempt, first_event=resumed.last_event + 1 if resumed else 1)
         if resumed:
             headers |= {"Last-Event-Id": str(resumed.last_event), "Resumes": stream}
