--- a/src/include/peridotgrade/core/quarantine/crash_registry.h
+++ b/src/include/peridotgrade/core/quarantine/crash_registry.h
@@ -1,7 +1,8 @@
-// What the entries know together of the requests that crash servers.
+// What the entries know together of the requests and parts of prompts that crash servers.
 #pragma once
 
 #include "peridotgrade/core/base/time.h"
+#include "peridotgrade/core/quarantine/answered_parts.h"
 #include "peridotgrade/core/quarantine/lost_runs.h"
 #include "peridotgrade/core/quarantine/quarantine.h"
 
@@ -9,15 +10,18 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace peridotgrade {
 
-/// A request was running on a server when it crashed. The entries share such records: each counts those of
+/// A suspect was running on a server when it crashed. The entries share such records: each counts those of
 /// all of them, so that three crashes at three entries quarantine a request at every one.
 struct CrashRecord {
-    Fingerprint request;
+    Suspect suspect;
     ServerCrash crash;
+    /// A request that had the suspect there.
+    Fingerprint request;
 
     // clang-tidy 14 mistakes the zero of a rewritten comparison for a null pointer.
     // NOLINTNEXTLINE(modernize-use-nullptr)
@@ -25,16 +29,22 @@
 };
 
 /// Decides which requests may be sent to servers, from the crashes that this entry has seen and those that
-/// other entries have published. A request that was running in three crashes is quarantined for `Lifetime`;
-/// one that was in two is no longer repeated by the entry itself, but sent if its caller sends it again. Not
+/// other entries have published. A request that was running in three crashes is quarantined, and so is a
+/// shared part of prompts that was lost with four different requests, with all requests that have it. What
+/// has counted twice is no longer repeated by the entry itself, but sent if its caller sends it again. A
+/// complete answer clears a request that is suspect, and a part of prompts whatever it is: servers that
+/// answer it do not crash of it. Parts that this entry has seen answered of late are not recorded, and
+/// others' records of them are withdrawn, so that the parts that most requests share need no records. Not
 /// thread safe.
 class CrashRegistry {
 public:
-    static constexpr QuarantineLimits Limits { 4096, 3 };
-    /// A request that was in so many crashes is not repeated within one attempt of its caller.
+    static constexpr QuarantineLimits Limits { 4096, 3, 4 };
+    /// What has counted so often is not repeated within one attempt of its caller.
     static constexpr std::uint32_t MaxRepeatedCrashes = 2;
     /// A crash counts for this long after it became known here.
-    static constexpr std::chrono::hours Lifetime { 1 };
+    static constexpr std::chrono::hours RequestLifetime { 1 };
+    /// Shorter, since a part that is held wrongly rejects the requests of many callers.
+    static constexpr std::chrono::minutes PartLifetime { 10 };
     /// Bounds the memory at some megabytes. The oldest records are dropped first.
     static constexpr std::size_t MaxRecords = 8192;
 
@@ -43,29 +53,30 @@
         std::function<void(const CrashRecord&)> onRecorded;
         /// A record no longer counts, here or anywhere.
         std::function<void(const CrashRecord&)> onWithdrawn;
-        /// Requests are quarantined from now on.
-        std::function<void(Fingerprint)> onQuarantined;
+        /// A suspect is quarantined from now on.
+        std::function<void(const Suspect&)> onQuarantined;
     };
 
     void setCallbacks(Callbacks newCallbacks) { this->callbacks = std::move(newCallbacks); }
 
-    bool isQuarantined(Fingerprint request) const
-    {
-        return this->quarantine.stateOf(request) == QuarantineState::Quarantined;
-    }
-    bool mayRepeat(Fingerprint request) const
+    bool isQuarantined(const Suspect& suspect) const
     {
-        return !this->isQuarantined(request) && this->quarantine.crashesOf(request) < MaxRepeatedCrashes;
+        return this->quarantine.stateOf(suspect) == QuarantineState::Quarantined;
     }
-    std::uint32_t crashesOf(Fingerprint request) const { return this->quarantine.crashesOf(request); }
-    /// How much longer the request is held; nothing if it is not quarantined.
-    std::optional<Duration> heldFor(Fingerprint request, TimePoint now) const;
-    std::vector<Fingerprint> quarantined() const { return this->quarantine.quarantined(); }
-    /// Crashes on record of one request.
-    std::vector<ServerCrash> crashesOnRecord(Fingerprint request) const;
+    /// The suspect of a request for which it may not be sent, if there is one.
+    std::optional<Suspect> quarantinedAmong(const std::vector<Suspect>& suspects) const;
+    /// False if the entry may not send a request with these suspects once more by itself.
+    bool mayRepeat(const std::vector<Suspect>& suspects) const;
+    std::uint32_t crashesOf(const Suspect& suspect) const { return this->quarantine.crashesOf(suspect); }
+    /// How much longer the suspect is held; nothing if it is not quarantined.
+    std::optional<Duration> heldFor(const Suspect& suspect, TimePoint now) const;
+    std::vector<Suspect> quarantined() const { return this->quarantine.quarantined(); }
+    /// Crashes on record of one suspect.
+    std::vector<ServerCrash> crashesOnRecord(const Suspect& suspect) const;
 
-    /// The connection of a request to a server was lost while it may have been running there.
-    void recordLoss(const ServerCrash& incarnation, Fingerprint request, TimePoint now);
+    /// The connection of a request to a server was lost while it may have been running there. The first of
+    /// its suspects is the request itself.
+    void recordLoss(const ServerCrash& incarnation, const std::vector<Suspect>& suspects, TimePoint now);
     /// That incarnation of a server has ended. Returns the number of requests that were lost there.
     std::size_t recordEnd(const ServerCrash& incarnation, TimePoint now);
     /// The incarnations of a server with lost requests, of which it is not known whether they have ended.
@@ -73,31 +84,43 @@
     {
         return this->lostRuns.undecided(server, now);
     }
-    /// The request was answered completely, so what it was suspected of was not its doing.
-    void recordAnswered(Fingerprint request);
+    /// A server has answered a request with these suspects completely.
+    void recordAnswered(const std::vector<Suspect>& suspects, TimePoint now);
+    /// True if another complete answer would show nothing new: the request is not suspect, and its parts have
+    /// been answered of late.
+    bool isCleared(const std::vector<Suspect>& suspects, TimePoint now) const;
 
     /// Other entries have published these records.
     void apply(const std::vector<CrashRecord>& published, TimePoint now);
-    /// Another entry has withdrawn a record of the request.
-    void applyWithdrawal(Fingerprint request);
-    /// An operator releases the request. Returns false if nothing was known of it.
-    bool release(Fingerprint request);
+    /// Another entry has withdrawn a record of the suspect.
+    void applyWithdrawal(const Suspect& suspect);
+    /// An operator releases the suspect. Returns false if nothing was known of it.
+    bool release(const Suspect& suspect);
     /// Withdraws the records whose lifetime has ended.
     void expire(TimePoint now);
     /// Every record that counts.
     std::vector<CrashRecord> records() const;
 
 private:
+    /// Records what was lost in a crash that this entry has seen, and publishes it.
+    void recordCrash(const ServerCrash& incarnation, std::vector<LostSuspect> lost, TimePoint now);
+    bool isAnsweredPart(const Suspect& suspect, TimePoint now) const;
     void add(const std::vector<CrashReport>& reports, TimePoint now);
-    bool withdraw(Fingerprint request);
-    void erase(Fingerprint request);
+    bool withdraw(const Suspect& suspect);
+    void erase(const Suspect& suspect);
     void dropOldest();
 
     Callbacks callbacks;
     Quarantine quarantine { Limits };
     LostRuns lostRuns;
-    /// When each record ends. Invariant: at most `MaxRecords`.
-    std::map<CrashRecord, TimePoint> expiries;
+    AnsweredParts answeredParts;
+    struct Entry {
+        TimePoint expiry;
+        Fingerprint request;
+    };
+
+    /// The records. Invariant: at most `MaxRecords`.
+    std::map<std::pair<Suspect, ServerCrash>, Entry> entries;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/core/quarantine/lost_runs.h
+++ b/src/include/peridotgrade/core/quarantine/lost_runs.h
@@ -1,9 +1,9 @@
 // Requests whose connection was lost, until it is known whether their server has ended.
 #pragma once
 
-#include "peridotgrade/core/base/ids.h"
 #include "peridotgrade/core/base/time.h"
 #include "peridotgrade/core/quarantine/server_crash.h"
+#include "peridotgrade/core/quarantine/suspect.h"
 
 #include <chrono>
 #include <cstddef>
@@ -23,11 +23,12 @@
     /// Bounds the memory. The oldest are dropped first.
     static constexpr std::size_t MaxLosses = 4096;
 
-    /// A request's connection to the server was lost while it may have been running there. Returns true if
-    /// that server is known to have ended, so that the loss belongs to its crash.
-    bool recordLoss(const ServerCrash& incarnation, Fingerprint request, TimePoint now);
-    /// That incarnation of the server has ended. Returns the requests that were lost there, each once.
-    std::vector<Fingerprint> recordEnd(const ServerCrash& incarnation, TimePoint now);
+    /// A request's connection to the server was lost while it may have been running there; `lost` are the
+    /// request and the shared parts of its prompt. Returns true if that server is known to have ended, so
+    /// that the loss belongs to its crash.
+    bool recordLoss(const ServerCrash& incarnation, const std::vector<LostSuspect>& lost, TimePoint now);
+    /// That incarnation of the server has ended. Returns the suspects that were lost there, each once.
+    std::vector<LostSuspect> recordEnd(const ServerCrash& incarnation, TimePoint now);
     /// Incarnations of the server with losses, and no evidence so far.
     std::vector<ServerCrash> undecided(const std::string& server, TimePoint now);
 
@@ -35,7 +36,7 @@
     struct Loss {
         TimePoint at;
         ServerCrash incarnation;
-        Fingerprint request;
+        std::vector<LostSuspect> lost;
     };
     struct End {
         TimePoint at;
--- a/src/include/peridotgrade/core/quarantine/quarantine.h
+++ b/src/include/peridotgrade/core/quarantine/quarantine.h
@@ -1,8 +1,8 @@
-// Quarantine of requests that crash their servers, recognised by their content.
+// Quarantine of requests, and of parts of prompts, that crash servers.
 #pragma once
 
-#include "peridotgrade/core/base/ids.h"
 #include "peridotgrade/core/quarantine/server_crash.h"
+#include "peridotgrade/core/quarantine/suspect.h"
 
 #include <cstdint>
 #include <memory>
@@ -10,27 +10,33 @@
 
 namespace peridotgrade {
 
-/// What is known about a fingerprint.
+/// What is known about a request or a part of prompts.
 enum class QuarantineState : std::uint8_t { Clean, Suspect, Quarantined };
 
-/// The fingerprints that were running on a server when it crashed.
+/// What was running on a server when it crashed.
 struct CrashReport {
     ServerCrash crash;
-    std::vector<Fingerprint> running;
+    std::vector<LostSuspect> running;
 };
 
 struct QuarantineLimits {
-    /// Fingerprints that are remembered.
+    /// Suspects that are remembered.
     std::size_t capacity = 4096;
-    /// Crashes after which a fingerprint is quarantined.
+    /// Crashes after which a request is quarantined.
     std::uint32_t crashes = 2;
+    /// Different requests with a part of prompts that were lost in crashes, after which the part is
+    /// quarantined.
+    std::uint32_t requestsOfPart = 4;
 };
 
-/// Keeps the quarantine state of fingerprints. A fingerprint becomes suspect when a server crashes while
-/// running it, and is quarantined when it was running in `QuarantineLimits::crashes` of them, whether alone
-/// or among other requests. A crash that a quarantined fingerprint explains no longer counts for the others
-/// that were running. A suspect that is answered completely is cleared. Memory is bounded: the oldest
-/// suspects are evicted first, quarantined fingerprints last. Not thread safe.
+/// Keeps the quarantine state of requests and of parts of prompts. Each that is running on a server when it
+/// crashes becomes suspect, whether alone or among others. A request is quarantined for the number of its
+/// crashes; a part of prompts for the number of different requests that were lost with it, one in a crash,
+/// since a single request may crash servers by what is its own. Crashes that something quarantined explains
+/// no longer count for what was running beside it, and a request that has no other ones is suspect only; but
+/// those of a quarantined request count for parts of prompts. A request that is answered completely is
+/// cleared if it is suspect. Memory is bounded: the oldest suspects are evicted first, what is quarantined
+/// last. Not thread safe.
 class Quarantine {
 public:
     explicit Quarantine(QuarantineLimits limits = {});
@@ -38,31 +44,32 @@
     Quarantine(const Quarantine&) = delete;
     Quarantine& operator=(const Quarantine&) = delete;
 
-    QuarantineState stateOf(Fingerprint fingerprint) const;
-    /// Crashes in which a suspect was running and that no quarantined fingerprint explains.
-    std::uint32_t crashesOf(Fingerprint fingerprint) const;
+    QuarantineState stateOf(const Suspect& suspect) const;
+    /// Crashes in which a request was running, or different requests with a part of prompts, as far as
+    /// nothing quarantined explains them.
+    std::uint32_t crashesOf(const Suspect& suspect) const;
 
-    /// A server crashed while running these fingerprints. Reporting one crash again has no further effect.
-    /// Returns the fingerprints that this report newly quarantines: those that were running in most crashes,
-    /// all of them if several were in equally many.
-    std::vector<Fingerprint> recordCrash(const ServerCrash& crash, const std::vector<Fingerprint>& running)
+    /// A server crashed while these were running. Reporting one crash again has no further effect. Returns
+    /// what this report newly quarantines: those that were running in most crashes, all of them if several
+    /// were in equally many.
+    std::vector<Suspect> recordCrash(const ServerCrash& crash, const std::vector<LostSuspect>& running)
     {
         return this->recordCrashes({ { crash, running } });
     }
     /// The same for several crashes that became known at once, so that their order has no effect.
-    std::vector<Fingerprint> recordCrashes(const std::vector<CrashReport>& reports);
+    std::vector<Suspect> recordCrashes(const std::vector<CrashReport>& reports);
 
-    /// A request with this fingerprint was answered completely, so a suspect is cleared.
-    void recordAnswered(Fingerprint fingerprint);
+    /// A request was answered completely, so it is cleared if it is suspect.
+    void recordAnswered(const Suspect& suspect);
 
-    /// Adds a fingerprint that the log or another process reports as quarantined.
-    void quarantine(Fingerprint fingerprint);
+    /// Adds what the log or another process reports as quarantined.
+    void quarantine(const Suspect& suspect);
 
-    /// Forgets a fingerprint, quarantined or not.
-    void release(Fingerprint fingerprint);
+    /// Forgets a suspect, quarantined or not.
+    void release(const Suspect& suspect);
 
-    /// All quarantined fingerprints, the oldest first.
-    std::vector<Fingerprint> quarantined() const;
+    /// All that is quarantined, the oldest first.
+    std::vector<Suspect> quarantined() const;
 
 private:
     class Impl;
--- a/src/include/peridotgrade/gateway/crash_log.h
+++ b/src/include/peridotgrade/gateway/crash_log.h
@@ -13,7 +13,7 @@
 namespace peridotgrade {
 
 /// Publishes the crashes that this entry has seen, at once, and applies those of the others. The topic is
-/// keyed, with one record for each request and crash, so that entries never overwrite each other's records
+/// keyed, with one record for each suspect and crash, so that entries never overwrite each other's records
 /// and repeating one has no effect. A record without a value withdraws it. While the store is away, each
 /// entry counts what it knows, and publishes the rest when the store is back. Runs on the gateway's thread.
 class CrashLog {
@@ -21,8 +21,8 @@
     CrashLog(GatewayState& state, StoreClient& store);
 
     void start();
-    /// False until the topic has been read, or could not be: an entry that starts knows the quarantined
-    /// requests before it takes any.
+    /// False until the topic has been read, or could not be: an entry that starts knows what is quarantined
+    /// before it takes any request.
     bool isStarted() const { return this->hasRead || this->hasFailed; }
 
 private:
@@ -32,7 +32,7 @@
     void publishSoon(StoreRecord record);
     boost::asio::awaitable<void> publish();
     void expireLater();
-    void logQuarantined(Fingerprint request);
+    void logQuarantined(const Suspect& suspect);
 
     GatewayState& state;
     StoreClient& store;
--- a/src/include/peridotgrade/gateway/gateway_request.h
+++ b/src/include/peridotgrade/gateway/gateway_request.h
@@ -3,6 +3,7 @@
 
 #include "peridotgrade/core/base/ids.h"
 #include "peridotgrade/core/base/time.h"
+#include "peridotgrade/core/quarantine/suspect.h"
 #include "peridotgrade/net/http_message.h"
 
 #include <chrono>
@@ -43,6 +44,8 @@
 
     /// True if events of the stream were delivered by another attempt.
     bool isResumption() const { return this->lastEvent || this->resumedAttempt; }
+    /// What it is suspected for if its server crashes: the request itself and the shared parts of its prompt.
+    std::vector<Suspect> suspects() const;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -18,6 +18,7 @@
 #include "peridotgrade/gateway/gateway_settings.h"
 #include "peridotgrade/gateway/server_clients.h"
 #include "peridotgrade/gateway/server_end_probe.h"
+#include "peridotgrade/net/body_framing.h"
 #include "peridotgrade/net/body_memory.h"
 #include "peridotgrade/net/timer_driver.h"
 #include "peridotgrade/ops/logger.h"
@@ -75,10 +76,14 @@
     void noteFailure(const ServerId& server, const CallFailure& failure);
     /// The connection of a request to a server was lost while it may have been running there. Returns once
     /// it is known whether the server has ended, as far as that can be known at once.
-    boost::asio::awaitable<void> noteLostRun(ServerId server, Fingerprint request);
+    boost::asio::awaitable<void> noteLostRun(ServerId server, std::vector<Suspect> suspects);
     /// The server did not answer a request in time. If it turns out to have ended, that counts like a lost
     /// connection: some servers end without a word.
-    void noteSilentRun(const ServerId& server, Fingerprint request);
+    void noteSilentRun(const ServerId& server, const std::vector<Suspect>& suspects);
+    /// A server has answered a request with these suspects. An answer whose end only the end of its
+    /// connection marks may have been broken off between two events, so it shows something new only if the
+    /// server is still there.
+    void noteAnsweredRun(const ServerId& server, std::vector<Suspect> suspects, BodyFraming framing);
     void onDirectoryChanges(const std::vector<DirectoryChange>& changes);
 
     boost::asio::any_io_executor executor;
@@ -105,7 +110,7 @@
     ServerHealth health;
     ServerBackoff backoff;
     ServerLimits limits;
-    /// Requests that crash servers, as far as the entries know them.
+    /// Requests and parts of prompts that crash servers, as far as the entries know them.
     CrashRegistry crashes;
     /// Tokens reserved at decode engines; at plain servers, running requests.
     EngineLoad reservedLoad;
@@ -120,6 +125,7 @@
     void updateVersions(const ServiceId& service);
     void noteLimit(const ServerRecord& server, const ServerNotice& notice);
     void noteEnd(const ServerCrash& incarnation, std::string_view evidence);
+    boost::asio::awaitable<void> checkAnsweredRun(ServerRecord server, std::vector<Suspect> suspects);
     void noteEndsInList(const DirectoryChange& change);
 
     ServerEndProbe endProbe;
--- a/src/include/peridotgrade/gateway/plain_call.h
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -32,6 +32,7 @@
     bool takeResendBudget();
     void noteNoSend(std::string_view limit);
     bool canRunAgain() const;
+    bool isQuarantined() const;
     Duration attemptTime() const;
 
     GatewayState& state;
--- a/src/include/peridotgrade/gateway/quarantine_page.h
+++ b/src/include/peridotgrade/gateway/quarantine_page.h
@@ -1,4 +1,4 @@
-// The quarantined requests, for operators.
+// The quarantined requests and parts of prompts, for operators.
 #pragma once
 
 #include "peridotgrade/core/base/time.h"
@@ -12,8 +12,9 @@
 /// Path of the page at the listener for metrics.
 constexpr std::string_view QuarantinePath = "/quarantine";
 
-/// `GET /quarantine` lists the quarantined requests: `content` as in the logs, `servers` that crashed, and
-/// `held_s`, the seconds for which it is held. `DELETE /quarantine/CONTENT` releases one at every entry.
+/// `GET /quarantine` lists what is quarantined: `content` as in the logs, of parts of prompts after `part-`,
+/// `servers` that crashed, and `held_s`, the seconds for which it is held. `DELETE /quarantine/CONTENT`
+/// releases one at every entry.
 HttpResponse answerQuarantinePage(const HttpRequest& request, CrashRegistry& crashes, TimePoint now);
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/agent/peer_notices.cpp
+++ b/src/libperidotgrade/agent/peer_notices.cpp
@@ -36,7 +36,8 @@
     QuarantineNotice notice;
     {
         std::lock_guard lock(this->mutex);
-        notice.quarantined = this->quarantine.quarantined();
+        for (const Suspect& request : this->quarantine.quarantined())
+            notice.quarantined.push_back(request.content);
     }
     if (!notice.quarantined.empty())
         this->connections.send(connection, notice);
--- a/src/libperidotgrade/core/quarantine/crash_registry.cpp
+++ b/src/libperidotgrade/core/quarantine/crash_registry.cpp
@@ -6,134 +6,194 @@
 
 namespace peridotgrade {
 
-std::optional<Duration> CrashRegistry::heldFor(Fingerprint request, TimePoint now) const
+namespace {
+
+    Duration lifetimeOf(const Suspect& suspect)
+    {
+        return suspect.kind == SuspectKind::PromptPart ? Duration { CrashRegistry::PartLifetime }
+                                                       : Duration { CrashRegistry::RequestLifetime };
+    }
+
+} // namespace
+
+std::optional<Suspect> CrashRegistry::quarantinedAmong(const std::vector<Suspect>& suspects) const
+{
+    auto found = std::find_if(
+        suspects.begin(), suspects.end(), [this](const Suspect& each) { return this->isQuarantined(each); });
+    return found == suspects.end() ? std::nullopt : std::optional { *found };
+}
+
+bool CrashRegistry::mayRepeat(const std::vector<Suspect>& suspects) const
+{
+    return std::all_of(suspects.begin(), suspects.end(), [this](const Suspect& each) {
+        return !this->isQuarantined(each) && this->crashesOf(each) < MaxRepeatedCrashes;
+    });
+}
+
+std::optional<Duration> CrashRegistry::heldFor(const Suspect& suspect, TimePoint now) const
 {
-    if (!this->isQuarantined(request))
+    if (!this->isQuarantined(suspect))
         return std::nullopt;
     TimePoint last = now;
-    auto record = this->expiries.lower_bound({ request, {} });
-    for (; record != this->expiries.end() && record->first.request == request; ++record)
-        last = std::max(last, record->second);
+    auto record = this->entries.lower_bound({ suspect, {} });
+    for (; record != this->entries.end() && record->first.first == suspect; ++record)
+        last = std::max(last, record->second.expiry);
     return last - now;
 }
 
-std::vector<ServerCrash> CrashRegistry::crashesOnRecord(Fingerprint request) const
+std::vector<ServerCrash> CrashRegistry::crashesOnRecord(const Suspect& suspect) const
 {
     std::vector<ServerCrash> result;
-    auto record = this->expiries.lower_bound({ request, {} });
-    for (; record != this->expiries.end() && record->first.request == request; ++record)
-        result.push_back(record->first.crash);
+    auto record = this->entries.lower_bound({ suspect, {} });
+    for (; record != this->entries.end() && record->first.first == suspect; ++record)
+        result.push_back(record->first.second);
     return result;
 }
 
-void CrashRegistry::recordLoss(const ServerCrash& incarnation, Fingerprint request, TimePoint now)
+void CrashRegistry::recordLoss(
+    const ServerCrash& incarnation, const std::vector<Suspect>& suspects, TimePoint now)
 {
-    if (!this->lostRuns.recordLoss(incarnation, request, now))
-        return;
-    this->add({ { incarnation, { request } } }, now);
-    if (this->callbacks.onRecorded)
-        this->callbacks.onRecorded({ request, incarnation });
+    std::vector<LostSuspect> lost;
+    for (const Suspect& suspect : suspects)
+        lost.emplace_back(suspect, suspects.front().content);
+    if (this->lostRuns.recordLoss(incarnation, lost, now))
+        this->recordCrash(incarnation, std::move(lost), now);
 }
 
 std::size_t CrashRegistry::recordEnd(const ServerCrash& incarnation, TimePoint now)
 {
-    std::vector<Fingerprint> lost = this->lostRuns.recordEnd(incarnation, now);
+    std::vector<LostSuspect> lost = this->lostRuns.recordEnd(incarnation, now);
+    auto requests = std::count_if(lost.begin(), lost.end(),
+        [](const LostSuspect& each) { return each.suspect.kind == SuspectKind::Request; });
+    this->recordCrash(incarnation, std::move(lost), now);
+    return static_cast<std::size_t>(requests);
+}
+
+void CrashRegistry::recordCrash(const ServerCrash& incarnation, std::vector<LostSuspect> lost, TimePoint now)
+{
+    std::erase_if(lost, [&](const LostSuspect& each) { return this->isAnsweredPart(each.suspect, now); });
     this->add({ { incarnation, lost } }, now);
-    for (Fingerprint request : lost) {
+    for (const LostSuspect& each : lost) {
         if (this->callbacks.onRecorded)
-            this->callbacks.onRecorded({ request, incarnation });
+            this->callbacks.onRecorded({ each.suspect, incarnation, each.request });
+    }
+}
+
+void CrashRegistry::recordAnswered(const std::vector<Suspect>& suspects, TimePoint now)
+{
+    for (const Suspect& suspect : suspects) {
+        bool isPart = suspect.kind == SuspectKind::PromptPart;
+        if (isPart)
+            this->answeredParts.record(suspect.content, now);
+        QuarantineState state = this->quarantine.stateOf(suspect);
+        if (state == QuarantineState::Suspect || (isPart && state == QuarantineState::Quarantined))
+            this->withdraw(suspect);
     }
-    return lost.size();
 }
 
-void CrashRegistry::recordAnswered(Fingerprint request)
+bool CrashRegistry::isCleared(const std::vector<Suspect>& suspects, TimePoint now) const
+{
+    return std::all_of(suspects.begin(), suspects.end(), [&](const Suspect& each) {
+        return each.kind == SuspectKind::PromptPart
+            ? this->isAnsweredPart(each, now)
+            : this->quarantine.stateOf(each) == QuarantineState::Clean;
+    });
+}
+
+bool CrashRegistry::isAnsweredPart(const Suspect& suspect, TimePoint now) const
 {
-    if (this->quarantine.stateOf(request) == QuarantineState::Suspect)
-        this->withdraw(request);
+    return suspect.kind == SuspectKind::PromptPart && this->answeredParts.contains(suspect.content, now);
 }
 
 void CrashRegistry::apply(const std::vector<CrashRecord>& published, TimePoint now)
 {
-    std::map<ServerCrash, std::vector<Fingerprint>> running;
+    std::map<ServerCrash, std::vector<LostSuspect>> running;
     for (const CrashRecord& record : published) {
-        if (!this->expiries.contains(record))
-            running[record.crash].push_back(record.request);
+        if (this->isAnsweredPart(record.suspect, now)) {
+            if (this->callbacks.onWithdrawn)
+                this->callbacks.onWithdrawn(record);
+        } else if (!this->entries.contains({ record.suspect, record.crash })) {
+            running[record.crash].emplace_back(record.suspect, record.request);
+        }
     }
     std::vector<CrashReport> reports;
-    for (auto& [crash, requests] : running)
-        reports.push_back({ crash, std::move(requests) });
+    for (auto& [crash, lost] : running)
+        reports.push_back({ crash, std::move(lost) });
     this->add(reports, now);
 }
 
-void CrashRegistry::applyWithdrawal(Fingerprint request) { this->erase(request); }
+void CrashRegistry::applyWithdrawal(const Suspect& suspect) { this->erase(suspect); }
 
-bool CrashRegistry::release(Fingerprint request) { return this->withdraw(request); }
+bool CrashRegistry::release(const Suspect& suspect) { return this->withdraw(suspect); }
 
 void CrashRegistry::expire(TimePoint now)
 {
-    std::set<Fingerprint> live;
-    std::set<Fingerprint> ended;
-    for (const auto& [record, expiry] : this->expiries)
-        (expiry > now ? live : ended).insert(record.request);
-    for (Fingerprint request : ended) {
-        if (!live.contains(request))
-            this->withdraw(request);
+    std::set<Suspect> live;
+    std::set<Suspect> ended;
+    for (const auto& [record, entry] : this->entries)
+        (entry.expiry > now ? live : ended).insert(record.first);
+    for (const Suspect& suspect : ended) {
+        if (!live.contains(suspect))
+            this->withdraw(suspect);
     }
 }
 
 std::vector<CrashRecord> CrashRegistry::records() const
 {
     std::vector<CrashRecord> result;
-    for (const auto& [record, expiry] : this->expiries)
-        result.push_back(record);
+    for (const auto& [record, entry] : this->entries)
+        result.push_back({ record.first, record.second, entry.request });
     return result;
 }
 
 void CrashRegistry::add(const std::vector<CrashReport>& reports, TimePoint now)
 {
     for (const CrashReport& report : reports) {
-        for (Fingerprint request : report.running)
-            this->expiries.try_emplace({ request, report.crash }, now + Lifetime);
+        for (const LostSuspect& lost : report.running)
+            this->entries.try_emplace(
+                { lost.suspect, report.crash }, Entry { now + lifetimeOf(lost.suspect), lost.request });
     }
     auto quarantinedNow = this->quarantine.recordCrashes(reports);
     this->dropOldest();
-    for (Fingerprint request : quarantinedNow) {
+    for (const Suspect& suspect : quarantinedNow) {
         if (this->callbacks.onQuarantined)
-            this->callbacks.onQuarantined(request);
+            this->callbacks.onQuarantined(suspect);
     }
 }
 
-bool CrashRegistry::withdraw(Fingerprint request)
+bool CrashRegistry::withdraw(const Suspect& suspect)
 {
-    std::vector<ServerCrash> crashes = this->crashesOnRecord(request);
-    this->erase(request);
+    std::vector<ServerCrash> crashes = this->crashesOnRecord(suspect);
+    this->erase(suspect);
     for (const ServerCrash& crash : crashes) {
         if (this->callbacks.onWithdrawn)
-            this->callbacks.onWithdrawn({ request, crash });
+            this->callbacks.onWithdrawn({ suspect, crash, {} });
     }
     return !crashes.empty();
 }
 
-void CrashRegistry::erase(Fingerprint request)
+void CrashRegistry::erase(const Suspect& suspect)
 {
-    auto first = this->expiries.lower_bound({ request, {} });
+    auto first = this->entries.lower_bound({ suspect, {} });
     auto last = first;
-    while (last != this->expiries.end() && last->first.request == request)
+    while (last != this->entries.end() && last->first.first == suspect)
         ++last;
-    this->expiries.erase(first, last);
-    this->quarantine.release(request);
+    this->entries.erase(first, last);
+    this->quarantine.release(suspect);
 }
 
 void CrashRegistry::dropOldest()
 {
-    while (this->expiries.size() > MaxRecords) {
-        // Quarantined requests are dropped last.
+    while (this->entries.size() > MaxRecords) {
+        // What is quarantined is dropped last.
         auto rank = [this](const auto& each) {
-            return std::pair { this->isQuarantined(each.first.request), each.second };
+            return std::pair { this->isQuarantined(each.first.first), each.second.expiry };
         };
-        auto oldest = std::min_element(this->expiries.begin(), this->expiries.end(),
+        auto oldest = std::min_element(this->entries.begin(), this->entries.end(),
             [&](const auto& one, const auto& other) { return rank(one) < rank(other); });
-        this->erase(oldest->first.request);
+        // A copy, since the record's own suspect ends with it.
+        Suspect dropped = oldest->first.first;
+        this->erase(dropped);
     }
 }
 
--- a/src/libperidotgrade/core/quarantine/lost_runs.cpp
+++ b/src/libperidotgrade/core/quarantine/lost_runs.cpp
@@ -2,37 +2,42 @@
 #include "peridotgrade/core/quarantine/lost_runs.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace peridotgrade {
 
-bool LostRuns::recordLoss(const ServerCrash& incarnation, Fingerprint request, TimePoint now)
+bool LostRuns::recordLoss(const ServerCrash& incarnation, const std::vector<LostSuspect>& lost, TimePoint now)
 {
     this->removeExpired(now);
     bool hasEnded = std::any_of(
         this->ends.begin(), this->ends.end(), [&](const End& end) { return end.incarnation == incarnation; });
     if (hasEnded)
         return true;
-    this->losses.push_back({ now, incarnation, request });
+    this->losses.push_back({ now, incarnation, lost });
     if (this->losses.size() > MaxLosses)
         this->losses.pop_front();
     return false;
 }
 
-std::vector<Fingerprint> LostRuns::recordEnd(const ServerCrash& incarnation, TimePoint now)
+std::vector<LostSuspect> LostRuns::recordEnd(const ServerCrash& incarnation, TimePoint now)
 {
     this->removeExpired(now);
-    std::set<Fingerprint> lost;
+    std::map<Suspect, Fingerprint> requests;
     std::erase_if(this->losses, [&](const Loss& loss) {
         if (loss.incarnation != incarnation)
             return false;
-        lost.insert(loss.request);
+        for (const LostSuspect& lost : loss.lost)
+            requests.try_emplace(lost.suspect, lost.request);
         return true;
     });
     this->ends.push_back({ now, incarnation });
     if (this->ends.size() > MaxLosses)
         this->ends.pop_front();
-    return { lost.begin(), lost.end() };
+    std::vector<LostSuspect> result;
+    for (const auto& [suspect, request] : requests)
+        result.emplace_back(suspect, request);
+    return result;
 }
 
 std::vector<ServerCrash> LostRuns::undecided(const std::string& server, TimePoint now)
--- a/src/libperidotgrade/core/routing/router_messages.cpp
+++ b/src/libperidotgrade/core/routing/router_messages.cpp
@@ -120,11 +120,12 @@
 void RouterCore::handle(const AgentId& agent, const EngineCrashed& message)
 {
     this->record(EventKind::EngineCrashed, AttemptId {}, agent.raw());
-    for (Fingerprint fingerprint :
-        this->quarantine.recordCrash({ agent.raw(), message.engine.raw() }, message.running)) {
+    std::vector<LostSuspect> running(message.running.begin(), message.running.end());
+    for (const Suspect& request :
+        this->quarantine.recordCrash({ agent.raw(), message.engine.raw() }, running)) {
         this->record(EventKind::RequestQuarantined, AttemptId {}, agent.raw());
-        this->actions.emplace_back(PublishQuarantine { fingerprint });
-        this->refuseQuarantined(fingerprint);
+        this->actions.emplace_back(PublishQuarantine { request.content });
+        this->refuseQuarantined(request.content);
     }
 }
 
--- a/src/libperidotgrade/gateway/crash_log.cpp
+++ b/src/libperidotgrade/gateway/crash_log.cpp
@@ -1,7 +1,6 @@
 // Publication of crashes, and the records of other entries.
 #include "peridotgrade/gateway/crash_log.h"
 
-#include "peridotgrade/core/quarantine/request_content.h"
 #include "peridotgrade/net/sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -30,37 +29,42 @@
     constexpr std::size_t MaxUnpublished = 8192;
     constexpr std::size_t MaxKeyBytes = 255;
     constexpr char Separator = '/';
-    constexpr const char* Present = "1";
 
-    /// `fingerprint/incarnation/server`, since the name of a server may have any bytes.
+    /// `suspect/incarnation/server`, since the name of a server may have any bytes. Earlier versions of this
+    /// program skip the records of parts of prompts, whose texts are no numbers.
     std::string keyOf(const CrashRecord& record)
     {
-        return textOf(record.request) + Separator + std::to_string(record.crash.incarnation) + Separator
+        return textOf(record.suspect) + Separator + std::to_string(record.crash.incarnation) + Separator
             + record.crash.server;
     }
 
-    template <typename Number> std::optional<Number> numberFrom(std::string_view text, int base)
+    std::optional<std::uint64_t> numberFrom(std::string_view text)
     {
-        Number value {};
-        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+        std::uint64_t value = 0;
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
         bool isWhole = error == std::errc {} && end == text.data() + text.size();
         return isWhole ? std::optional { value } : std::nullopt;
     }
 
-    std::optional<CrashRecord> recordFrom(std::string_view key)
+    /// The request that had the suspect, so that no value is empty.
+    std::string valueOf(const CrashRecord& record) { return textOf(record.request); }
+
+    /// A record of an earlier version, or a withdrawal, names no request; of a request's record none is
+    /// needed.
+    std::optional<CrashRecord> recordFrom(const StoreRecord& published)
     {
-        constexpr int Hexadecimal = 16;
-        constexpr int Decimal = 10;
+        std::string_view key = published.key;
         std::size_t first = key.find(Separator);
         std::size_t second = first == std::string_view::npos ? first : key.find(Separator, first + 1);
         if (second == std::string_view::npos)
             return std::nullopt;
-        auto request = numberFrom<std::uint64_t>(key.substr(0, first), Hexadecimal);
-        auto incarnation = numberFrom<std::uint64_t>(key.substr(first + 1, second - first - 1), Decimal);
-        if (!request || !incarnation)
+        auto suspect = suspectFrom(key.substr(0, first));
+        auto incarnation = numberFrom(key.substr(first + 1, second - first - 1));
+        if (!suspect || !incarnation)
             return std::nullopt;
-        return CrashRecord { Fingerprint { *request },
-            ServerCrash { std::string { key.substr(second + 1) }, *incarnation } };
+        auto request = suspectFrom(published.value.value_or(""));
+        return CrashRecord { *suspect, ServerCrash { std::string { key.substr(second + 1) }, *incarnation },
+            request ? request->content : Fingerprint {} };
     }
 
 } // namespace
@@ -75,12 +79,12 @@
               [this] { this->hasRead = true; } })
 {
     this->state.crashes.setCallbacks({ [this](const CrashRecord& record) {
-                                          this->publishSoon({ {}, keyOf(record), Present });
+                                          this->publishSoon({ {}, keyOf(record), valueOf(record) });
                                       },
         [this](const CrashRecord& record) {
             this->publishSoon({ {}, keyOf(record), std::nullopt });
         },
-        [this](Fingerprint request) { this->logQuarantined(request); } });
+        [this](const Suspect& suspect) { this->logQuarantined(suspect); } });
 }
 
 void CrashLog::start()
@@ -94,7 +98,7 @@
     // Records between two withdrawals are applied together.
     std::vector<CrashRecord> crashes;
     for (const StoreRecord& each : records) {
-        auto record = recordFrom(each.key);
+        auto record = recordFrom(each);
         if (!record)
             continue;
         if (each.value) {
@@ -102,7 +106,7 @@
             continue;
         }
         this->state.crashes.apply(std::exchange(crashes, {}), this->state.now());
-        this->state.crashes.applyWithdrawal(record->request);
+        this->state.crashes.applyWithdrawal(record->suspect);
     }
     this->state.crashes.apply(crashes, this->state.now());
 }
@@ -110,7 +114,7 @@
 void CrashLog::republish()
 {
     for (const CrashRecord& record : this->state.crashes.records())
-        this->publishSoon({ {}, keyOf(record), Present });
+        this->publishSoon({ {}, keyOf(record), valueOf(record) });
 }
 
 void CrashLog::publishSoon(StoreRecord record)
@@ -149,14 +153,15 @@
     });
 }
 
-void CrashLog::logQuarantined(Fingerprint request)
+void CrashLog::logQuarantined(const Suspect& suspect)
 {
     std::string servers;
-    for (const ServerCrash& crash : this->state.crashes.crashesOnRecord(request))
+    for (const ServerCrash& crash : this->state.crashes.crashesOnRecord(suspect))
         servers += (servers.empty() ? "" : ",") + crash.server;
     this->state.metrics.countQuarantined();
-    this->state.log.write(
-        LogLevel::Warn, "request_quarantined", { { "content", textOf(request) }, { "servers", servers } });
+    bool isPart = suspect.kind == SuspectKind::PromptPart;
+    this->state.log.write(LogLevel::Warn, isPart ? "prompt_part_quarantined" : "request_quarantined",
+        { { "content", textOf(suspect) }, { "servers", servers } });
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+    constexpr std::uint16_t FirstFailure = 300;
+
     void writeTrace(GatewayState& state, RequestContext& context, bool hasFailed)
     {
         for (const RequestTrace::Line& line : context.trace.end(hasFailed))
@@ -35,9 +37,8 @@
         state.log.write(LogLevel::Info, "request_ended",
             { { "request", context.request.attempt }, { "outcome", std::string { outcome } },
                 { "reason", std::string { reason } }, { "content", textOf(context.request.fingerprint) },
-                { "prompt_parts", textOfParts(context.request.promptParts) },
-                { "route", context.route.name }, { "service", context.service.raw() },
-                { "server", std::string { server } },
+                { "prompt_parts", textOfParts(context.request.promptParts) }, { "route", context.route.name },
+                { "service", context.service.raw() }, { "server", std::string { server } },
                 { "took_ms", millisecondsText(state.now() - context.request.arrivedAt) },
                 { "left_ms", millisecondsText(context.deadline - state.now()) },
                 { "config", std::to_string(context.configuration->version.raw()) },
@@ -63,7 +64,12 @@
 
 boost::asio::awaitable<void> answerQuarantined(GatewayState& state, RequestContext& context)
 {
-    auto held = state.crashes.heldFor(context.request.fingerprint, state.now()).value_or(Duration::zero());
+    Duration held {};
+    if (auto suspect = state.crashes.quarantinedAmong(context.request.suspects())) {
+        held = state.crashes.heldFor(*suspect, state.now()).value_or(Duration::zero());
+        context.trace.addFailure(
+            state.now(), "rejected_early", { { "reason", "quarantined" }, { "content", textOf(*suspect) } });
+    }
     co_await answerNotRun(state, context, "quarantined", std::chrono::ceil<std::chrono::milliseconds>(held));
 }
 
@@ -85,7 +91,11 @@
 {
     Duration took = state.now() - context.request.arrivedAt;
     writeTrace(state, context, false);
-    state.crashes.recordAnswered(context.request.fingerprint);
+    // An error says nothing about the parts of the prompt.
+    bool isSuccess = answer.status < FirstFailure;
+    state.noteAnsweredRun(ServerId { answer.server },
+        isSuccess ? context.request.suspects() : std::vector<Suspect> { context.request.fingerprint },
+        answer.framing);
     state.metrics.countOutcome("answered");
     state.metrics.addAnswer(took);
     const auto& stream = answer.stream;
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -1,6 +1,9 @@
 // Timers, retry budgets, server selection and directory changes of the shared state.
 #include "peridotgrade/gateway/gateway_state.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -157,23 +160,47 @@
         this->noteEnd(incarnationOf(*record), "refused");
 }
 
-boost::asio::awaitable<void> GatewayState::noteLostRun(ServerId server, Fingerprint request)
+boost::asio::awaitable<void> GatewayState::noteLostRun(ServerId server, std::vector<Suspect> suspects)
 {
     // A server that leaves is expected to end.
     const ServerRecord* record = this->directory.find(server);
     if (record == nullptr)
         co_return;
     ServerCrash incarnation = incarnationOf(*record);
-    this->crashes.recordLoss(incarnation, request, this->now());
+    this->crashes.recordLoss(incarnation, suspects, this->now());
     bool hasEnded = co_await this->endProbe.hasEnded(this->clients.clientFor(*record));
     if (hasEnded)
         this->noteEnd(incarnation, "refused");
 }
 
-void GatewayState::noteSilentRun(const ServerId& server, Fingerprint request)
+void GatewayState::noteSilentRun(const ServerId& server, const std::vector<Suspect>& suspects)
 {
     if (const ServerRecord* record = this->directory.find(server))
-        this->crashes.recordLoss(incarnationOf(*record), request, this->now());
+        this->crashes.recordLoss(incarnationOf(*record), suspects, this->now());
+}
+
+void GatewayState::noteAnsweredRun(const ServerId& server, std::vector<Suspect> suspects, BodyFraming framing)
+{
+    const ServerRecord* record = this->directory.find(server);
+    bool isDoubtful = framing == BodyFraming::ConnectionEnd && record != nullptr
+        && !this->crashes.isCleared(suspects, this->now());
+    if (isDoubtful)
+        boost::asio::co_spawn(
+            this->executor, this->checkAnsweredRun(*record, std::move(suspects)), boost::asio::detached);
+    else
+        this->crashes.recordAnswered(suspects, this->now());
+}
+
+boost::asio::awaitable<void> GatewayState::checkAnsweredRun(
+    ServerRecord server, std::vector<Suspect> suspects)
+{
+    bool hasEnded = co_await this->endProbe.hasEnded(this->clients.clientFor(server));
+    if (!hasEnded) {
+        this->crashes.recordAnswered(suspects, this->now());
+        co_return;
+    }
+    this->crashes.recordLoss(incarnationOf(server), suspects, this->now());
+    this->noteEnd(incarnationOf(server), "refused");
 }
 
 void GatewayState::noteEnd(const ServerCrash& incarnation, std::string_view evidence)
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -66,7 +66,7 @@
 
 bool GenerationCall::isQuarantined() const
 {
-    return this->state.crashes.isQuarantined(this->context.request.fingerprint);
+    return this->state.crashes.quarantinedAmong(this->context.request.suspects()).has_value();
 }
 
 asio::awaitable<void> GenerationCall::serve()
@@ -98,7 +98,7 @@
         limit = "time";
     else if (this->isQuarantined())
         limit = "quarantined";
-    else if (this->hasReachedServer() && !this->state.crashes.mayRepeat(this->context.request.fingerprint))
+    else if (this->hasReachedServer() && !this->state.crashes.mayRepeat(this->context.request.suspects()))
         limit = "suspect";
     else if (!this->hasPrefillBudget() || !this->takeRunBudget())
         limit = "retry_budget";
@@ -297,9 +297,9 @@
                 { "took_ms", millisecondsText(this->state.now() - began) }, { "detail", failed->detail } });
         bool isCancelled = this->context.cancellation.isCancelled();
         if (failed->isConnectionLost && !isCancelled)
-            co_await this->state.noteLostRun(server, this->context.request.fingerprint);
+            co_await this->state.noteLostRun(server, this->context.request.suspects());
         else if (failed->mayHaveRun && !isCancelled)
-            this->state.noteSilentRun(server, this->context.request.fingerprint);
+            this->state.noteSilentRun(server, this->context.request.suspects());
         co_return Next::Retry;
     }
     this->retryAccounting.noteRunReached();
--- a/src/libperidotgrade/gateway/generation_prefill.cpp
+++ b/src/libperidotgrade/gateway/generation_prefill.cpp
@@ -58,10 +58,9 @@
             continue;
         }
         bool isRepeat = this->retryAccounting.prefillsReached() > 0;
-        const CrashRegistry& crashes = this->state.crashes;
-        Fingerprint request = this->context.request.fingerprint;
-        if (crashes.isQuarantined(request) || (isRepeat && !crashes.mayRepeat(request))) {
-            this->noteNoRetry(crashes.isQuarantined(request) ? "quarantined" : "suspect");
+        bool isSuspect = isRepeat && !this->state.crashes.mayRepeat(this->context.request.suspects());
+        if (this->isQuarantined() || isSuspect) {
+            this->noteNoRetry(this->isQuarantined() ? "quarantined" : "suspect");
             co_return std::nullopt;
         }
         bool isLimitReached = this->retryAccounting.prefillsReached() >= MaxPrefills;
@@ -121,9 +120,9 @@
         this->notePrefillFailure(server, *failed, this->state.now() - began);
         bool isCancelled = this->context.cancellation.isCancelled();
         if (failed->isConnectionLost && !isCancelled)
-            co_await this->state.noteLostRun(server, this->context.request.fingerprint);
+            co_await this->state.noteLostRun(server, this->context.request.suspects());
         else if (failed->mayHaveRun && !failed->isRefusal && !isCancelled)
-            this->state.noteSilentRun(server, this->context.request.fingerprint);
+            this->state.noteSilentRun(server, this->context.request.suspects());
         co_return std::nullopt;
     }
     this->context.trace.add(this->state.now(), "prefill_done",
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -43,9 +43,9 @@
             bool isConnectionLost = error->kind == NetErrorKind::Closed;
             this->noteBrokenStream(answer, server, std::move(error->detail));
             if (isConnectionLost)
-                co_await this->state.noteLostRun(server, this->context.request.fingerprint);
+                co_await this->state.noteLostRun(server, this->context.request.suspects());
             else
-                this->state.noteSilentRun(server, this->context.request.fingerprint);
+                this->state.noteSilentRun(server, this->context.request.suspects());
             co_return Next::Retry;
         }
         std::string& bytes = std::get<std::string>(piece);
@@ -65,7 +65,7 @@
     bool isLost = isEmpty && (!isResumed || answer.framing() == BodyFraming::ConnectionEnd);
     if (isLost || this->framer.hasPartialEvent()) {
         this->noteBrokenStream(answer, server, isLost ? "end without an event" : "end inside an event");
-        co_await this->state.noteLostRun(server, this->context.request.fingerprint);
+        co_await this->state.noteLostRun(server, this->context.request.suspects());
         co_return Next::Retry;
     }
     if (!this->hasBegun)
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -55,7 +55,7 @@
 
 std::string_view PlainCall::limitReached(const ServerRecord* next)
 {
-    if (this->state.crashes.isQuarantined(this->context.request.fingerprint))
+    if (this->isQuarantined())
         return "quarantined";
     if (next == nullptr)
         return "servers";
@@ -65,7 +65,7 @@
         return "time";
     if (this->runs > 0 && !this->canRunAgain())
         return this->context.route.kind == CallKind::Idempotent ? "attempts" : "not_repeatable";
-    if (this->runs > 0 && !this->state.crashes.mayRepeat(this->context.request.fingerprint))
+    if (this->runs > 0 && !this->state.crashes.mayRepeat(this->context.request.suspects()))
         return "suspect";
     bool isRetry = this->retryAccounting.isNextRunRetry();
     if (!this->retryAccounting.tryRun(this->state.now()))
@@ -75,6 +75,11 @@
     return {};
 }
 
+bool PlainCall::isQuarantined() const
+{
+    return this->state.crashes.quarantinedAmong(this->context.request.suspects()).has_value();
+}
+
 bool PlainCall::takeResendBudget()
 {
     this->retryAccounting.noteRunReached();
@@ -166,9 +171,9 @@
             { { "server", server.raw() }, { "may_have_run", failure->mayHaveRun ? "true" : "false" },
                 { "lost", failure->isConnectionLost ? "true" : "false" }, { "detail", failure->detail } });
         if (failure->isConnectionLost)
-            co_await this->state.noteLostRun(server, this->context.request.fingerprint);
+            co_await this->state.noteLostRun(server, this->context.request.suspects());
         else if (failure->mayHaveRun)
-            this->state.noteSilentRun(server, this->context.request.fingerprint);
+            this->state.noteSilentRun(server, this->context.request.suspects());
         co_return Next::TryOther;
     }
     this->retryAccounting.noteRunReached();
@@ -192,7 +197,7 @@
                 { "detail", error->detail } });
         this->state.health.record(server, ServerCallResult::Unreachable, this->state.now());
         if (error->kind == NetErrorKind::Closed && !this->context.cancellation.isCancelled())
-            co_await this->state.noteLostRun(server, this->context.request.fingerprint);
+            co_await this->state.noteLostRun(server, this->context.request.suspects());
         co_return Next::TryOther;
     }
     response.body = std::get<std::string>(std::move(body));
@@ -232,7 +237,7 @@
         co_return;
     }
     auto left = timeLeft(this->state, this->context);
-    if (this->runs == 0 && this->state.crashes.isQuarantined(this->context.request.fingerprint)) {
+    if (this->runs == 0 && this->isQuarantined()) {
         co_await answerQuarantined(this->state, this->context);
         co_return;
     }
--- a/src/libperidotgrade/gateway/quarantine_page.cpp
+++ b/src/libperidotgrade/gateway/quarantine_page.cpp
@@ -1,8 +1,6 @@
-// Listing and release of quarantined requests.
+// Listing and release of quarantined requests and parts of prompts.
 #include "peridotgrade/gateway/quarantine_page.h"
 
-#include "peridotgrade/core/quarantine/request_content.h"
-
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -29,17 +27,17 @@
 
     HttpResponse listing(const CrashRegistry& crashes, TimePoint now)
     {
-        json::array requests;
-        for (Fingerprint request : crashes.quarantined()) {
+        json::array suspects;
+        for (const Suspect& suspect : crashes.quarantined()) {
             json::array servers;
-            for (const ServerCrash& crash : crashes.crashesOnRecord(request))
+            for (const ServerCrash& crash : crashes.crashesOnRecord(suspect))
                 servers.emplace_back(crash.server);
             auto held = std::chrono::ceil<std::chrono::seconds>(
-                crashes.heldFor(request, now).value_or(Duration::zero()));
-            requests.push_back(json::object { { "content", textOf(request) },
+                crashes.heldFor(suspect, now).value_or(Duration::zero()));
+            suspects.push_back(json::object { { "content", textOf(suspect) },
                 { "servers", std::move(servers) }, { "held_s", held.count() } });
         }
-        return response(200, json::object { { "quarantined", std::move(requests) } });
+        return response(200, json::object { { "quarantined", std::move(suspects) } });
     }
 
 } // namespace
@@ -54,10 +52,10 @@
     if (request.method != "DELETE")
         return response(MethodNotAllowed, json::object { { "error", "use GET, or DELETE with a content" } });
     auto held = crashes.quarantined();
-    auto found
-        = std::find_if(held.begin(), held.end(), [&](Fingerprint each) { return textOf(each) == content; });
+    auto found = std::find_if(
+        held.begin(), held.end(), [&](const Suspect& each) { return textOf(each) == content; });
     if (found == held.end())
-        return response(NotFound, json::object { { "error", "no such request is quarantined" } });
+        return response(NotFound, json::object { { "error", "no such content is quarantined" } });
     crashes.release(*found);
     return response(200, json::object { { "released", std::string { content } } });
 }
--- a/src/libperidotgrade/gateway/quarantine_page_test.cpp
+++ b/src/libperidotgrade/gateway/quarantine_page_test.cpp
@@ -42,6 +42,22 @@
     BOOST_TEST(call("GET", "/quarantine").body == R"({"quarantined":[]})");
 }
 
+BOOST_AUTO_TEST_CASE(listsAndReleasesPartsOfPrompts)
+{
+    const Suspect part { Fingerprint { 0xcd }, SuspectKind::PromptPart };
+    crashes.release(Poison);
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        ServerCrash crash { "i-" + std::to_string(number), 1 };
+        crashes.apply({ { part, crash, Fingerprint { number } } }, Now + 300s);
+    }
+    std::string expected
+        = R"({"quarantined":[{"content":"part-00000000000000cd","servers":["i-1","i-2","i-3","i-4"],"held_s":300}]})";
+    BOOST_TEST(call("GET", "/quarantine").body == expected);
+    BOOST_TEST(call("DELETE", "/quarantine/00000000000000cd").status == 404);
+    BOOST_TEST(call("DELETE", "/quarantine/part-00000000000000cd").status == 200);
+    BOOST_TEST(!crashes.isQuarantined(part));
+}
+
 BOOST_AUTO_TEST_CASE(wrongCallsChangeNothing)
 {
     BOOST_TEST(call("DELETE", "/quarantine/00000000000000ac").status == 404);
--- a/testsuite/gateway_crashing_prompt_parts/case.py
+++ b/testsuite/gateway_crashing_prompt_parts/case.py
@@ -23,7 +23,7 @@
     platform.crashing[part] = "answer"
     if frozen:
         frozen.freeze()
-    guilty = PromptCallers(platform, gateways if frozen is None else gateways[:-1], route, parts, 0.25, callers=2).start()
+    crashing = PromptCallers(platform, gateways if frozen is None else gateways[:-1], route, parts, 0.25, callers=2).start()
     time.sleep(seconds)
     if frozen:
         frozen.thaw()
@@ -31,7 +31,7 @@
         late = PromptCallers(platform, [frozen], route, parts, 0.25).start()
         time.sleep(2)
         late.stop()
-    guilty.stop()
+    crashing.stop()
     sound.stop()
     check_late_requests(platform, part)
     check_served_beside(platform, part, sound)
