Read the crashes of others with fewer calls to the store

A read of the crashes waits 10 s now while no call to the store has failed for 10 s. After records an entry pauses 10 ms for each entry of the group, 1 s at most, so that records of the same moment are read together.

Ruled out: fewer or later withdrawals; a withdrawal that is not published lets three crashes an hour apart quarantine a request that was answered between.

--- a/src/include/peridotgrade/gateway/store_watch.h
+++ b/src/include/peridotgrade/gateway/store_watch.h
@@ -20,6 +20,11 @@
     std::chrono::milliseconds wait { 0 };
     /// Pause between reads that do not wait.
     std::chrono::milliseconds interval { 0 };
+    /// How long a read waits instead while no call to the store fails; zero for no longer.
+    std::chrono::milliseconds calmWait { 0 };
+    /// Pause after records, for each entry of the group: each record ends the waiting reads of all entries,
+    /// so what many publish one after the other is read together.
+    std::chrono::milliseconds pausePerEntry { 0 };
 };
 
 /// Lists a keyed topic, then reads the records after the listing, with a deadline on every call. After every
@@ -46,6 +51,9 @@
 private:
     boost::asio::awaitable<bool> relist();
     boost::asio::awaitable<bool> readNext();
+    std::chrono::milliseconds readWait() const;
+    /// Pause before the next read, after one that succeeded.
+    std::chrono::milliseconds pause() const;
     void noteFailure(const StoreError& error);
     void noteSuccess();
 
@@ -58,6 +66,8 @@
     std::optional<LogOffset> next;
     /// Era of `next`; nothing before the first answer.
     std::optional<std::uint64_t> era;
+    /// The last read brought records.
+    bool hasReadRecords = false;
     std::uint32_t consecutiveFailures = 0;
 };
 
--- a/src/libperidotgrade/gateway/crash_log.cpp
+++ b/src/libperidotgrade/gateway/crash_log.cpp
@@ -17,9 +17,12 @@
 namespace {
 
     constexpr const char* Topic = "keyed.peridotgrade.crashes";
-    // A record of another entry is known within a round trip. A connection that is silent is noticed after
-    // this and the time-out of a call.
+    // A connection that is silent is noticed after this and the time-out of a call.
     constexpr std::chrono::milliseconds Wait { 2000 };
+    // While the store answers all calls, a silent connection would be that of this read alone.
+    constexpr std::chrono::milliseconds CalmWait { 10'000 };
+    // All entries together read at most a hundred times a second while records come.
+    constexpr std::chrono::milliseconds PausePerEntry { 10 };
     constexpr std::chrono::milliseconds PublishTimeout { 500 };
     constexpr std::chrono::milliseconds PublishRetryDelay { 200 };
     constexpr std::chrono::seconds ExpiryInterval { 10 };
@@ -72,7 +75,7 @@
 CrashLog::CrashLog(GatewayState& state, StoreClient& store)
     : state(state)
     , store(store)
-    , watch(state, store, { Topic, Wait, std::chrono::milliseconds { 0 } },
+    , watch(state, store, { Topic, Wait, std::chrono::milliseconds { 0 }, CalmWait, PausePerEntry },
           { [this](const StoreListing& listing) { this->apply(listing.records); },
               [this](const std::vector<StoreRecord>& records) { this->apply(records); },
               [this] { this->hasFailed = true; }, [] {}, [this] { this->republish(); },
--- a/src/libperidotgrade/gateway/store_watch.cpp
+++ b/src/libperidotgrade/gateway/store_watch.cpp
@@ -13,6 +13,8 @@
     // Backoff after a failure, doubled up to the maximum, which keeps updates well within their time limits.
     constexpr std::chrono::milliseconds InitialBackoff { 100 };
     constexpr std::chrono::milliseconds MaxBackoff { 400 };
+    // Records are to be known to all entries well within the three seconds after which they bind.
+    constexpr std::chrono::milliseconds MaxPause { 1000 };
     // Consecutive failures before the store counts as lost: a single one may be a broken connection.
     constexpr std::uint32_t FailuresUntilLost = 2;
 } // namespace
@@ -39,14 +41,15 @@
             auto pause
                 = std::min(InitialBackoff * (1 << std::min(this->consecutiveFailures, 4U)), MaxBackoff);
             co_await sleepFor(this->state.executor, pause);
-        } else if (this->next && this->topic.interval.count() > 0) {
-            co_await sleepFor(this->state.executor, this->topic.interval);
+        } else if (this->next && this->pause().count() > 0) {
+            co_await sleepFor(this->state.executor, this->pause());
         }
     }
 }
 
 boost::asio::awaitable<bool> StoreWatch::relist()
 {
+    this->hasReadRecords = false;
     auto listing = co_await this->store.list(this->topic.name, CallTimeout);
     if (auto* error = std::get_if<StoreError>(&listing)) {
         this->noteFailure(*error);
@@ -61,8 +64,9 @@
 
 boost::asio::awaitable<bool> StoreWatch::readNext()
 {
-    auto batch = co_await this->store.read(
-        this->topic.name, *this->next, this->topic.wait, this->topic.wait + CallTimeout);
+    this->hasReadRecords = false;
+    auto wait = this->readWait();
+    auto batch = co_await this->store.read(this->topic.name, *this->next, wait, wait + CallTimeout);
     if (auto* error = std::get_if<StoreError>(&batch)) {
         this->noteFailure(*error);
         this->next.reset();
@@ -76,11 +80,23 @@
     }
     this->next = std::get<StoreBatch>(batch).next;
     const auto& records = std::get<StoreBatch>(batch).records;
-    if (!records.empty())
+    this->hasReadRecords = !records.empty();
+    if (this->hasReadRecords)
         this->callbacks.onRecords(records);
     co_return true;
 }
 
+std::chrono::milliseconds StoreWatch::readWait() const
+{
+    return this->store.isCalm() ? std::max(this->topic.wait, this->topic.calmWait) : this->topic.wait;
+}
+
+std::chrono::milliseconds StoreWatch::pause() const
+{
+    auto afterRecords = std::min(this->topic.pausePerEntry * this->state.entryCount(), MaxPause);
+    return this->hasReadRecords ? std::max(this->topic.interval, afterRecords) : this->topic.interval;
+}
+
 void StoreWatch::enterEra(std::uint64_t newEra)
 {
     bool isNew = this->era && *this->era != newEra;
