Move the hash of keys to the core

The gateway needs the comparison of keys in constant time that entries and operators have, and the core may not depend on the settings.

--- a/src/libperidotgrade/ops/settings/key_hash.cpp
+++ b/src/libperidotgrade/core/base/key_hash.cpp
@@ -1,6 +1,7 @@
 // Hashes keys with OpenSSL's libcrypto.
-#include "peridotgrade/ops/settings/key_hash.h"
+#include "peridotgrade/core/base/key_hash.h"
 
+#include <openssl/crypto.h>
 #include <openssl/sha.h>
 
 #include <array>
@@ -20,4 +21,15 @@
     return text;
 }
 
+bool isSameKeyHash(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::string shortKeyHash(std::string_view key)
+{
+    constexpr std::size_t ShortDigits = 8;
+    return keySha256(key).substr(0, ShortDigits);
+}
+
 } // namespace peridotgrade
--- a/src/libperidotgrade/entry/admin_api.cpp
+++ b/src/libperidotgrade/entry/admin_api.cpp
@@ -2,8 +2,8 @@
 #include "admin_api.h"
 
 #include "peridotgrade/callers/api_error.h"
+#include "peridotgrade/core/base/key_hash.h"
 #include "peridotgrade/operators/node_status.h"
-#include "peridotgrade/ops/settings/key_hash.h"
 
 namespace peridotgrade {
 
--- a/src/libperidotgrade/entry/caller_request.cpp
+++ b/src/libperidotgrade/entry/caller_request.cpp
@@ -1,8 +1,8 @@
 // Reading of the header fields that all requests of callers have in common.
 #include "caller_request.h"
 
+#include "peridotgrade/core/base/key_hash.h"
 #include "peridotgrade/ops/id_text.h"
-#include "peridotgrade/ops/settings/key_hash.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/libperidotgrade/operators/operator_api.cpp
+++ b/src/libperidotgrade/operators/operator_api.cpp
@@ -2,10 +2,10 @@
 #include "peridotgrade/operators/operator_api.h"
 
 #include "operator_responses.h"
+#include "peridotgrade/core/base/key_hash.h"
 #include "peridotgrade/core/config/intent_codec.h"
 #include "peridotgrade/net/timer_driver.h"
 #include "peridotgrade/operators/intents_schema.h"
-#include "peridotgrade/ops/settings/key_hash.h"
 #include "peridotgrade/ops/settings/schema_check.h"
 #include "plan_confirmer.h"
 #include "plan_store.h"
@@ -75,7 +75,7 @@
         field.remove_prefix(BearerPrefix.size());
         std::string hash = keySha256(field);
         for (const OperatorCredential& each : this->settings.operators) {
-            if (each.keySha256 == hash)
+            if (isSameKeyHash(each.keySha256, hash))
                 return &each;
         }
         return nullptr;
--- a/src/libperidotgrade/operators/operator_api_test.cpp
+++ b/src/libperidotgrade/operators/operator_api_test.cpp
@@ -1,9 +1,9 @@
 // Tests of the operator API over loopback: credentials, races, lost answers, log outages.
 #include "fake_log_service.h"
+#include "peridotgrade/core/base/key_hash.h"
 #include "peridotgrade/core/config/confirmation_status.h"
 #include "peridotgrade/net/http_client.h"
 #include "peridotgrade/operators/operator_api.h"
-#include "peridotgrade/ops/settings/key_hash.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/libperidotgrade/ops/settings/settings_test.cpp
+++ b/src/libperidotgrade/ops/settings/settings_test.cpp
@@ -1,7 +1,7 @@
 // Tests of settings files: defaults, the samples, and errors that name file, key and fix.
+#include "peridotgrade/core/base/key_hash.h"
 #include "peridotgrade/ops/settings/agent_settings.h"
 #include "peridotgrade/ops/settings/entry_settings.h"
-#include "peridotgrade/ops/settings/key_hash.h"
 
 #include <boost/test/unit_test.hpp>
 
