--- a/src/bench/slopes/main.cpp
+++ b/src/bench/slopes/main.cpp
@@ -5,6 +5,8 @@
 #include "host_bench.h"
 #include "live_bytes.h"
 #include "measure.h"
+#include "placement_bench.h"
+#include "quota_bench.h"
 #include "router_bench.h"
 
 #include "peridotgrade/core/membership/membership.h"
@@ -46,6 +48,14 @@
     printFit("router memory per engine known", "B/engine", points);
 }
 
+void placementTimePerServer()
+{
+    std::vector<Point> points;
+    for (std::uint32_t servers : { 10u, 44u, 100u, 300u })
+        points.push_back({ static_cast<double>(servers), placementSeconds(servers) * 1e9 });
+    printFit("choice of an engine by pace per server", "ns/server", points);
+}
+
 void decisionTimePerEngine()
 {
     std::vector<Point> points;
@@ -185,10 +195,16 @@
     app.set_version_flag("--version", PERIDOT_VERSION);
     std::uint32_t engines = 0;
     std::uint32_t requests = 0;
+    bool isPlacementOnly = false;
+    app.add_flag("--placement", isPlacementOnly, "only measure the choice of an engine by pace");
     app.add_option("--decisions-engines", engines,
         "only run routing decisions with this many engines (for instruction counts)");
     app.add_option("--decisions", requests, "number of routing decisions with --decisions-engines");
     CLI11_PARSE(app, argc, argv);
+    if (isPlacementOnly) {
+        placementTimePerServer();
+        return 0;
+    }
     if (engines > 0) {
         RouterBench router(engines);
         for (std::uint32_t i = 0; i < requests; ++i) {
@@ -200,6 +216,7 @@
     routerMemoryPerRequest();
     routerMemoryPerEngine();
     decisionTimePerEngine();
+    placementTimePerServer();
     routerTimePerToken();
     trafficPerRequest();
     renewalTraffic();
@@ -207,5 +224,6 @@
     membershipCost();
     quarantineMemory();
     measureConfiguration();
+    measureQuotas();
     return 0;
 }
--- /dev/null
+++ b/src/include/peridotgrade/core/admission/quota_group.h
@@ -0,0 +1,61 @@
+// Who holds the account of a tenant, and what share each entry has.
+#pragma once
+
+#include "peridotgrade/core/base/time.h"
+#include "peridotgrade/core/serving/tenant.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridotgrade {
+
+/// The owners of the partitions of the entries' group, as the store last named them. A member's name is
+/// `PLACE/INCARNATION`, with the same place after a restart.
+///
+/// A member that is no longer named may be cut off from the store and serve callers from its own share, so
+/// that share is remembered until a process has started at its place again.
+class QuotaGroup {
+public:
+    /// Members may hold no partition for a moment while partitions move.
+    static constexpr std::chrono::seconds MissingTime { 2 };
+    /// A machine that is gone for good is not waited for any longer.
+    static constexpr std::chrono::seconds FormerTime { 60 };
+
+    QuotaGroup() = default;
+    /// `owners` has a name for each partition, empty if it has no owner now.
+    explicit QuotaGroup(std::vector<std::string> owners);
+    /// The group after the store has named these owners.
+    QuotaGroup updated(std::vector<std::string> newOwners, TimePoint now) const;
+
+    /// The partition that a tenant's account belongs to. `partitions` must not be 0.
+    static std::uint32_t partitionOf(const TenantId& tenant, std::uint32_t partitions);
+
+    /// The member that holds the account; nothing if the owner is not known.
+    std::optional<std::string_view> holderOf(const TenantId& tenant) const;
+    /// Part of the partitions that the member holds, 0 to 1.
+    double shareOf(const std::string& member) const;
+    const std::map<std::string, double>& shares() const { return this->members; }
+    /// Sum of the last shares of members that are no longer named and may still serve callers, 0 to 1.
+    double formerShare(TimePoint now) const;
+
+private:
+    struct Former {
+        double share = 0;
+        TimePoint missingSince {};
+    };
+
+    static std::string_view placeOf(std::string_view member) { return member.substr(0, member.find('/')); }
+
+    std::vector<std::string> owners;
+    /// Invariant: the shares sum to at most 1.
+    std::map<std::string, double> members;
+    /// Invariant: no member at the place of one in `members`.
+    std::map<std::string, Former> formerMembers;
+};
+
+} // namespace peridotgrade
--- a/src/include/peridotgrade/core/admission/workspace_rate_limiter.h
+++ b/src/include/peridotgrade/core/admission/workspace_rate_limiter.h
@@ -1,6 +1,7 @@
 // Limits the request and token rates of workspaces.
 #pragma once
 
+#include "peridotgrade/core/admission/token_bucket.h"
 #include "peridotgrade/core/base/time.h"
 #include "peridotgrade/core/config/site_configuration.h"
 
@@ -29,20 +30,19 @@
     void refund(const Workspace& workspace, std::uint32_t outputTokens);
 
 private:
-    struct Bucket {
-        double requests = 0;
-        double tokens = 0;
-        TimePoint refilledAt;
+    struct Buckets {
+        TokenBucket requests;
+        TokenBucket tokens;
     };
 
-    void refill(Bucket& bucket, const Workspace& workspace, TimePoint now) const;
-    double entryShareOf(double rate) const { return rate / static_cast<double>(this->entries); }
+    /// This entry's part of a rate of the site.
+    TokenRate entryShareOf(double rate) const;
 
     /// Invariant: at least 1.
     std::size_t entries = 1;
     /// Invariant: no bucket that was just refilled exceeds its rate times the burst time. Bounded by the
     /// configuration's workspaces, including former ones.
-    std::unordered_map<WorkspaceId, Bucket> buckets;
+    std::unordered_map<WorkspaceId, Buckets> buckets;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/core/quarantine/answered_parts.h
+++ b/src/include/peridotgrade/core/quarantine/answered_parts.h
@@ -1,4 +1,4 @@
-// Parts of prompts that were in a complete answer of late.
+// Parts of prompts, or requests, that were answered completely of late.
 #pragma once
 
 #include "peridotgrade/core/base/ids.h"
@@ -11,8 +11,9 @@
 
 namespace peridotgrade {
 
-/// Remembers which parts of prompts servers have answered in full: such a part does not crash them. It is
-/// forgotten after a while, since another version of the servers' software may not bear it. Not thread safe.
+/// Remembers which parts of prompts, or which requests, servers have answered in full: these do not crash
+/// them. They are forgotten after a while, since another version of the servers' software may not bear them.
+/// Not thread safe.
 class AnsweredParts {
 public:
     static constexpr std::chrono::seconds Lifetime { 30 };
--- a/src/include/peridotgrade/core/quarantine/crash_registry.h
+++ b/src/include/peridotgrade/core/quarantine/crash_registry.h
@@ -22,6 +22,8 @@
     ServerCrash crash;
     /// A request that had the suspect there.
     Fingerprint request;
+    /// A request that the entry which saw the crash had seen answered shortly before.
+    bool wasAnswered = false;
 
     // clang-tidy 14 mistakes the zero of a rewritten comparison for a null pointer.
     // NOLINTNEXTLINE(modernize-use-nullptr)
@@ -33,9 +35,10 @@
 /// shared part of prompts that was lost with four different requests, with all requests that have it. What
 /// has counted twice is no longer repeated by the entry itself, but sent if its caller sends it again. A
 /// complete answer clears a request that is suspect, and a part of prompts whatever it is: servers that
-/// answer it do not crash of it. Parts that this entry has seen answered of late are not recorded, and
-/// others' records of them are withdrawn, so that the parts that most requests share need no records. Not
-/// thread safe.
+/// answer it do not crash of it. A request that was answered of late, and has lost all or all but one of its
+/// crashes beside one that was not, is not quarantined for them. Parts that this entry has seen answered of
+/// late are not recorded, and others' records of them are withdrawn, so that the parts that most requests
+/// share need no records. Not thread safe.
 class CrashRegistry {
 public:
     static constexpr QuarantineLimits Limits { 4096, 3, 4 };
@@ -104,6 +107,7 @@
 private:
     /// Records what was lost in a crash that this entry has seen, and publishes it.
     void recordCrash(const ServerCrash& incarnation, std::vector<LostSuspect> lost, TimePoint now);
+    bool isAnsweredRequest(const Suspect& suspect, TimePoint now) const;
     bool isAnsweredPart(const Suspect& suspect, TimePoint now) const;
     void add(const std::vector<CrashReport>& reports, TimePoint now);
     bool withdraw(const Suspect& suspect);
@@ -114,9 +118,11 @@
     Quarantine quarantine { Limits };
     LostRuns lostRuns;
     AnsweredParts answeredParts;
+    AnsweredParts answeredRequests;
     struct Entry {
         TimePoint expiry;
         Fingerprint request;
+        bool wasAnswered = false;
     };
 
     /// The records. Invariant: at most `MaxRecords`.
--- a/src/include/peridotgrade/core/quarantine/quarantine.h
+++ b/src/include/peridotgrade/core/quarantine/quarantine.h
@@ -32,7 +32,9 @@
 /// Keeps the quarantine state of requests and of parts of prompts. Each that is running on a server when it
 /// crashes becomes suspect, whether alone or among others. A request is quarantined for the number of its
 /// crashes; a part of prompts for the number of different requests that were lost with it, one in a crash,
-/// since a single request may crash servers by what is its own. Crashes that something quarantined explains
+/// since a single request may crash servers by what is its own. A request that was answered shortly before
+/// waits while all of its crashes, or all but one, are also those of something that was not: it probably ran
+/// beside that, whose last crash may not be known here yet. Crashes that something quarantined explains
 /// no longer count for what was running beside it, and a request that has no other ones is suspect only; but
 /// those of a quarantined request count for parts of prompts. A request that is answered completely is
 /// cleared if it is suspect. Memory is bounded: the oldest suspects are evicted first, what is quarantined
--- a/src/include/peridotgrade/core/quarantine/suspect.h
+++ b/src/include/peridotgrade/core/quarantine/suspect.h
@@ -54,6 +54,8 @@
 
     Suspect suspect;
     Fingerprint request;
+    /// A request of which some server gave a complete answer shortly before.
+    bool wasAnswered = false;
 };
 
 /// As logs and records have it: sixteen hexadecimal digits, after `part-` for a part of prompts.
--- a/src/include/peridotgrade/core/serving/deadline_queue.h
+++ b/src/include/peridotgrade/core/serving/deadline_queue.h
@@ -3,7 +3,7 @@
 
 #include "peridotgrade/core/base/ids.h"
 #include "peridotgrade/core/base/time.h"
-#include "peridotgrade/core/serving/server_record.h"
+#include "peridotgrade/core/serving/waiting_request.h"
 
 #include <cstdint>
 #include <map>
@@ -13,27 +13,23 @@
 
 namespace peridotgrade {
 
-struct WaitingRequest {
-    RequestId id;
-    /// After this time the request can no longer be served usefully and is rejected.
-    TimePoint due;
-    std::uint32_t tokens = 0;
-    /// The only software version that may serve the request; nothing if any may.
-    std::optional<SoftwareVersion> version;
-};
-
-/// Orders requests by due time, earliest first. A first attempt is due when its first event would be late; a
-/// retry is due when its caller would give up, so it takes the capacity that first attempts leave and moves
-/// to the front near its due time. Under an overload of a few seconds this keeps answers on time and still
-/// serves the retries.
+/// Orders requests by priority, within a priority those that go first, then those that may be on time and
+/// then those that are late, each by due time. A first attempt is due when its first event would be late; a
+/// late retry is due when its caller would give up, and takes the capacity that first attempts leave.
 class DeadlineQueue {
 public:
     void add(const WaitingRequest& request);
     void remove(RequestId id);
-    bool contains(RequestId id) const { return this->dueTimes.contains(id); }
-    /// Removes and returns the requests that are past their due time.
-    std::vector<RequestId> takeOverdue(TimePoint now);
-    std::optional<TimePoint> firstDue() const;
+    bool contains(RequestId id) const { return this->keys.contains(id); }
+    /// Null if it does not wait.
+    const WaitingRequest* find(RequestId id) const;
+    /// Removes and returns the requests that are past their due time, earliest first.
+    std::vector<WaitingRequest> takeOverdue(TimePoint now);
+    /// Removes and returns the requests whose answer would be late, while others that are at least as urgent
+    /// wait and would be on time.
+    std::vector<WaitingRequest> takeLate(TimePoint now);
+    /// When the next request is past its due time, or is late while several wait.
+    std::optional<TimePoint> firstDue(TimePoint now) const;
     std::size_t size() const { return this->order.size(); }
     /// Tokens of the requests that would be served before `request`.
     std::uint64_t tokensAhead(const WaitingRequest& request) const;
@@ -49,15 +45,20 @@
 
 private:
     struct Key {
+        RequestPriority priority;
+        /// 0 for requests that go first, 2 for late ones.
+        std::uint8_t turn = 0;
         TimePoint due;
         RequestId id;
         // NOLINTNEXTLINE(modernize-use-nullptr)
         friend auto operator<=>(const Key&, const Key&) = default;
     };
 
+    static Key keyOf(const WaitingRequest& request);
+
     std::map<Key, WaitingRequest> order;
     /// Invariant: one entry for each request in `order`.
-    std::unordered_map<RequestId, TimePoint> dueTimes;
+    std::unordered_map<RequestId, Key> keys;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/core/serving/engine_demand.h
+++ b/src/include/peridotgrade/core/serving/engine_demand.h
@@ -71,6 +71,9 @@
     std::optional<Duration> prefillTimeout(std::uint32_t tokens) const;
     /// Nothing until enough prefills and runs were recorded.
     std::optional<RoleDemand> current() const;
+    /// The same, drawn towards `expected` until `MaxRuns` runs were recorded. At engines of unequal speed a
+    /// dozen requests may have met the fast ones only.
+    std::optional<RoleDemand> currentNear(const RoleDemand& expected) const;
     /// True before the first prefill.
     bool isUnused() const { return this->prefill.isEmpty(); }
     const PrefillCost& prefillCost() const { return this->prefill; }
--- a/src/include/peridotgrade/core/serving/leader_lease.h
+++ b/src/include/peridotgrade/core/serving/leader_lease.h
@@ -32,6 +32,8 @@
 
     bool isLeader() const { return this->isLeading; }
     bool mayAct(TimePoint now) const;
+    /// When the leadership began, or may have been interrupted last.
+    TimePoint leadingSince() const { return this->leaderSince; }
     /// Time until the previous leader's lease has expired; zero if it has.
     Duration remainingWait(TimePoint now) const;
 
--- a/src/include/peridotgrade/core/serving/prefill_cost.h
+++ b/src/include/peridotgrade/core/serving/prefill_cost.h
@@ -28,6 +28,8 @@
 
     /// Records a completed prefill of `tokens`, as long as it took from the request to the answer.
     void record(std::uint32_t tokens, Duration took);
+    /// What a prefill of `tokens` that took so long would have taken with a prompt of the mean size.
+    Duration atMeanSize(std::uint32_t tokens, Duration took) const;
     bool isEmpty() const { return this->samples.empty(); }
     /// The time for a prefill of `tokens`; nothing before `MinSamples` were recorded.
     std::optional<Duration> estimate(std::uint32_t tokens) const;
--- a/src/include/peridotgrade/core/serving/queue_forecast.h
+++ b/src/include/peridotgrade/core/serving/queue_forecast.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "peridotgrade/core/base/time.h"
+#include "peridotgrade/core/serving/forecast_certainty.h"
 
 #include <chrono>
 #include <cstdint>
@@ -20,6 +21,9 @@
     /// A request is rejected only if the queue would have to move more than this many times faster: the rate
     /// over one window is uncertain, and memory left unused after a needless rejection helps nobody.
     static constexpr double RateTolerance = 1.6;
+    /// The same for a high certainty, which also needs a grant. With the usual one, 0.5 % of the callers got
+    /// no answer at a load at which all are served if they wait (docs/design/bursts.md).
+    static constexpr double HighCertaintyTolerance = 4;
 
     /// The rate is unknown until requests have been waiting for this long.
     static constexpr std::chrono::milliseconds MinSampleTime { 500 };
@@ -29,8 +33,11 @@
     void noteIdle();
     /// At least one request is waiting.
     void noteBusy(TimePoint now);
+    /// Tokens granted per second; nothing while it is unknown.
+    std::optional<double> tokensPerSecond(TimePoint now);
     /// Returns true if `tokensAhead` may be granted within `wait`.
-    bool canServe(TimePoint now, std::uint64_t tokensAhead, Duration wait);
+    bool canServe(TimePoint now, std::uint64_t tokensAhead, Duration wait,
+        ForecastCertainty certainty = ForecastCertainty::Usual);
 
 private:
     struct Grant {
--- a/src/include/peridotgrade/core/serving/retry_accounting.h
+++ b/src/include/peridotgrade/core/serving/retry_accounting.h
@@ -13,8 +13,10 @@
 /// Prefills and runs are counted separately, since every request needs one of each. Not thread safe.
 class RetryAccounting {
 public:
-    explicit RetryAccounting(RetryBudgetShare& budget)
+    /// `urgency` is 0 for the most urgent requests, for which a part of the budget is kept.
+    explicit RetryAccounting(RetryBudgetShare& budget, std::uint32_t urgency = 0)
         : budget(budget)
+        , urgency(urgency)
     {
     }
 
@@ -27,11 +29,21 @@
 
     std::uint32_t prefillsReached() const { return this->prefills; }
     bool isNextRunRetry() const { return this->runs > 0; }
+    /// True if the budget covers the retries of a round that needs a run, and a prefill if `needsPrefill`.
+    bool coversRound(bool needsPrefill, TimePoint now) const
+    {
+        double needed = (this->runs > 0 ? 1 : 0) + (needsPrefill && this->prefills > 0 ? 1 : 0);
+        return needed == 0 || this->budget.left(now, this->urgency) >= needed;
+    }
 
 private:
-    bool trySend(std::uint32_t reached, TimePoint now) { return reached == 0 || this->budget.trySpend(now); }
+    bool trySend(std::uint32_t reached, TimePoint now)
+    {
+        return reached == 0 || this->budget.trySpend(now, this->urgency);
+    }
 
     RetryBudgetShare& budget;
+    const std::uint32_t urgency;
     std::uint32_t prefills = 0;
     std::uint32_t runs = 0;
 };
--- a/src/include/peridotgrade/core/serving/retry_budget_share.h
+++ b/src/include/peridotgrade/core/serving/retry_budget_share.h
@@ -1,6 +1,7 @@
 // An entry's share of the retry budget that all entries have for a service.
 #pragma once
 
+#include "peridotgrade/core/admission/token_bucket.h"
 #include "peridotgrade/core/base/time.h"
 
 #include <chrono>
@@ -39,22 +40,34 @@
     /// starts of every entry within a window.
     static constexpr double StartExtra = 0.1;
 
+    /// Part of a full budget that only the most urgent requests of the window may spend. They are a quarter
+    /// of the traffic and would otherwise find the budget spent in a burst of failures.
+    static constexpr double KeptForUrgent = 0.3;
+
     explicit RetryBudgetShare(RetryBudgetLimits limits);
 
     /// Sets this entry's share of the fixed allowance, 0 to 1.
     void setShare(double value, TimePoint now);
-    void recordRequest(TimePoint now);
-    /// Takes one retry from the budget; returns false if none is left.
-    bool trySpend(TimePoint now);
-    /// Retries that are left now; below one, none is.
-    double left(TimePoint now);
+    /// `urgency` is 0 for the most urgent; it is the same for all requests where there are no priorities.
+    void recordRequest(TimePoint now, std::uint32_t urgency = 0);
+    /// Takes one retry from the budget; returns false if none is left for a request of that urgency.
+    bool trySpend(TimePoint now, std::uint32_t urgency = 0);
+    /// Retries that are left now for such a request; below one, none is.
+    double left(TimePoint now, std::uint32_t urgency = 0);
 
 private:
     void removeExpired(TimePoint now);
     void refill(TimePoint now);
+    /// Part of the budget that a request of that urgency leaves to more urgent ones.
+    double keptFrom(std::uint32_t urgency) const;
+    double ratioAllowed() const;
     /// Retries that the ratio still allows; zero if requests that allowed some have expired.
     double ratioLeft() const;
 
+    struct Request {
+        TimePoint at;
+        std::uint32_t urgency = 0;
+    };
     /// Part of a retry that the ratio paid for; the bucket paid for the rest.
     struct Payment {
         TimePoint at;
@@ -62,14 +75,12 @@
     };
 
     RetryBudgetLimits limits;
-    /// Tokens that the bucket holds when it is full.
-    double capacity = 0;
-    /// Invariant: at most `capacity`.
-    double tokens = 0;
-    TimePoint refilledAt {};
+    /// The capacity flows in once in a window. Invariant: the bucket holds at most the capacity.
+    TokenRate rate;
+    TokenBucket bucket;
     /// The entry has had a share before.
     bool hasStarted = false;
-    std::deque<TimePoint> requests;
+    std::deque<Request> requests;
     std::deque<Payment> paidByRatio;
 };
 
--- a/src/include/peridotgrade/core/serving/role_plan.h
+++ b/src/include/peridotgrade/core/serving/role_plan.h
@@ -7,7 +7,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace peridotgrade {
@@ -20,6 +22,10 @@
     std::uint32_t entries = 1;
 };
 
+/// Speed of each engine relative to the median of its service, more is faster; 1 for engines that are
+/// missing.
+using EngineSpeeds = std::map<ServerId, double>;
+
 struct RoleAssignment {
     ServerId server;
     ServerRole role = ServerRole::Decode;
@@ -34,6 +40,11 @@
 /// and only if several updates in a row agree. Before the first request a change costs nothing, so the split
 /// of an idle pool follows an expected demand at once; from then on roles stay as they are until the demand
 /// has been measured.
+///
+/// Engines of unequal speed count by their speed, in units of the mean engine of the service. The measured
+/// times are those of the mean engine of each present pool, so the present split has the measured capacity
+/// whatever the speeds: they decide how many engines change, and which, but never that some do. Engines of
+/// equal speed count 1 each (docs/design/roles.md).
 class RolePlan {
 public:
     /// A prefill pool at this utilisation counts as saturated: requests that wait for prefill hold memory at
@@ -61,10 +72,13 @@
     static std::uint32_t minEnginesOfRole(std::size_t engines);
     /// The number of prefill engines that is worth most.
     static std::uint32_t bestSplit(std::size_t engines, const RoleDemand& demand);
-    /// Requests per second that a split carries.
-    static double capacity(std::uint32_t prefill, std::uint32_t decode, const RoleDemand& demand);
+    /// Requests per second that pools of so many mean engines carry.
+    static double capacity(double prefill, double decode, const RoleDemand& demand);
     /// The capacity of a split, averaged with what is left of it after the loss of one engine.
-    static double worth(std::size_t engines, std::uint32_t prefill, const RoleDemand& demand);
+    static double worth(std::size_t engines, double prefill, const RoleDemand& demand);
+
+    /// Speeds for the calls that follow.
+    void setSpeeds(EngineSpeeds newSpeeds) { this->speeds = std::move(newSpeeds); }
 
     /// Sets the target for a pool without requests from the expected demand.
     void updateIdle(const std::vector<const ServerRecord*>& engines, const RoleDemand& expected);
@@ -77,18 +91,33 @@
     /// does not wait for them.
     std::optional<RoleAssignment> nextAssignment(
         const std::vector<const ServerRecord*>& engines, std::size_t changing) const;
-    /// Prefill engines after the last update.
+    /// Prefill engines that the last update aims at; if speeds differ, in mean engines beyond the present.
     std::uint32_t prefillTarget() const { return this->target; }
 
 private:
-    static bool isWorthChanging(std::size_t engines, std::uint32_t from, std::uint32_t to,
-        const RoleDemand& demand, const RoleChangeCost& cost);
+    using Engines = std::vector<const ServerRecord*>;
+
+    static bool isWorthChanging(
+        std::size_t engines, double from, double to, const RoleDemand& demand, const RoleChangeCost& cost);
+    double speedOf(const ServerRecord& engine) const;
+    /// Mean engines that a pool of that role is worth.
+    double unitsOf(const Engines& engines, ServerRole role) const;
+    /// Sum of the speeds divided by the number of engines.
+    double meanSpeed(const Engines& engines) const;
+    /// The measured times, converted from the mean engine of each present pool to that of the service.
+    RoleDemand demandOfMeanEngine(const Engines& engines, const RoleDemand& demand) const;
+    /// The engine of that role whose change comes nearest to `missing` mean engines, from the data centre
+    /// that has the most of them; null if no change brings the pools nearer to the target.
+    const ServerRecord* engineToChange(const Engines& engines, ServerRole role, double missing) const;
     void countAgreement(int direction);
     /// True if a decision in that direction would take back an earlier one.
     bool isReversal(int direction, TimePoint now) const;
     static std::uint32_t maxChanging(std::size_t engines);
 
+    EngineSpeeds speeds;
     std::uint32_t target = 0;
+    /// The target in mean engines; nothing if only a role without its minimum asks for changes.
+    std::optional<double> targetUnits;
     /// The target is that of a pool without requests, which is reached in one step.
     bool isIdle = false;
     /// -1 for fewer prefill engines, 1 for more, 0 for none of both; as of the last update.
--- a/src/include/peridotgrade/core/serving/service_route.h
+++ b/src/include/peridotgrade/core/serving/service_route.h
@@ -47,6 +47,8 @@
     /// Maximum number of servers on which one attempt of the caller may run.
     std::uint32_t maxAttempts = 1;
     bool isResumable = false;
+    /// Callers need no key.
+    bool isPublic = false;
     /// Invariant: never empty in a configuration in force.
     std::vector<WeightedService> services;
 };
--- a/src/include/peridotgrade/gateway/final_answer.h
+++ b/src/include/peridotgrade/gateway/final_answer.h
@@ -24,6 +24,9 @@
     std::uint32_t events = 0;
     /// Bytes followed the last complete event.
     bool hasPartialEvent = false;
+    /// Output tokens that were expected, and those that the events had.
+    std::uint32_t expectedOutputTokens = 0;
+    std::uint32_t outputTokens = 0;
 };
 
 /// A server's answer that was sent to the caller.
@@ -46,6 +49,9 @@
     std::string_view server = {});
 /// Answers that the request is quarantined and has not been sent to any server.
 boost::asio::awaitable<void> answerQuarantined(GatewayState& state, RequestContext& context);
+/// Answers that the request is over the quota of its tenant and has not run.
+boost::asio::awaitable<void> answerOverQuota(
+    GatewayState& state, RequestContext& context, std::chrono::milliseconds retryAfter);
 /// Answers that the request has failed and may have run.
 boost::asio::awaitable<void> answerFailed(GatewayState& state, RequestContext& context, std::uint16_t status,
     std::string_view reason, std::string_view server = {}, std::string_view detail = {});
--- a/src/include/peridotgrade/gateway/gateway_metrics.h
+++ b/src/include/peridotgrade/gateway/gateway_metrics.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace peridotgrade {
@@ -16,18 +17,29 @@
     explicit GatewayMetrics(MetricsRegistry& registry);
 
     void countRequest(const std::string& kind);
+    void countAuthentication(const std::string& result);
     void countOutcome(const std::string& outcome);
     void countRefusal(const std::string& reason);
+    /// `urgency` is 0 to 9.
+    void countRefusalByPriority(std::uint32_t urgency);
     void countReservation(const std::string& result);
     void countRetry(const std::string& service);
     void countResumption(const std::string& origin);
     void countPublishedOrigins(const std::string& result, std::size_t streams);
     void countServerCrash(const std::string& evidence);
     void countQuarantined();
+    void countQuotaDecision(const std::string& result);
+    void countQuotaGrant(const std::string& result);
+    /// `result` is the type of a message between entries and what became of it.
+    void countPeerNotice(const std::string& result);
     void addFirstEvent(std::chrono::nanoseconds time) { this->firstEvent.add(time); }
     void addAnswer(std::chrono::nanoseconds time) { this->answer.add(time); }
     void addReservationWait(std::chrono::nanoseconds time) { this->reservationWait.add(time); }
     void addPrefill(std::chrono::nanoseconds time) { this->prefill.add(time); }
+    /// Expected factor of the usual time at a server that was chosen.
+    void addServerPace(double factor);
+    /// Output tokens of an answer, divided by those that were expected.
+    void addOutputError(double ratio);
 
 private:
     MetricsRegistry& registry;
@@ -35,6 +47,8 @@
     Distribution& answer;
     Distribution& reservationWait;
     Distribution& prefill;
+    Distribution& serverPace;
+    Distribution& outputError;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/gateway/gateway_request.h
+++ b/src/include/peridotgrade/gateway/gateway_request.h
@@ -4,6 +4,7 @@
 #include "peridotgrade/core/base/ids.h"
 #include "peridotgrade/core/base/time.h"
 #include "peridotgrade/core/quarantine/suspect.h"
+#include "peridotgrade/core/serving/prompt_cache_map.h"
 #include "peridotgrade/net/http_message.h"
 
 #include <chrono>
@@ -24,8 +25,10 @@
 };
 
 struct GatewayRequest {
-    /// What is forwarded unchanged: method, target, end-to-end fields, body.
+    /// What is forwarded unchanged: method, target, end-to-end fields. Its own body is empty.
     HttpRequest message;
+    /// The body, which is forwarded unchanged too; null if there is none.
+    SharedBody body;
     /// The caller's id of this attempt.
     std::string attempt;
     std::string host;
@@ -33,6 +36,8 @@
     Fingerprint fingerprint;
     /// Parts of the prompt that other requests share, by their identity.
     std::vector<Fingerprint> promptParts;
+    /// The same with their sizes.
+    std::vector<PromptPart> sharedParts;
     TimePoint arrivedAt;
     /// How long the caller waits, counted from when it sent the request.
     std::optional<std::chrono::milliseconds> callerTimeout;
@@ -42,6 +47,9 @@
     /// Id of the attempt that brought the stream's first event, if the caller resumes a stream.
     std::optional<std::string> resumedAttempt;
 
+    /// 0 for the most urgent to 9; nothing where the configuration has no priorities.
+    std::optional<std::uint32_t> urgency;
+
     /// True if events of the stream were delivered by another attempt.
     bool isResumption() const { return this->lastEvent || this->resumedAttempt; }
     /// What it is suspected for if its server crashes: the request itself and the shared parts of its prompt.
--- a/src/include/peridotgrade/gateway/gateway_settings.h
+++ b/src/include/peridotgrade/gateway/gateway_settings.h
@@ -38,6 +38,11 @@
     std::optional<RoleDemand> expectedDemand;
     /// The shortest membership lifetime that the store accepts.
     std::chrono::milliseconds minMembershipLifetime { 1000 };
+    /// The process is ended above so many megabytes; nothing if no limit is known.
+    std::optional<std::uint32_t> memoryMb;
+    /// Address for datagrams of other entries, for quotas of tenants and observations of servers. Without it
+    /// an entry allows each tenant its own share only, and shares no observations.
+    std::optional<Endpoint> peerListen;
 };
 
 /// Collects settings and checks the constraints between them.
@@ -52,6 +57,8 @@
     GatewaySettingsBuilder& leadership(
         std::chrono::milliseconds lease, std::chrono::milliseconds minMembershipLifetime);
     GatewaySettingsBuilder& expectedDemand(std::optional<RoleDemand> value);
+    GatewaySettingsBuilder& memory(std::optional<std::uint32_t> megabytes);
+    GatewaySettingsBuilder& peers(std::optional<Endpoint> listen);
     std::variant<GatewaySettings, SettingsError> build() const;
 
 private:
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -7,15 +7,19 @@
 #include "peridotgrade/core/serving/engine_demand.h"
 #include "peridotgrade/core/serving/engine_load.h"
 #include "peridotgrade/core/serving/output_estimate.h"
+#include "peridotgrade/core/serving/prompt_cache_map.h"
+#include "peridotgrade/core/serving/request_cost.h"
 #include "peridotgrade/core/serving/retry_budget_share.h"
 #include "peridotgrade/core/serving/routing_configuration.h"
 #include "peridotgrade/core/serving/server_backoff.h"
 #include "peridotgrade/core/serving/server_directory.h"
 #include "peridotgrade/core/serving/server_health.h"
 #include "peridotgrade/core/serving/server_limits.h"
+#include "peridotgrade/core/serving/server_pace.h"
 #include "peridotgrade/core/serving/version_history.h"
 #include "peridotgrade/gateway/gateway_metrics.h"
 #include "peridotgrade/gateway/gateway_settings.h"
+#include "peridotgrade/gateway/memory_budgets.h"
 #include "peridotgrade/gateway/server_clients.h"
 #include "peridotgrade/gateway/server_end_probe.h"
 #include "peridotgrade/net/body_framing.h"
@@ -37,8 +41,6 @@
 public:
     /// Longest answer in one piece; as long as the longest request that operators allow by default.
     static constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
-    /// Such answers at the same time. The smallest machines have 88 MB.
-    static constexpr std::size_t MaxAnswerMemory = 24 * 1024 * 1024;
 
     GatewayState(boost::asio::any_io_executor executor, GatewaySettings settings, MetricsRegistry& registry,
         std::uint64_t seed);
@@ -49,10 +51,29 @@
     void armTimers() { this->driver.arm(this->timers.nextDue()); }
     void subscribeAt(TimePoint due, TimerService::Callback callback);
     void subscribeAfter(Duration delay, TimerService::Callback callback);
+    /// Asked before each spend, so that a membership that ended while this process was paused or its machine
+    /// suspended pays for nothing.
     RetryBudgetShare& retryBudgetOf(const ServiceId& service);
-    void setRetryShare(double retryShare);
+    /// The group has confirmed the membership. `endsAt` is of the clock that advances in a suspension.
+    void noteMembership(double share, const HeldPartitions& partitions, TimePoint endsAt);
+    /// Gives up the share of the retries, and half of the part of servers' limits, if the membership has
+    /// ended.
+    void endExpiredMembership();
+    /// The time of a retry that is about to be taken from a budget, after the check of the membership.
+    TimePoint spendTime()
+    {
+        this->endExpiredMembership();
+        return this->now();
+    }
     /// Entries of the group, from this one's share of the retries; 1 if it has none.
     std::uint32_t entryCount() const;
+    /// The deployment asks for a choice of prefill engines by their waits: it has tenants, or servers that
+    /// share their machines and report slowness.
+    bool weighsBacklog() const
+    {
+        return this->pace.hasSlownessReports()
+            || (this->configuration && !this->configuration->tenants.empty());
+    }
     EngineDemand& demandOf(const ServiceId& service) { return this->demands[service]; }
     /// Servers of a service that may get requests and are not ejected; all of them if every one is ejected.
     /// Servers that may get no call now are never among them.
@@ -71,6 +92,9 @@
     std::optional<TimePoint> allClosedUntil(const ServiceId& service, ServerRole role);
     /// Why that is so: `servers_back_off` or `servers_limited`.
     std::string_view closedReason(const ServiceId& service, ServerRole role);
+    /// The server has been chosen for a call. Counts its pace, and returns its learned ratio and its slowness
+    /// at this moment for a line of the log.
+    std::string notePace(const ServerId& server);
     void noteServerNotice(const ServerRecord& server, const ServerNotice& notice);
     /// Records a failed call in the health of its server.
     void noteFailure(const ServerId& server, const CallFailure& failure);
@@ -88,6 +112,7 @@
 
     boost::asio::any_io_executor executor;
     GatewaySettings settings;
+    const MemoryBudgets memoryBudgets;
     TimerService timers;
     TimerDriver driver;
     RandomSource random;
@@ -107,9 +132,18 @@
     std::map<ServiceId, VersionHistory> versions;
     /// Called when the versions of a service have changed and are several.
     std::function<void()> onMixedVersions;
+    /// Called when the address of a server refuses connections, also if no request was lost there.
+    std::function<void(const ServerCrash&)> onServerEnded;
+    /// Called when a report shows that an engine is taking another role; the time is that of a role switch.
+    std::function<void(const ServerRecord&, ServerRole, std::chrono::milliseconds)> onRoleChangeSeen;
     ServerHealth health;
     ServerBackoff backoff;
     ServerLimits limits;
+    /// Speeds of the servers and their reports of load.
+    ServerPace pace;
+    /// Waits at prefill engines. Recorded only where `weighsBacklog`.
+    EngineBacklog backlog;
+    PromptCacheMap promptCaches;
     /// Requests and parts of prompts that crash servers, as far as the entries know them.
     CrashRegistry crashes;
     /// Tokens reserved at decode engines; at plain servers, running requests.
@@ -117,8 +151,10 @@
     /// Prompts in progress at prefill engines.
     EngineLoad prefillLoad;
     OutputEstimate outputs;
-    /// Answers of servers that are read to their end before they are passed on.
-    BodyMemory answerMemory { MaxAnswerMemory };
+    /// Answers of servers that are read to their end before they are passed on, until the caller has them.
+    BodyMemory answerMemory { this->memoryBudgets.answerBytes };
+    /// Bodies of callers' requests; null for no limit on their sum.
+    std::shared_ptr<BodyMemory> requestMemory;
     ServerClients clients;
 
 private:
@@ -130,7 +166,13 @@
 
     ServerEndProbe endProbe;
 
+    void setRetryShare(double share);
+
     double retryShare = 0;
+    /// Partitions of the group at the last confirmation.
+    HeldPartitions heldPartitions { {}, 0, false };
+    /// On a clock that advances while the machine is suspended.
+    TimePoint membershipEndsAt {};
     /// Budget of a service without requests so far; it holds what the entry's share has brought until now.
     RetryBudgetShare unusedRetryBudget;
     std::map<ServiceId, RetryBudgetShare> retryBudgets;
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -24,7 +24,7 @@
     enum class Next : std::uint8_t { Done, Retry, GiveUp };
 
     /// Prefill, hand-over and the first event at a busy engine take about this long after a reservation is
-    /// granted.
+    /// granted. Where the prompt or the wait for prefill engines makes it longer, `onTimeUntil` follows that.
     static constexpr std::chrono::milliseconds TimeToFirstEvent { 300 };
 
     /// One round of reservation, prefill and stream.
@@ -35,17 +35,31 @@
     std::vector<const ServerRecord*> decodeEngines();
     /// The role of which no engine may be called before the request's due time, if there is one.
     std::optional<ServerRole> closedRole() const;
-    /// False if the next round needs a prefill for which the retry budget has nothing left: a reservation for
-    /// it would be taken in vain.
-    bool hasPrefillBudget();
+    /// False if the retry budget has too little left for the prefill and the run of the next round: the
+    /// reservation, and the retry that is paid first, would be taken in vain.
+    bool hasRoundBudget();
     bool takeRunBudget();
     /// Takes the budget for sending a prefill once more after its connection has ended.
     bool takePrefillResendBudget();
+    /// How long a prefill may take there before the server counts as silent.
+    Duration prefillTimeout(const ServerRecord& server);
+    /// Tokens of the prompt that the server has probably cached.
+    std::uint32_t cachedTokensAt(const ServerRecord& server) const;
+    void recordPrefill(const ServerRecord& server, Duration took);
+    /// The prefill was given up after `took`.
+    void recordTimedOutPrefill(const ServerRecord& server, Duration took);
+    void recordBacklog(const ServerRecord& server, Duration took);
+    /// What a prefill that took `took` at the server would take at the mean engine of the prefill pool.
+    Duration atMeanEngine(const ServerRecord& server, Duration took);
     void notePrefillFailure(const ServerId& server, const CallFailure& failed, Duration took);
     boost::asio::awaitable<Next> stream(const EngineReservation& reservation, KvLocation kvCache);
     /// Passes a stream on. A resumable one goes on elsewhere if the server breaks it off; a stream that ends
     /// inside an event has been broken off, however its end is marked.
-    boost::asio::awaitable<Next> forward(ServerAnswer& answer, const ServerId& server);
+    boost::asio::awaitable<Next> forward(ServerAnswer& answer, const ServerRecord& record);
+    /// Compares the output of a complete stream with the estimate; returns its tokens.
+    std::uint32_t recordOutput(std::uint32_t expected);
+    /// Records the time for the events that have arrived since the last call.
+    void recordEvents(const ServerRecord& server, TimePoint waitBegan);
     /// The first event is about to be delivered, so the stream stays at the version of this run.
     void noteBegun();
     /// A stream ended before it was complete.
@@ -72,11 +86,26 @@
     /// A prefill or run of this attempt has been sent.
     bool hasReachedServer() const { return this->runs > 0 || this->retryAccounting.prefillsReached() > 0; }
     bool isFirstAttempt() const;
+    /// A caller without an event has given up after this; one whose stream has begun waits to the deadline.
+    TimePoint firstEventDue() const;
+    /// True if the first event would be late for the caller, counted from its first attempt. What it has left
+    /// of the route's time tells when that was.
+    bool isLateRetry() const;
     bool canResume() const;
     TimePoint reservationDue() const;
+    /// After this time a reservation is too late for an answer on time; nothing if that does not matter or
+    /// `reservationDue` is earlier.
+    std::optional<TimePoint> onTimeUntil() const;
+    WaitingRequest waitingRequest() const;
+    std::uint32_t urgency() const { return this->context.request.urgency.value_or(0); }
     std::uint32_t promptTokens() const;
     std::uint32_t tokensNeeded() const;
+    RequestCost cost() const;
     Duration readTimeout() const;
+    /// True while a run that brings no event is ended early, since its stream can go on at another engine.
+    bool isStallWatched() const;
+    /// How long the current run may still go without an event.
+    Duration stallTimeLeft() const;
 
     GatewayState& state;
     RequestContext& context;
@@ -97,12 +126,19 @@
     std::optional<KvLocation> unusedCache;
     /// How long the KV cache of the last prefill can be used.
     TimePoint cacheUsableUntil {};
+    /// When the last reservation was granted.
+    TimePoint reservedAt {};
     /// How long the last reservation took.
     Duration reservationWait {};
     /// The answer to the caller has begun.
     bool hasBegun = false;
     std::optional<Duration> firstEvent;
     TimePoint lastPieceAt {};
+    /// Events of the stream and their time, up to which the pace of its server has been recorded.
+    std::uint32_t recordedEvents = 0;
+    TimePoint recordedAt {};
+    /// When the current run last brought an event with an id that the caller has taken, or began.
+    TimePoint progressAt {};
     /// Longest pause between two pieces from the server.
     Duration longestPause {};
     std::string lastServer;
--- a/src/include/peridotgrade/gateway/group_member.h
+++ b/src/include/peridotgrade/gateway/group_member.h
@@ -2,15 +2,22 @@
 #pragma once
 
 #include "peridotgrade/core/serving/leader_lease.h"
+#include "peridotgrade/core/serving/role_changes.h"
 #include "peridotgrade/core/serving/role_plan.h"
 #include "peridotgrade/gateway/gateway_state.h"
+#include "peridotgrade/gateway/peer_notices.h"
+#include "peridotgrade/gateway/quota_service.h"
 #include "platform/store_client.h"
 
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace peridotgrade {
 
@@ -19,14 +26,17 @@
 /// leader: it alone changes engines between prefill and decode.
 class GroupMember {
 public:
-    GroupMember(GatewayState& state, StoreClient& store);
+    GroupMember(GatewayState& state, StoreClient& store, QuotaService& quotas, PeerNotices& notices);
     void start();
 
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> join();
+    /// Reads who owns the partitions, if that may have changed since they were last read.
+    boost::asio::awaitable<void> readOwners();
     boost::asio::awaitable<void> assignRoles();
-    boost::asio::awaitable<void> changeRoleOf(ServiceId service, RoleAssignment assignment);
+    boost::asio::awaitable<void> changeRoleOf(
+        ServiceId service, RoleAssignment assignment, std::chrono::milliseconds switchTime);
     void enterEra(std::uint64_t newEra);
     /// Never decreases, also when the store comes back from an older copy.
     std::uint64_t fencingToken() const;
@@ -34,19 +44,26 @@
         const std::optional<RoleDemand>& demand);
     void noteMembership(const GroupMembership& membership, TimePoint requestedAt);
     bool mayAct() const;
+    /// Waits for the next renewal, and reads the owners as soon as the first configuration asks for it.
+    boost::asio::awaitable<void> waitForRenewal(bool isMember);
+    bool needsOwners() const { return this->quotas.needsOwners() || this->notices.isActive(); }
     Duration renewalDelay() const;
     boost::asio::awaitable<bool> assignRolesOf(ServiceId service, EngineSpec engine);
+    /// The usable engines with the roles that they have or will have.
     std::vector<ServerRecord> plannedEnginesOf(const ServiceId& service) const;
-    /// Engines of the service that have not yet reached the role of their pending change.
-    std::size_t countChanging(const ServiceId& service) const;
-
-    struct PendingRoleChange {
-        ServerRole role;
-        TimePoint until;
-    };
+    EngineSpeeds speedsOf(const std::vector<const ServerRecord*>& engines) const;
+    /// Reports that are being read.
+    struct ReportRound;
+    /// Reads reports of engines, all at the same time, for role changes that a former leader has begun.
+    /// Reports that take long count when they arrive.
+    boost::asio::awaitable<void> learnChanges(ServiceId service);
+    boost::asio::awaitable<void> readReport(
+        std::shared_ptr<ReportRound> round, std::shared_ptr<ServerClient> client);
 
     GatewayState& state;
     StoreClient& store;
+    QuotaService& quotas;
+    PeerNotices& notices;
     const std::string member;
     std::map<ServiceId, RolePlan> plans;
     /// Era of the store to which `generation` belongs.
@@ -54,13 +71,13 @@
     std::uint64_t generation = 0;
     /// The last answer had a new generation, so partitions may still be moving between members.
     bool isSettling = false;
-    double retryShare = 0;
-    HeldPartitions partitions;
+    bool areOwnersRead = false;
     LeaderLease leaderLease;
     /// On a clock that advances while the machine is suspended.
     TimePoint confirmedAt {};
-    /// Role changes that may still take effect; the engine is counted with its new role.
-    std::map<ServerId, PendingRoleChange> pendingChanges;
+    RoleChanges changes;
+    /// Start of the leadership for which `changes` has been told of the takeover.
+    std::optional<TimePoint> tookOverAt;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/gateway/plain_call.h
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -22,8 +22,19 @@
     enum class Next : std::uint8_t { Done, TryOther };
 
     const ServerRecord* chooseServer();
+    /// Requests at the server, by its reports or at least this entry's own.
+    double requestsAt(const ServerRecord& server) const;
+    /// Expected time of a call there, in requests of an average server.
+    double expectedTime(const ServerRecord& server) const;
     boost::asio::awaitable<Next> attempt(const ServerRecord& record);
     boost::asio::awaitable<Next> forwardAnswer(ServerAnswer& answer, const ServerId& server);
+    /// True if nothing else than this answer can come of the request.
+    bool isFinal(const ServerAnswerHead& head) const;
+    /// Passes an answer on as it arrives, no faster than the caller reads, since no memory is left to hold
+    /// it. `begun` has its head and what has been read of it, and `share` the memory of that. From here on no
+    /// other server can be tried.
+    boost::asio::awaitable<void> passOn(
+        ServerAnswer& answer, const ServerId& server, HttpResponse begun, BodyMemory::Share share);
     boost::asio::awaitable<void> giveUp();
     /// The limit that forbids another send, to `next` if it is not null; empty if there is none. Takes a
     /// retry from the budget if the send is one.
@@ -44,6 +55,8 @@
     std::uint32_t sends = 0;
     /// The server error that is answered if no other server succeeds.
     std::optional<HttpResponse> lastAnswer;
+    /// Memory of `lastAnswer`.
+    BodyMemory::Share lastShare;
     BodyFraming lastFraming = BodyFraming::Length;
     std::string lastDetail;
     std::string lastServer;
--- a/src/include/peridotgrade/gateway/server_clients.h
+++ b/src/include/peridotgrade/gateway/server_clients.h
@@ -13,9 +13,11 @@
 /// Keeps one client, and so one connection pool, for each incarnation of a server. Not thread safe.
 class ServerClients {
 public:
-    ServerClients(boost::asio::any_io_executor executor, ServerClientCallbacks callbacks)
+    ServerClients(boost::asio::any_io_executor executor, ServerClientCallbacks callbacks,
+        HttpChannelSettings channelSettings)
         : executor(std::move(executor))
         , callbacks(std::move(callbacks))
+        , channelSettings(channelSettings)
     {
     }
 
@@ -26,6 +28,7 @@
 private:
     boost::asio::any_io_executor executor;
     ServerClientCallbacks callbacks;
+    HttpChannelSettings channelSettings;
     std::map<ServerId, std::shared_ptr<ServerClient>> clients;
 };
 
--- a/src/include/peridotgrade/net/endpoint.h
+++ b/src/include/peridotgrade/net/endpoint.h
@@ -13,6 +13,8 @@
     std::string address;
     std::uint16_t port = 0;
 
+    // clang-tidy 14 mistakes the zero of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
 };
 
--- a/src/include/peridotgrade/net/http_channel.h
+++ b/src/include/peridotgrade/net/http_channel.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -26,7 +27,14 @@
     virtual ~HttpChannel() = default;
 
     /// Starts writing a request; a failure shows when the response is read.
-    virtual void send(HttpRequest request) = 0;
+    void send(HttpRequest request)
+    {
+        auto body = std::make_shared<const std::string>(std::move(request.body));
+        this->send(std::move(request), std::move(body));
+    }
+    /// The same with `body` (null for none) in place of the request's own body. It is held until it has been
+    /// written or the connection is closed.
+    virtual void send(HttpRequest request, SharedBody body) = 0;
     /// Reads status and fields of the next response; its body is empty. `timeout` holds for the whole call,
     /// as it does for `readBody`, and the bytes that belong to no body are bounded.
     virtual boost::asio::awaitable<std::variant<HttpResponse, NetError>> readHead(Duration timeout) = 0;
@@ -36,6 +44,8 @@
     virtual boost::asio::awaitable<std::variant<std::string, NetError>> readBody(Duration timeout) = 0;
     /// Closes the connection; operations in progress fail.
     virtual void close() = 0;
+    /// The connection is closed when it is released to its pool.
+    virtual void forbidReuse() = 0;
 
     /// True if the connection had carried another request before the current one. If it then ends before the
     /// first byte of the response, the server may merely have closed an idle connection.
@@ -44,12 +54,19 @@
     virtual bool hasAnswerBegun() const = 0;
 };
 
+struct HttpChannelSettings {
+    /// Memory that the kernel may use for each direction of a connection whose bytes are not read. With 0 the
+    /// kernel decides and may let it grow to megabytes.
+    std::uint32_t socketBufferBytes = 0;
+};
+
 /// Pool of connections to one server. Not thread safe.
 class HttpChannelPool {
 public:
     using Opened = std::variant<std::shared_ptr<HttpChannel>, NetError>;
 
-    HttpChannelPool(boost::asio::any_io_executor executor, Endpoint server);
+    HttpChannelPool(
+        boost::asio::any_io_executor executor, Endpoint server, HttpChannelSettings settings = {});
     ~HttpChannelPool();
     HttpChannelPool(const HttpChannelPool&) = delete;
     HttpChannelPool& operator=(const HttpChannelPool&) = delete;
--- a/src/include/peridotgrade/net/http_message.h
+++ b/src/include/peridotgrade/net/http_message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +14,9 @@
     std::string value;
 };
 
+/// A body that several requests or attempts share, so that it is held once however often it is sent.
+using SharedBody = std::shared_ptr<const std::string>;
+
 /// A request with its complete body.
 struct HttpRequest {
     std::string method = "GET";
--- a/src/include/peridotgrade/net/http_server.h
+++ b/src/include/peridotgrade/net/http_server.h
@@ -1,6 +1,7 @@
 // A small HTTP server that handles connections, limits and time-outs; the handler produces the responses.
 #pragma once
 
+#include "peridotgrade/net/body_memory.h"
 #include "peridotgrade/net/endpoint.h"
 #include "peridotgrade/net/http_message.h"
 #include "peridotgrade/net/net_error.h"
@@ -24,6 +25,8 @@
     virtual ~HttpExchange() = default;
 
     virtual const HttpRequest& request() const = 0;
+    /// Moves the body out of the request, so that it is held once.
+    virtual std::string takeBody() { return this->request().body; }
     /// IP address of the client; empty if it is not known.
     virtual std::string clientAddress() const { return {}; }
 
@@ -59,18 +62,27 @@
     std::chrono::milliseconds readTimeout { 10'000 };
     /// Time-out between requests on a connection.
     std::chrono::milliseconds idleTimeout { 60'000 };
-    /// Time-out for the client's side of the connection to accept one chunk or response.
+    /// Longest time in which the client confirms no byte of a chunk or response. One that reads slowly but
+    /// steadily is not cut.
     std::chrono::milliseconds writeTimeout { 10'000 };
     /// Memory that the kernel may use for a client that does not read. With 0 the kernel decides and may let
     /// it grow to megabytes, which delays the write time-out.
     std::uint32_t sendBufferBytes = 0;
+    /// The same for bytes from a client that are not read, for example while its request is refused.
+    std::uint32_t receiveBufferBytes = 0;
+    /// Memory for the bodies of all requests, from before a body is read to the end of its exchange; null for
+    /// no limit on their sum.
+    std::shared_ptr<BodyMemory> bodyMemory;
+    /// Makes the response to a request whose body finds no memory and is not read. It gets the request
+    /// without its body. Empty for 503 with a Retry-After of a second.
+    std::function<HttpResponse(const HttpRequest&)> noMemoryResponse;
     /// Added to the responses to requests that reach no handler: malformed, too large or too slow ones.
     std::vector<HttpField> refusalFields;
 };
 
 /// Accepts connections and calls the handler for each request, one at a time for each connection. Requests
-/// over a limit, malformed ones and slow senders get an error status (400, 408, 413, 431) and do not affect
-/// other connections. An exception from the handler ends only its connection. Thread safe.
+/// over a limit, malformed ones and slow senders get an error status (400, 408, 413, 431, 503) and do not
+/// affect other connections. An exception from the handler ends only its connection. Thread safe.
 class HttpServer {
 public:
     HttpServer(boost::asio::any_io_executor executor, HttpServerSettings settings, HttpHandler handler);
@@ -86,6 +98,9 @@
     /// Does the same and stops accepting connections; exchanges in progress are completed.
     void stopAccepting();
     std::size_t openExchanges() const;
+    /// Requests of which the first byte has arrived and not the last one, and new connections of a server
+    /// that stops, which have half a second for their first byte.
+    std::size_t arrivingRequests() const;
 
 private:
     class Impl;
--- a/src/include/peridotgrade/net/net_error.h
+++ b/src/include/peridotgrade/net/net_error.h
@@ -19,6 +19,8 @@
     TimedOut,
     /// A header, body or frame exceeds its limit.
     TooLarge,
+    /// The body is within its limit, but the bodies that are held leave no memory for it.
+    NoMemory,
     /// The received data is not HTTP, or not a valid frame.
     Malformed,
 };
--- a/src/include/peridotgrade/net/whole_body.h
+++ b/src/include/peridotgrade/net/whole_body.h
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <chrono>
 #include <concepts>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -28,18 +29,18 @@
 /// How much of a body is read.
 struct BodyLimits {
     std::size_t maxBytes = 0;
-    /// Shared with other bodies; null for a body that is small by its own limit.
-    BodyMemory* memory = nullptr;
+    /// Takes the bytes of the body, and keeps them for as long as its owner keeps the body; null for a body
+    /// that is small by its own limit.
+    BodyMemory::Share* share = nullptr;
 };
 
-/// Reads the rest of the body, by `deadline` and within `limits`, however fast or slowly it arrives. After an
-/// error the connection cannot be used again. The source must outlive the call.
+/// Appends the rest of the body to `body`, by `deadline` and within `limits`, however fast or slowly it
+/// arrives. After the error `NoMemory` `body` has all that was read and the rest can still be read; after any
+/// other one the connection cannot be used again. The source must outlive the call.
 template <BodySource Source>
-boost::asio::awaitable<std::variant<std::string, NetError>> readWholeBody(
-    Source& source, TimePoint deadline, BodyLimits limits)
+boost::asio::awaitable<std::optional<NetError>> appendWholeBody(
+    Source& source, TimePoint deadline, BodyLimits limits, std::string& body)
 {
-    std::string body;
-    BodyMemory::Share share(limits.memory);
     while (true) {
         Duration left = deadline - TimerDriver::now();
         if (left <= Duration::zero())
@@ -49,14 +50,34 @@
             co_return std::move(*error);
         std::string& bytes = std::get<std::string>(piece);
         if (bytes.empty())
-            co_return body;
-        if (body.size() + bytes.size() > limits.maxBytes)
+            co_return std::nullopt;
+        std::size_t needed = body.size() + bytes.size();
+        if (needed > limits.maxBytes)
             co_return NetError { NetErrorKind::TooLarge, true,
                 "the body exceeds " + std::to_string(limits.maxBytes) + " bytes" };
-        if (!share.tryAdd(bytes.size()))
-            co_return NetError { NetErrorKind::TooLarge, true, "no memory is left for the body" };
+        bool hasMemory = true;
+        if (needed > body.capacity()) {
+            // What a string allocates counts, not only what it holds.
+            std::size_t grown = std::min(limits.maxBytes, std::max(needed, 2 * body.capacity()));
+            hasMemory = limits.share == nullptr || limits.share->tryAdd(grown - body.capacity());
+            body.reserve(hasMemory ? grown : needed);
+        }
         body += bytes;
+        if (!hasMemory)
+            co_return NetError { NetErrorKind::NoMemory, true, "no memory is left for the body" };
     }
 }
 
+/// The same for a body that is of use as a whole only.
+template <BodySource Source>
+boost::asio::awaitable<std::variant<std::string, NetError>> readWholeBody(
+    Source& source, TimePoint deadline, BodyLimits limits)
+{
+    std::string body;
+    auto error = co_await appendWholeBody(source, deadline, limits, body);
+    if (error)
+        co_return std::move(*error);
+    co_return body;
+}
+
 } // namespace peridotgrade
--- /dev/null
+++ b/src/libperidotgrade/core/admission/quota_group.cpp
@@ -0,0 +1,63 @@
+// Maps tenants to partitions and partitions to members.
+#include "peridotgrade/core/admission/quota_group.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace peridotgrade {
+
+QuotaGroup::QuotaGroup(std::vector<std::string> owners)
+    : owners(std::move(owners))
+{
+    for (const std::string& owner : this->owners) {
+        if (!owner.empty())
+            this->members[owner] += 1.0 / static_cast<double>(this->owners.size());
+    }
+}
+
+QuotaGroup QuotaGroup::updated(std::vector<std::string> newOwners, TimePoint now) const
+{
+    QuotaGroup next(std::move(newOwners));
+    next.formerMembers = this->formerMembers;
+    for (const auto& [name, share] : this->members)
+        next.formerMembers[name] = { share, now };
+    std::erase_if(next.formerMembers, [&](const auto& former) {
+        bool isBack = std::any_of(next.members.begin(), next.members.end(),
+            [&](const auto& member) { return placeOf(member.first) == placeOf(former.first); });
+        return isBack || now - former.second.missingSince >= FormerTime;
+    });
+    return next;
+}
+
+double QuotaGroup::formerShare(TimePoint now) const
+{
+    double share = 0;
+    for (const auto& [name, former] : this->formerMembers) {
+        Duration missing = now - former.missingSince;
+        share += missing >= MissingTime && missing < FormerTime ? former.share : 0;
+    }
+    return std::min(share, 1.0);
+}
+
+std::uint32_t QuotaGroup::partitionOf(const TenantId& tenant, std::uint32_t partitions)
+{
+    return static_cast<std::uint32_t>(XXH3_64bits(tenant.raw().data(), tenant.raw().size()) % partitions);
+}
+
+std::optional<std::string_view> QuotaGroup::holderOf(const TenantId& tenant) const
+{
+    if (this->owners.empty())
+        return std::nullopt;
+    const std::string& owner
+        = this->owners[partitionOf(tenant, static_cast<std::uint32_t>(this->owners.size()))];
+    return owner.empty() ? std::nullopt : std::optional<std::string_view> { owner };
+}
+
+double QuotaGroup::shareOf(const std::string& member) const
+{
+    auto found = this->members.find(member);
+    return found == this->members.end() ? 0 : found->second;
+}
+
+} // namespace peridotgrade
--- a/src/libperidotgrade/core/admission/workspace_rate_limiter.cpp
+++ b/src/libperidotgrade/core/admission/workspace_rate_limiter.cpp
@@ -10,9 +10,9 @@
     // Burst size of an idle workspace, as time at its rate.
     constexpr std::chrono::duration<double> BurstTime { 2.0 };
 
-    std::chrono::milliseconds timeUntilPositive(double balance, double rate)
+    std::chrono::milliseconds timeUntilPositive(const TokenBucket& bucket, const TokenRate& rate)
     {
-        std::chrono::duration<double> wait { -balance / rate };
+        std::chrono::duration<double> wait { -bucket.tokens() / rate.perSecond };
         return std::chrono::ceil<std::chrono::milliseconds>(wait) + std::chrono::milliseconds { 1 };
     }
 
@@ -23,15 +23,10 @@
     this->entries = std::max<std::size_t>(1, count);
 }
 
-void WorkspaceRateLimiter::refill(Bucket& bucket, const Workspace& workspace, TimePoint now) const
+TokenRate WorkspaceRateLimiter::entryShareOf(double rate) const
 {
-    std::chrono::duration<double> passed = now - bucket.refilledAt;
-    bucket.refilledAt = std::max(now, bucket.refilledAt);
-    double requestRate = this->entryShareOf(workspace.requestsPerSecond);
-    double tokenRate = this->entryShareOf(workspace.outputTokensPerSecond);
-    double seconds = std::max(0.0, passed.count());
-    bucket.requests = std::min(bucket.requests + requestRate * seconds, requestRate * BurstTime.count());
-    bucket.tokens = std::min(bucket.tokens + tokenRate * seconds, tokenRate * BurstTime.count());
+    double share = rate / static_cast<double>(this->entries);
+    return { share, share * BurstTime.count() };
 }
 
 std::optional<std::chrono::milliseconds> WorkspaceRateLimiter::admit(
@@ -41,24 +36,25 @@
     bool limitsTokens = workspace.outputTokensPerSecond > 0;
     if (!limitsRequests && !limitsTokens)
         return std::nullopt;
+    TokenRate requestRate = this->entryShareOf(workspace.requestsPerSecond);
+    TokenRate tokenRate = this->entryShareOf(workspace.outputTokensPerSecond);
     auto [found, isNew] = this->buckets.try_emplace(workspace.id);
-    Bucket& bucket = found->second;
+    auto& [requests, tokens] = found->second;
     if (isNew) {
-        bucket.requests = this->entryShareOf(workspace.requestsPerSecond) * BurstTime.count();
-        bucket.tokens = this->entryShareOf(workspace.outputTokensPerSecond) * BurstTime.count();
-        bucket.refilledAt = now;
+        requests = TokenBucket(requestRate.capacity, now);
+        tokens = TokenBucket(tokenRate.capacity, now);
     }
-    this->refill(bucket, workspace, now);
+    requests.refill(requestRate, now);
+    tokens.refill(tokenRate, now);
     std::chrono::milliseconds wait { 0 };
-    if (limitsRequests && bucket.requests <= 0)
-        wait = timeUntilPositive(bucket.requests, this->entryShareOf(workspace.requestsPerSecond));
-    if (limitsTokens && bucket.tokens <= 0)
-        wait = std::max(
-            wait, timeUntilPositive(bucket.tokens, this->entryShareOf(workspace.outputTokensPerSecond)));
+    if (limitsRequests && requests.tokens() <= 0)
+        wait = timeUntilPositive(requests, requestRate);
+    if (limitsTokens && tokens.tokens() <= 0)
+        wait = std::max(wait, timeUntilPositive(tokens, tokenRate));
     if (wait > std::chrono::milliseconds { 0 })
         return wait;
-    bucket.requests -= 1;
-    bucket.tokens -= outputTokens;
+    requests.take(1);
+    tokens.take(outputTokens);
     return std::nullopt;
 }
 
@@ -66,7 +62,7 @@
 {
     auto found = this->buckets.find(workspace.id);
     if (found != this->buckets.end())
-        found->second.tokens += outputTokens;
+        found->second.tokens.add(outputTokens);
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/core/quarantine/crash_registry.cpp
+++ b/src/libperidotgrade/core/quarantine/crash_registry.cpp
@@ -72,10 +72,12 @@
 void CrashRegistry::recordCrash(const ServerCrash& incarnation, std::vector<LostSuspect> lost, TimePoint now)
 {
     std::erase_if(lost, [&](const LostSuspect& each) { return this->isAnsweredPart(each.suspect, now); });
+    for (LostSuspect& each : lost)
+        each.wasAnswered = this->isAnsweredRequest(each.suspect, now);
     this->add({ { incarnation, lost } }, now);
     for (const LostSuspect& each : lost) {
         if (this->callbacks.onRecorded)
-            this->callbacks.onRecorded({ each.suspect, incarnation, each.request });
+            this->callbacks.onRecorded({ each.suspect, incarnation, each.request, each.wasAnswered });
     }
 }
 
@@ -83,8 +85,7 @@
 {
     for (const Suspect& suspect : suspects) {
         bool isPart = suspect.kind == SuspectKind::PromptPart;
-        if (isPart)
-            this->answeredParts.record(suspect.content, now);
+        (isPart ? this->answeredParts : this->answeredRequests).record(suspect.content, now);
         QuarantineState state = this->quarantine.stateOf(suspect);
         if (state == QuarantineState::Suspect || (isPart && state == QuarantineState::Quarantined))
             this->withdraw(suspect);
@@ -100,6 +101,11 @@
     });
 }
 
+bool CrashRegistry::isAnsweredRequest(const Suspect& suspect, TimePoint now) const
+{
+    return suspect.kind == SuspectKind::Request && this->answeredRequests.contains(suspect.content, now);
+}
+
 bool CrashRegistry::isAnsweredPart(const Suspect& suspect, TimePoint now) const
 {
     return suspect.kind == SuspectKind::PromptPart && this->answeredParts.contains(suspect.content, now);
@@ -113,7 +119,9 @@
             if (this->callbacks.onWithdrawn)
                 this->callbacks.onWithdrawn(record);
         } else if (!this->entries.contains({ record.suspect, record.crash })) {
-            running[record.crash].emplace_back(record.suspect, record.request);
+            LostSuspect lost { record.suspect, record.request };
+            lost.wasAnswered = record.wasAnswered || this->isAnsweredRequest(record.suspect, now);
+            running[record.crash].push_back(lost);
         }
     }
     std::vector<CrashReport> reports;
@@ -142,7 +150,7 @@
 {
     std::vector<CrashRecord> result;
     for (const auto& [record, entry] : this->entries)
-        result.push_back({ record.first, record.second, entry.request });
+        result.push_back({ record.first, record.second, entry.request, entry.wasAnswered });
     return result;
 }
 
@@ -150,8 +158,8 @@
 {
     for (const CrashReport& report : reports) {
         for (const LostSuspect& lost : report.running)
-            this->entries.try_emplace(
-                { lost.suspect, report.crash }, Entry { now + lifetimeOf(lost.suspect), lost.request });
+            this->entries.try_emplace({ lost.suspect, report.crash },
+                Entry { now + lifetimeOf(lost.suspect), lost.request, lost.wasAnswered });
     }
     auto quarantinedNow = this->quarantine.recordCrashes(reports);
     this->dropOldest();
--- a/src/libperidotgrade/core/quarantine/crash_registry_test.cpp
+++ b/src/libperidotgrade/core/quarantine/crash_registry_test.cpp
@@ -251,4 +251,76 @@
     BOOST_TEST((other.quarantined() == std::vector<Suspect> { PoisonPart }));
 }
 
+// Guards against holding a sound request whose servers another one crashed three times in a row.
+BOOST_AUTO_TEST_CASE(answeredRequestBesideACrashingOneIsNotHeld)
+{
+    registry.recordAnswered({ Innocent }, Start - 1s);
+    CrashRegistry other;
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        registry.recordLoss(crashOf(incarnation), { Poison }, Start);
+        registry.recordLoss(crashOf(incarnation), { Innocent }, Start);
+        registry.recordEnd(crashOf(incarnation), Start);
+    }
+    BOOST_TEST((registry.quarantined() == std::vector<Suspect> { Poison }));
+    // Another entry, which has seen no answer, learns of it with the records, and so does one that starts.
+    std::reverse(recorded.begin(), recorded.end());
+    for (const CrashRecord& record : recorded)
+        other.apply({ record }, Start);
+    BOOST_TEST((other.quarantined() == std::vector<Suspect> { Poison }));
+    CrashRegistry later;
+    later.apply(registry.records(), Start);
+    BOOST_TEST((later.quarantined() == std::vector<Suspect> { Poison }));
+}
+
+// Guards against an entry that sees the losses of the sound request first, holds it for all of them and then
+// sends the crashing one, whose crashes it takes to be explained.
+BOOST_AUTO_TEST_CASE(lastCrashOfACrashingRequestMayBecomeKnownLate)
+{
+    registry.recordAnswered({ Innocent }, Start - 1s);
+    registry.apply({ { Poison, crashOf(1) }, { Poison, crashOf(2) } }, Start);
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation)
+        crash(incarnation, Innocent);
+    BOOST_TEST(registry.quarantined().empty());
+    registry.apply({ { Poison, crashOf(3) } }, Start);
+    BOOST_TEST((registry.quarantined() == std::vector<Suspect> { Poison }));
+    BOOST_TEST(registry.crashesOf(Innocent) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(answeredRequestThatCrashesServersIsHeld)
+{
+    registry.recordAnswered({ Poison, SharedPart }, Start - 1s);
+    // Alone after three crashes, though its parts were lost with it and another request was in one crash.
+    registry.apply({ { Innocent, crashOf(1) }, { PoisonPart, crashOf(1), Poison },
+                       { PoisonPart, crashOf(2), Poison }, { PoisonPart, crashOf(3), Poison } },
+        Start);
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        BOOST_TEST(!registry.isQuarantined(Poison));
+        crash(incarnation, Poison);
+    }
+    BOOST_TEST((registry.quarantined() == std::vector<Suspect> { Poison }));
+
+    // One that was in two of three makes it one crash more.
+    const Fingerprint second { 5 };
+    registry.recordAnswered({ second }, Start);
+    registry.apply({ { Innocent, crashOf(11) }, { Innocent, crashOf(12) } }, Start);
+    for (std::uint64_t incarnation = 11; incarnation <= 14; ++incarnation) {
+        BOOST_TEST(!registry.isQuarantined(second));
+        crash(incarnation, second);
+    }
+    BOOST_TEST(registry.isQuarantined(second));
+    BOOST_TEST(!registry.isQuarantined(Innocent));
+}
+
+// Two requests with the same crashes, neither answered of late, cannot be told apart.
+BOOST_AUTO_TEST_CASE(requestsOfTheSameCrashesThatWereNotAnsweredOfLateAreBothHeld)
+{
+    registry.recordAnswered({ Innocent }, Start - AnsweredParts::Lifetime);
+    for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+        registry.recordLoss(crashOf(incarnation), { Poison }, Start);
+        crash(incarnation, Innocent);
+    }
+    BOOST_TEST(registry.isQuarantined(Poison));
+    BOOST_TEST(registry.isQuarantined(Innocent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/core/quarantine/quarantine.cpp
+++ b/src/libperidotgrade/core/quarantine/quarantine.cpp
@@ -21,6 +21,8 @@
         /// The crashes while the suspect was running, and a request that had it. Invariant: at most
         /// `MaxCrashes`.
         std::map<ServerCrash, Fingerprint> crashes;
+        /// It had been answered shortly before its last crash.
+        bool wasAnswered = false;
         /// Invariant: points into the list that matches the state.
         SuspectList::iterator position;
     };
@@ -116,7 +118,7 @@
         if (found != this->records.end())
             return found->second;
         auto position = this->suspectOrder.insert(this->suspectOrder.end(), suspect);
-        return this->records.emplace(suspect, Record { QuarantineState::Suspect, {}, position })
+        return this->records.emplace(suspect, Record { QuarantineState::Suspect, {}, false, position })
             .first->second;
     }
 
@@ -146,6 +148,8 @@
         if (record.crashes.size() >= MaxCrashes)
             return;
         bool isNew = record.crashes.try_emplace(crash, lost.request).second;
+        if (isNew)
+            record.wasAnswered = lost.wasAnswered;
         if (isNew && record.state == QuarantineState::Quarantined)
             this->explained[crash].insert(lost.suspect);
     }
@@ -187,6 +191,26 @@
         }
     }
 
+    /// True if the suspect was answered shortly before, and something that was not shares all or all but one
+    /// of its `crashes` that are not explained.
+    bool wasProbablyBeside(const Suspect& suspect, std::uint32_t crashes) const
+    {
+        const Record& own = this->records.at(suspect);
+        auto isShared = [&](const Record& other) {
+            auto shared = std::count_if(own.crashes.begin(), own.crashes.end(), [&](const auto& each) {
+                auto found = other.crashes.find(each.first);
+                // A part of prompts that only the suspect itself had there is no other cause.
+                return !this->explained.contains(each.first) && found != other.crashes.end()
+                    && found->second != suspect.content;
+            });
+            return shared + 1 >= crashes;
+        };
+        return own.wasAnswered
+            && std::any_of(this->records.begin(), this->records.end(), [&](const auto& each) {
+                   return each.first != suspect && !each.second.wasAnswered && isShared(each.second);
+               });
+    }
+
     /// The suspects among `running` that were in most crashes, if these are enough.
     std::vector<Suspect> mostCrashing(const std::set<Suspect>& running) const
     {
@@ -195,7 +219,8 @@
         for (const Suspect& suspect : running) {
             std::uint32_t crashes = this->crashesOf(suspect);
             bool isEnough = crashes >= this->limitOf(suspect);
-            if (this->stateOf(suspect) != QuarantineState::Suspect || !isEnough || crashes < most)
+            if (this->stateOf(suspect) != QuarantineState::Suspect || !isEnough || crashes < most
+                || this->wasProbablyBeside(suspect, crashes))
                 continue;
             if (crashes > most)
                 result.clear();
--- a/src/libperidotgrade/core/serving/engine_demand.cpp
+++ b/src/libperidotgrade/core/serving/engine_demand.cpp
@@ -84,4 +84,17 @@
     return RoleDemand { std::chrono::duration_cast<Duration>(*prefillTime * this->correction), decode };
 }
 
+std::optional<RoleDemand> EngineDemand::currentNear(const RoleDemand& expected) const
+{
+    auto measured = this->current();
+    if (!measured)
+        return std::nullopt;
+    double weight = static_cast<double>(this->sizes.size()) / MaxRuns;
+    auto between = [weight](Duration from, Duration to) {
+        return from + std::chrono::duration_cast<Duration>((to - from) * weight);
+    };
+    return RoleDemand { between(expected.prefill, measured->prefill),
+        between(expected.decode, measured->decode) };
+}
+
 } // namespace peridotgrade
--- a/src/libperidotgrade/core/serving/engine_demand_test.cpp
+++ b/src/libperidotgrade/core/serving/engine_demand_test.cpp
@@ -51,6 +51,22 @@
 
 BOOST_AUTO_TEST_SUITE(EngineDemandTest)
 
+// Guards against a dozen runs that met fast engines only and move the roles right before a burst.
+BOOST_AUTO_TEST_CASE(fewRunsCountLittleAgainstTheExpectedDemand)
+{
+    const RoleDemand expected { seconds { 1 }, seconds { 1 } };
+    EngineDemand demand;
+    recordPrefills(demand, 64);
+    BOOST_TEST(!demand.currentNear(expected));
+    const CompletedRun run { 4000, 60, seconds { 3 }, {} };
+    recordRuns(demand, engineOf(64, 40'000), EngineDemand::MaxRuns / 4, run);
+    Duration quarter = expected.prefill + (demand.current()->prefill - expected.prefill) / 4;
+    BOOST_TEST(std::abs(secondsOf(demand.currentNear(expected)->prefill - quarter)) < 1e-6);
+    recordRuns(demand, engineOf(64, 40'000), EngineDemand::MaxRuns, run);
+    BOOST_TEST((demand.currentNear(expected)->prefill == demand.current()->prefill));
+    BOOST_TEST((demand.currentNear(expected)->decode == demand.current()->decode));
+}
+
 BOOST_AUTO_TEST_CASE(needsPrefillsAndRuns)
 {
     EngineDemand demand;
--- a/src/libperidotgrade/core/serving/engine_load.cpp
+++ b/src/libperidotgrade/core/serving/engine_load.cpp
@@ -4,6 +4,7 @@
 #include "peridotgrade/core/base/invariant.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridotgrade {
 
@@ -65,6 +66,11 @@
     this->engines[server].unusableUntil = until;
 }
 
+void EngineLoad::noteAnnouncedRoleChange(const ServerId& server, TimePoint until)
+{
+    this->engines[server].announcedUntil = until;
+}
+
 void EngineLoad::noteServed(const ServerId& server)
 {
     Engine& engine = this->engines[server];
@@ -72,31 +78,89 @@
     engine.unusableUntil = {};
 }
 
-std::optional<ServerId> EngineLoad::choose(const std::vector<const ServerRecord*>& candidates,
-    const DataCentreId& ownDataCentre, std::uint32_t tokens, TimePoint now, RandomSource& random) const
+std::vector<OpenEngine> EngineLoad::openAmong(const std::vector<const ServerRecord*>& candidates,
+    const DataCentreId& ownDataCentre, TimePoint now) const
 {
-    std::optional<ServerId> best;
-    std::uint64_t bestCost = 0;
-    std::uint32_t ties = 0;
-    for (const ServerRecord* candidate : candidates) {
-        auto found = this->engines.find(candidate->id);
+    std::vector<OpenEngine> open;
+    open.reserve(candidates.size());
+    for (const ServerRecord* record : candidates) {
+        auto found = this->engines.find(record->id);
         bool isKnown = found != this->engines.end();
-        if (isKnown && now < found->second.unusableUntil)
+        if (isKnown && now < std::max(found->second.unusableUntil, found->second.announcedUntil))
             continue;
         if (isKnown && found->second.wasLastRefused && found->second.pendingRequests > 0)
             continue;
-        bool isRefused = isKnown && now < found->second.refusedUntil;
-        if (isRefused && tokens >= found->second.refusedTokens * RetrySizeRatio)
-            continue;
-        std::uint64_t cost = isKnown ? found->second.tokens : 0;
-        if (candidate->dataCentre != ownDataCentre)
-            cost += OtherDataCentreTokens;
+        OpenEngine& engine = open.emplace_back();
+        engine.record = record;
+        if (isKnown && now < found->second.refusedUntil)
+            engine.sizeLimit = found->second.refusedTokens * RetrySizeRatio;
+        engine.tokens = isKnown ? found->second.tokens : 0;
+        if (this->backlog != nullptr)
+            engine.backlog = this->backlog->tokensAt(*record, now);
+        engine.distance = record->dataCentre != ownDataCentre ? OtherDataCentreTokens : 0;
+        if (this->pace != nullptr) {
+            ServerOutlook outlook = this->pace->outlook(*record, now);
+            engine.factor = outlook.factor;
+            engine.isLate = outlook.breaksPauseLimit;
+        }
+    }
+    return open;
+}
+
+std::optional<ServerId> EngineLoad::choose(const std::vector<const ServerRecord*>& candidates,
+    const DataCentreId& ownDataCentre, std::uint32_t tokens, TimePoint now, RandomSource& random,
+    const SavedTokens& saved) const
+{
+    return this->chooseFrom(
+        this->openAmong(candidates, ownDataCentre, now), tokens, random,
+        [](const ServerRecord&) { return true; }, saved);
+}
+
+std::optional<ServerId> EngineLoad::best(std::vector<const OpenEngine*> fitting, std::uint32_t tokens,
+    RandomSource& random, const SavedTokens& saved) const
+{
+    bool isAnyInTime
+        = std::any_of(fitting.begin(), fitting.end(), [](const OpenEngine* each) { return !each->isLate; });
+    if (isAnyInTime)
+        std::erase_if(fitting, [](const OpenEngine* each) { return each->isLate; });
+    bool areEqual = std::all_of(
+        fitting.begin(), fitting.end(), [](const OpenEngine* each) { return each->factor == 1; });
+    return areEqual ? fewestTokens(fitting, random) : this->leastTime(fitting, tokens, saved, random);
+}
+
+std::optional<ServerId> EngineLoad::fewestTokens(
+    const std::vector<const OpenEngine*>& open, RandomSource& random)
+{
+    std::optional<ServerId> best;
+    std::uint64_t bestCost = 0;
+    std::uint32_t ties = 0;
+    for (const OpenEngine* candidate : open) {
+        std::uint64_t cost = candidate->tokens + candidate->backlog + candidate->distance;
         if (!best || cost < bestCost) {
-            best = candidate->id;
+            best = candidate->record->id;
             bestCost = cost;
             ties = 1;
         } else if (cost == bestCost && random.below(++ties) == 0) {
-            best = candidate->id;
+            best = candidate->record->id;
+        }
+    }
+    return best;
+}
+
+std::optional<ServerId> EngineLoad::leastTime(const std::vector<const OpenEngine*>& open,
+    std::uint32_t tokens, const SavedTokens& saved, RandomSource& random) const
+{
+    std::optional<ServerId> best;
+    double bestKey = 0;
+    for (const OpenEngine* candidate : open) {
+        std::uint32_t cached = saved ? std::min(saved(*candidate->record), tokens) : 0;
+        double ahead = static_cast<double>(candidate->tokens) + std::max(tokens - cached, 1U);
+        double cost = ahead * candidate->factor + static_cast<double>(candidate->distance);
+        // The least of exponential variates is each with a probability proportional to its rate.
+        double key = -std::log(1 - random.unit()) * std::pow(cost, this->selectivity);
+        if (!best || key < bestKey) {
+            best = candidate->record->id;
+            bestKey = key;
         }
     }
     return best;
@@ -106,7 +170,7 @@
 {
     std::optional<TimePoint> next;
     for (const auto& [id, engine] : this->engines) {
-        for (TimePoint until : { engine.refusedUntil, engine.unusableUntil }) {
+        for (TimePoint until : { engine.refusedUntil, engine.unusableUntil, engine.announcedUntil }) {
             if (until > now && (!next || until < *next))
                 next = until;
         }
--- a/src/libperidotgrade/core/serving/engine_load_test.cpp
+++ b/src/libperidotgrade/core/serving/engine_load_test.cpp
@@ -111,6 +111,17 @@
     BOOST_TEST(choose(3000)->raw() == "near");
 }
 
+BOOST_AUTO_TEST_CASE(announcedRoleChangeHoldsWhileEarlierRequestsAreServed)
+{
+    // Guards against new work for an engine that is leaving the role but still answers what it got before.
+    load.noteAnnouncedRoleChange(near.id, now + 4s);
+    load.noteServed(near.id);
+    BOOST_TEST(choose(100)->raw() == "far");
+    BOOST_TEST((load.nextRetryAt(now) == now + 4s));
+    now += 4s;
+    BOOST_TEST(choose(100)->raw() == "near");
+}
+
 BOOST_AUTO_TEST_CASE(reportsWhenTheNextBackoffEnds)
 {
     BOOST_TEST(!load.nextRetryAt(now));
--- a/src/libperidotgrade/core/serving/event_framer.cpp
+++ b/src/libperidotgrade/core/serving/event_framer.cpp
@@ -42,10 +42,18 @@
 
 std::string EventFramer::push(std::string_view bytes)
 {
+    if (this->isOutOfOrder)
+        return {};
     this->pending += bytes;
     std::size_t completeBytes = 0;
     while (auto end = endOfEvent(this->pending, std::max(this->searched, completeBytes))) {
-        this->noteEvent(std::string_view { this->pending }.substr(completeBytes, *end - completeBytes));
+        std::string_view event
+            = std::string_view { this->pending }.substr(completeBytes, *end - completeBytes);
+        if (!this->noteEvent(event)) {
+            this->isOutOfOrder = true;
+            this->pending.resize(completeBytes);
+            break;
+        }
         completeBytes = *end;
     }
     std::string result = this->pending.substr(0, completeBytes);
@@ -55,15 +63,22 @@
     return result;
 }
 
-void EventFramer::noteEvent(std::string_view event)
+bool EventFramer::noteEvent(std::string_view event)
 {
-    ++this->completeEvents;
+    std::optional<std::uint64_t> eventId;
     while (!event.empty()) {
         std::size_t end = std::min(event.find('\n'), event.size());
         if (auto id = idOf(event.substr(0, end)))
-            this->lastEventId = id;
+            eventId = id;
         event.remove_prefix(std::min(end + 1, event.size()));
     }
+    bool hasGrown = !eventId || !this->lastEventId || *eventId > *this->lastEventId;
+    if (this->ids == EventIds::Growing && !hasGrown)
+        return false;
+    ++this->completeEvents;
+    if (eventId)
+        this->lastEventId = eventId;
+    return true;
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/core/serving/prefill_cost.cpp
+++ b/src/libperidotgrade/core/serving/prefill_cost.cpp
@@ -32,6 +32,15 @@
     return durationOf(this->line->at(tokens));
 }
 
+Duration PrefillCost::atMeanSize(std::uint32_t tokens, Duration took) const
+{
+    double mean = this->samples.empty() ? tokens : this->meanTokens();
+    double size = std::max(tokens, 1U);
+    double factor = this->line ? this->line->at(mean) / this->line->at(size) : mean / size;
+    bool isUsable = std::isfinite(factor) && factor > 0;
+    return isUsable ? std::chrono::duration_cast<Duration>(took * factor) : took;
+}
+
 std::optional<Duration> PrefillCost::meanOccupancy() const
 {
     if (!this->line)
--- a/src/libperidotgrade/core/serving/queue_forecast.cpp
+++ b/src/libperidotgrade/core/serving/queue_forecast.cpp
@@ -25,15 +25,24 @@
         this->busySince = now;
 }
 
-bool QueueForecast::canServe(TimePoint now, std::uint64_t tokensAhead, Duration wait)
+std::optional<double> QueueForecast::tokensPerSecond(TimePoint now)
 {
     this->removeExpired(now);
     if (!this->busySince || now - *this->busySince < MinSampleTime)
-        return true;
+        return std::nullopt;
     Duration sample = std::min<Duration>(now - *this->busySince, Window);
-    double rate = static_cast<double>(this->granted) / std::chrono::duration<double>(sample).count();
-    return static_cast<double>(tokensAhead)
-        <= RateTolerance * rate * std::chrono::duration<double>(wait).count();
+    return static_cast<double>(this->granted) / std::chrono::duration<double>(sample).count();
+}
+
+bool QueueForecast::canServe(
+    TimePoint now, std::uint64_t tokensAhead, Duration wait, ForecastCertainty certainty)
+{
+    bool isHigh = certainty == ForecastCertainty::High;
+    double tolerance = isHigh ? HighCertaintyTolerance : RateTolerance;
+    auto rate = this->tokensPerSecond(now);
+    return !rate || (isHigh && *rate == 0)
+        || static_cast<double>(tokensAhead)
+        <= tolerance * *rate * std::chrono::duration<double>(wait).count();
 }
 
 void QueueForecast::removeExpired(TimePoint now)
--- a/src/libperidotgrade/core/serving/retry_accounting_test.cpp
+++ b/src/libperidotgrade/core/serving/retry_accounting_test.cpp
@@ -61,4 +61,18 @@
     BOOST_TEST(!other.tryRun(Now));
 }
 
+BOOST_AUTO_TEST_CASE(aRoundIsCoveredOnlyIfItsPrefillAndItsRunAre)
+{
+    // After a run that the engine rejected, both are retries. With one left, the run was paid, memory was
+    // reserved, and the prefill was then refused.
+    RetryBudgetShare budget = budgetOfOneRetry();
+    RetryAccounting accounting(budget);
+    BOOST_TEST(accounting.coversRound(true, Now));
+    accounting.notePrefillReached();
+    BOOST_TEST(accounting.coversRound(true, Now));
+    accounting.noteRunReached();
+    BOOST_TEST(!accounting.coversRound(true, Now));
+    BOOST_TEST(accounting.coversRound(false, Now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/core/serving/retry_budget_share.cpp
+++ b/src/libperidotgrade/core/serving/retry_budget_share.cpp
@@ -11,59 +11,71 @@
 {
 }
 
-void RetryBudgetShare::recordRequest(TimePoint now)
+void RetryBudgetShare::recordRequest(TimePoint now, std::uint32_t urgency)
 {
     this->removeExpired(now);
-    this->requests.push_back(now);
+    this->requests.push_back({ now, urgency });
 }
 
 void RetryBudgetShare::setShare(double value, TimePoint now)
 {
     this->refill(now);
-    this->capacity = UsableExtra * this->limits.extra * value;
+    this->rate.capacity = UsableExtra * this->limits.extra * value;
+    this->rate.perSecond = this->rate.capacity / std::chrono::duration<double>(this->limits.window).count();
     if (value > 0 && !this->hasStarted) {
         this->hasStarted = true;
-        this->tokens = StartExtra * this->limits.extra * value;
+        this->bucket = TokenBucket(StartExtra * this->limits.extra * value, now);
     }
-    this->tokens = std::min(this->tokens, this->capacity);
+    this->bucket.limitTo(this->rate.capacity);
 }
 
-double RetryBudgetShare::left(TimePoint now)
+double RetryBudgetShare::left(TimePoint now, std::uint32_t urgency)
 {
     this->removeExpired(now);
     this->refill(now);
-    return this->ratioLeft() + this->tokens;
+    return std::max(this->ratioLeft() + this->bucket.tokens() - this->keptFrom(urgency), 0.0);
 }
 
-bool RetryBudgetShare::trySpend(TimePoint now)
+double RetryBudgetShare::keptFrom(std::uint32_t urgency) const
 {
-    if (this->left(now) < 1)
+    bool isLessUrgent = std::any_of(this->requests.begin(), this->requests.end(),
+        [urgency](const Request& request) { return request.urgency < urgency; });
+    if (!isLessUrgent)
+        return 0;
+    double full = this->ratioAllowed() + this->rate.capacity;
+    // A small budget that is full still allows one retry to anyone.
+    return std::min(KeptForUrgent * full, std::max(full - 1, 0.0));
+}
+
+bool RetryBudgetShare::trySpend(TimePoint now, std::uint32_t urgency)
+{
+    if (this->left(now, urgency) < 1)
         return false;
     double amount = std::min(this->ratioLeft(), 1.0);
     if (amount > 0)
         this->paidByRatio.push_back({ now, amount });
-    this->tokens = std::max(this->tokens - (1 - amount), 0.0);
+    this->bucket.take(std::min(1 - amount, this->bucket.tokens()));
     return true;
 }
 
+double RetryBudgetShare::ratioAllowed() const
+{
+    return UsableRatio * this->limits.ratio * static_cast<double>(this->requests.size());
+}
+
 double RetryBudgetShare::ratioLeft() const
 {
-    double allowed = UsableRatio * this->limits.ratio * static_cast<double>(this->requests.size());
+    double allowed = this->ratioAllowed();
     double paid = std::accumulate(this->paidByRatio.begin(), this->paidByRatio.end(), 0.0,
         [](double sum, const Payment& payment) { return sum + payment.amount; });
     return std::max(allowed - paid, 0.0);
 }
 
-void RetryBudgetShare::refill(TimePoint now)
-{
-    double windows = std::chrono::duration<double>(now - this->refilledAt) / this->limits.window;
-    this->tokens = std::min(this->capacity, this->tokens + this->capacity * std::max(windows, 0.0));
-    this->refilledAt = now;
-}
+void RetryBudgetShare::refill(TimePoint now) { this->bucket.refill(this->rate, now); }
 
 void RetryBudgetShare::removeExpired(TimePoint now)
 {
-    while (!this->requests.empty() && this->requests.front() + this->limits.window <= now)
+    while (!this->requests.empty() && this->requests.front().at + this->limits.window <= now)
         this->requests.pop_front();
     while (!this->paidByRatio.empty() && this->paidByRatio.front().at + this->limits.window <= now)
         this->paidByRatio.pop_front();
--- a/src/libperidotgrade/core/serving/retry_budget_share_test.cpp
+++ b/src/libperidotgrade/core/serving/retry_budget_share_test.cpp
@@ -62,6 +62,32 @@
     BOOST_TEST(share.left(TimePoint { 11s }) < 0.3);
 }
 
+BOOST_AUTO_TEST_CASE(keepsAPartForTheMostUrgent)
+{
+    // A failure of many servers must not leave the most valuable requests without a retry.
+    RetryBudgetShare share(RetryBudgetLimits { 0, 10 / RetryBudgetShare::UsableExtra, 10s });
+    share.setShare(1, TimePoint { 0s });
+    const TimePoint now { 20s };
+    auto spendAll = [&](std::uint32_t urgency) {
+        int spent = 0;
+        while (share.trySpend(now, urgency))
+            ++spent;
+        return spent;
+    };
+    share.recordRequest(now, 1);
+    share.recordRequest(now, 0);
+    BOOST_TEST(spendAll(1) == 7);
+    BOOST_TEST(spendAll(0) == 3);
+}
+
+BOOST_AUTO_TEST_CASE(keepsNothingWhereAllAreEquallyUrgent)
+{
+    RetryBudgetShare share(RetryBudgetLimits { 0, 10 / RetryBudgetShare::UsableExtra, 10s });
+    share.setShare(1, TimePoint { 0s });
+    share.recordRequest(TimePoint { 20s }, 4);
+    BOOST_TEST(share.left(TimePoint { 20s }, 4) == 10);
+}
+
 namespace {
 
 // Shares move between entries in the middle of a window, as when entries join and leave.
--- a/src/libperidotgrade/core/serving/role_plan.cpp
+++ b/src/libperidotgrade/core/serving/role_plan.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 
 namespace peridotgrade {
@@ -19,21 +20,9 @@
             [role](const ServerRecord* engine) { return engine->role == role; }));
     }
 
-    /// An engine with that role, from the data centre that has the most of them.
-    const ServerRecord* engineOfLargestGroup(const Engines& engines, ServerRole role)
-    {
-        std::map<DataCentreId, std::size_t> counts;
-        for (const ServerRecord* engine : engines)
-            counts[engine->dataCentre] += engine->role == role ? 1 : 0;
-        const ServerRecord* best = nullptr;
-        for (const ServerRecord* engine : engines) {
-            if (engine->role != role)
-                continue;
-            if (best == nullptr || counts[engine->dataCentre] > counts[best->dataCentre])
-                best = engine;
-        }
-        return best;
-    }
+    // Learned speeds vary by a tenth or two. Changes that bring the prefill pool to within this many mean
+    // engines of each other's result count as equally near.
+    constexpr double EqualDistance = 0.25;
 
 } // namespace
 
@@ -43,7 +32,7 @@
     return static_cast<std::uint32_t>(std::min<std::size_t>(Spared, engines / 2));
 }
 
-double RolePlan::capacity(std::uint32_t prefill, std::uint32_t decode, const RoleDemand& demand)
+double RolePlan::capacity(double prefill, double decode, const RoleDemand& demand)
 {
     constexpr double Shortest = 1e-6;
     double prefillTime = std::max(secondsOf(demand.prefill), Shortest);
@@ -51,12 +40,12 @@
     return std::min(prefill * PrefillUtilisation / prefillTime, decode / decodeTime);
 }
 
-double RolePlan::worth(std::size_t engines, std::uint32_t prefill, const RoleDemand& demand)
+double RolePlan::worth(std::size_t engines, double prefill, const RoleDemand& demand)
 {
-    auto decode = static_cast<std::uint32_t>(engines) - prefill;
+    double decode = static_cast<double>(engines) - prefill;
     double whole = capacity(prefill, decode, demand);
-    double prefillLost = prefill > 0 ? capacity(prefill - 1, decode, demand) : 0;
-    double decodeLost = decode > 0 ? capacity(prefill, decode - 1, demand) : 0;
+    double prefillLost = prefill > 1 ? capacity(prefill - 1, decode, demand) : 0;
+    double decodeLost = decode > 1 ? capacity(prefill, decode - 1, demand) : 0;
     return (1 - LossWeight) * whole + LossWeight / 2 * (prefillLost + decodeLost);
 }
 
@@ -71,8 +60,30 @@
     return best;
 }
 
-bool RolePlan::isWorthChanging(std::size_t engines, std::uint32_t from, std::uint32_t to,
-    const RoleDemand& demand, const RoleChangeCost& cost)
+double RolePlan::speedOf(const ServerRecord& engine) const
+{
+    auto found = this->speeds.find(engine.id);
+    return found == this->speeds.end() ? 1 : found->second;
+}
+
+double RolePlan::meanSpeed(const Engines& engines) const
+{
+    double sum = 0;
+    for (const ServerRecord* engine : engines)
+        sum += this->speedOf(*engine);
+    return engines.empty() ? 1 : sum / static_cast<double>(engines.size());
+}
+
+double RolePlan::unitsOf(const Engines& engines, ServerRole role) const
+{
+    double sum = 0;
+    for (const ServerRecord* engine : engines)
+        sum += engine->role == role ? this->speedOf(*engine) : 0;
+    return sum / this->meanSpeed(engines);
+}
+
+bool RolePlan::isWorthChanging(
+    std::size_t engines, double from, double to, const RoleDemand& demand, const RoleChangeCost& cost)
 {
     double before = worth(engines, from, demand);
     if (before <= 0)
@@ -80,7 +91,7 @@
     double gain = worth(engines, to, demand) / before - 1;
     if (gain < MinGain)
         return false;
-    std::uint32_t changes = std::max(from, to) - std::min(from, to);
+    double changes = std::abs(from - to);
     double lost
         = to > from ? LostRequestsPerEntry * cost.entries * secondsOf(demand.prefill + demand.decode) : 0;
     return gain * static_cast<double>(engines) * secondsOf(PaybackTime)
@@ -108,6 +119,7 @@
 {
     this->isIdle = true;
     this->target = bestSplit(engines.size(), expected);
+    this->targetUnits = this->target;
 }
 
 void RolePlan::update(const Engines& engines, const std::optional<RoleDemand>& demand,
@@ -118,6 +130,7 @@
     std::uint32_t fewest = minEnginesOfRole(engines.size());
     this->isIdle = false;
     this->target = prefill;
+    this->targetUnits.reset();
     if (prefill < fewest)
         this->target = fewest;
     else if (decode < fewest)
@@ -130,26 +143,72 @@
     this->countAgreement(isWorth ? direction : 0);
     if (!isWorth || this->agreeing < AgreeingUpdates || this->isReversal(direction, now))
         return;
-    std::uint32_t step = maxChanging(engines.size());
-    this->target = std::clamp(best, prefill - std::min(prefill, step), prefill + step);
+    // Counted by speed, the change must pay too, in the same direction.
+    double units = this->unitsOf(engines, ServerRole::Prefill);
+    RoleDemand ofMeanEngine = this->demandOfMeanEngine(engines, *demand);
+    double bestUnits = bestSplit(engines.size(), ofMeanEngine);
+    bool isSameDirection = direction > 0 ? bestUnits > units : bestUnits < units;
+    if (!isSameDirection || !isWorthChanging(engines.size(), units, bestUnits, ofMeanEngine, cost))
+        return;
+    double step = maxChanging(engines.size());
+    this->targetUnits = std::clamp(bestUnits, units - std::min(units, step), units + step);
+    this->target = static_cast<std::uint32_t>(std::lround(prefill + *this->targetUnits - units));
     // The next step needs an agreement of its own.
     this->agreeing = 0;
     this->decidedDirection = direction;
     this->decidedAt = now;
 }
 
+RoleDemand RolePlan::demandOfMeanEngine(const Engines& engines, const RoleDemand& demand) const
+{
+    auto scaled = [&](Duration time, ServerRole role) {
+        double share = this->unitsOf(engines, role) / std::max(countOf(engines, role), 1U);
+        return std::chrono::duration_cast<Duration>(time * share);
+    };
+    return { scaled(demand.prefill, ServerRole::Prefill), scaled(demand.decode, ServerRole::Decode) };
+}
+
+const ServerRecord* RolePlan::engineToChange(const Engines& engines, ServerRole role, double missing) const
+{
+    std::map<DataCentreId, std::size_t> counts;
+    for (const ServerRecord* engine : engines)
+        counts[engine->dataCentre] += engine->role == role ? 1 : 0;
+    double mean = this->meanSpeed(engines);
+    auto distance
+        = [&](const ServerRecord& engine) { return std::abs(missing - this->speedOf(engine) / mean); };
+    double least = std::numeric_limits<double>::infinity();
+    for (const ServerRecord* engine : engines)
+        least = engine->role == role ? std::min(least, distance(*engine)) : least;
+    const ServerRecord* best = nullptr;
+    for (const ServerRecord* engine : engines) {
+        if (engine->role != role || distance(*engine) > least + EqualDistance)
+            continue;
+        if (best == nullptr || counts[engine->dataCentre] > counts[best->dataCentre])
+            best = engine;
+    }
+    bool isNearer = best != nullptr && distance(*best) + EqualDistance <= missing;
+    return isNearer ? best : nullptr;
+}
+
 std::optional<RoleAssignment> RolePlan::nextAssignment(const Engines& engines, std::size_t changing) const
 {
     std::uint32_t prefill = countOf(engines, ServerRole::Prefill);
-    if (prefill == this->target)
+    auto decode = static_cast<std::uint32_t>(engines.size()) - prefill;
+    std::uint32_t fewest = minEnginesOfRole(engines.size());
+    bool isRoleShort = prefill < fewest || decode < fewest;
+    if (!isRoleShort && !this->targetUnits)
         return std::nullopt;
-    bool isTooMany = prefill > this->target;
-    std::size_t ofRole = isTooMany ? engines.size() - prefill : prefill;
-    bool isRoleShort = ofRole < minEnginesOfRole(engines.size());
-    if (!this->isIdle && !isRoleShort && changing >= maxChanging(engines.size()))
+    double units = this->unitsOf(engines, ServerRole::Prefill);
+    bool isTooMany = isRoleShort ? decode < fewest : units > *this->targetUnits;
+    bool isLast = !isRoleShort && (isTooMany ? prefill : decode) <= fewest;
+    bool isBusy = !this->isIdle && !isRoleShort && changing >= maxChanging(engines.size());
+    if (isLast || isBusy)
         return std::nullopt;
+    // A role without its minimum takes an engine of any speed.
+    double missing
+        = isRoleShort ? std::numeric_limits<double>::infinity() : std::abs(units - *this->targetUnits);
     const ServerRecord* engine
-        = engineOfLargestGroup(engines, isTooMany ? ServerRole::Prefill : ServerRole::Decode);
+        = this->engineToChange(engines, isTooMany ? ServerRole::Prefill : ServerRole::Decode, missing);
     if (engine == nullptr)
         return std::nullopt;
     return RoleAssignment { engine->id, isTooMany ? ServerRole::Decode : ServerRole::Prefill };
--- a/src/libperidotgrade/core/serving/role_plan_load_test.cpp
+++ b/src/libperidotgrade/core/serving/role_plan_load_test.cpp
@@ -8,9 +8,14 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <functional>
+#include <map>
+#include <numbers>
 #include <queue>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace peridotgrade;
 
@@ -31,6 +36,10 @@
     double events = 68;
     double tokensPerEvent = 8;
     double kvCapacity = 40'000;
+    /// Times of the engines as factors of the above, in turn.
+    std::vector<double> factors { 1 };
+    /// The measuring entry serves one request of this many.
+    int entries = 5;
 };
 
 constexpr double SwitchTime = 6;
@@ -41,14 +50,14 @@
 constexpr double LongestPrefillWait = 1.2;
 /// An answer with its first event within this time is on time.
 constexpr double FirstEventTarget = 1;
-/// The measuring entry serves one request of this many.
-constexpr int EntryCount = 5;
+
+enum class Planning { Fixed, ByNumber, BySpeed };
 
 class PlayedPool {
 public:
-    PlayedPool(const Deployment& deployment, bool isPlanned, std::uint64_t seed)
+    PlayedPool(const Deployment& deployment, Planning planning, std::uint64_t seed)
         : deployment(deployment)
-        , isPlanned(isPlanned)
+        , planning(planning)
         , random(seed)
     {
         this->spec.slots = 64;
@@ -58,6 +67,9 @@
             engine.record.id = ServerId { "engine-" + std::to_string(1000 + index) };
             engine.record.role = index < deployment.initialPrefill ? ServerRole::Prefill : ServerRole::Decode;
             engine.planned = engine.record.role;
+            std::size_t turn = static_cast<std::size_t>(index) % deployment.factors.size();
+            engine.factor = deployment.factors[turn];
+            this->speeds[engine.record.id] = 1 / engine.factor;
             this->engines.push_back(engine);
         }
     }
@@ -66,9 +78,14 @@
     /// half whose first event is on time.
     double play(double rate, double length)
     {
-        for (double at = 0; at < length; at += -std::log(1 - this->random.unit()) / rate)
+        return this->play([rate](double) { return rate; }, length);
+    }
+    double play(const std::function<double(double)>& rate, double length)
+    {
+        for (double at = 0; at < length; at += -std::log(1 - this->random.unit()) / rate(at))
             this->schedule(at, [this, at] { this->arrive(at); });
-        for (double at = UpdateInterval; this->isPlanned && at < length; at += UpdateInterval)
+        for (double at = UpdateInterval; this->planning != Planning::Fixed && at < length;
+             at += UpdateInterval)
             this->schedule(at, [this] { this->updateRoles(); });
         while (!this->events.empty()) {
             Event next = this->events.top();
@@ -87,6 +104,13 @@
         return onTime / static_cast<double>(asked);
     }
 
+    /// Requests whose first event is on time, of all.
+    int countOnTime() const
+    {
+        return static_cast<int>(std::count_if(this->outcomes.begin(), this->outcomes.end(),
+            [](const Outcome& outcome) { return outcome.isOnTime; }));
+    }
+
     int roleChanges = 0;
 
 private:
@@ -97,6 +121,7 @@
         double busyUntil = 0;
         double usedTokens = 0;
         int runs = 0;
+        double factor = 1;
     };
     struct Event {
         double at;
@@ -134,7 +159,7 @@
     void arrive(double at)
     {
         Request request { at, this->spread(this->deployment.promptTokens),
-            this->spread(this->deployment.events), 0, this->random.below(EntryCount) == 0 };
+            this->spread(this->deployment.events), 0, this->random.below(this->deployment.entries) == 0 };
         request.tokens = std::min(
             request.prompt + request.events * this->deployment.tokensPerEvent, this->deployment.kvCapacity);
         this->waiting.push_back(request);
@@ -168,7 +193,10 @@
         for (Engine& engine : this->engines) {
             bool canTake = engine.record.role == ServerRole::Decode && !engine.isSwitching
                 && engine.usedTokens + tokens <= this->deployment.kvCapacity;
-            if (canTake && (best == nullptr || engine.usedTokens < best->usedTokens))
+            if (canTake
+                && (best == nullptr
+                    || (engine.usedTokens + tokens) * engine.factor
+                        < (best->usedTokens + tokens) * best->factor))
                 best = &engine;
         }
         return best;
@@ -176,10 +204,15 @@
 
     void prefill(const Request& request, Engine& decode)
     {
+        double alone = request.prompt * this->deployment.prefillPerToken;
+        auto order = [&](const Engine& engine) {
+            double end = std::max(engine.busyUntil, this->now) + alone * engine.factor;
+            return std::pair { end, engine.busyUntil };
+        };
         Engine* best = nullptr;
         for (Engine& engine : this->engines) {
             bool canTake = engine.record.role == ServerRole::Prefill && !engine.isSwitching;
-            if (canTake && (best == nullptr || engine.busyUntil < best->busyUntil))
+            if (canTake && (best == nullptr || order(engine) < order(*best)))
                 best = &engine;
         }
         if (best == nullptr || best->busyUntil - this->now > LongestPrefillWait) {
@@ -188,8 +221,7 @@
             return;
         }
         double began = this->now;
-        best->busyUntil
-            = std::max(best->busyUntil, began) + request.prompt * this->deployment.prefillPerToken;
+        best->busyUntil = std::max(best->busyUntil, began) + alone * best->factor;
         double done = best->busyUntil + this->deployment.prefillFixed;
         this->schedule(done, [this, request, began, &decode] {
             if (request.isMeasured)
@@ -203,7 +235,7 @@
     {
         this->outcomes.push_back({ request.arrivedAt, this->now - request.arrivedAt <= FirstEventTarget });
         ++engine.runs;
-        double took = request.events
+        double took = engine.factor * request.events
             * (this->deployment.eventAlone + this->deployment.eventEachFurther * (engine.runs - 1));
         this->schedule(this->now + took, [this, request, waited, took, &engine] {
             --engine.runs;
@@ -228,8 +260,11 @@
         std::vector<const ServerRecord*> candidates;
         for (const ServerRecord& record : planned)
             candidates.push_back(&record);
+        if (this->planning == Planning::BySpeed)
+            this->plan.setSpeeds(this->speeds);
         this->plan.update(candidates, this->demand.current(),
-            { std::chrono::milliseconds { 6000 }, EntryCount }, TimePoint { durationOf(this->now) });
+            { std::chrono::milliseconds { 6000 }, static_cast<std::uint32_t>(this->deployment.entries) },
+            TimePoint { durationOf(this->now) });
         while (auto assignment = this->plan.nextAssignment(candidates, changing)) {
             ++changing;
             ++this->roleChanges;
@@ -261,7 +296,8 @@
     }
 
     const Deployment deployment;
-    const bool isPlanned;
+    const Planning planning;
+    EngineSpeeds speeds;
     RandomSource random;
     EngineSpec spec;
     std::vector<Engine> engines;
@@ -281,7 +317,7 @@
     int step = std::max(1, deployment.engines / 24);
     for (int prefill = 1; prefill < deployment.engines; prefill += step) {
         deployment.initialPrefill = prefill;
-        double share = PlayedPool(deployment, false, 1).play(rate, length);
+        double share = PlayedPool(deployment, Planning::Fixed, 1).play(rate, length);
         if (share > best.first)
             best = { share, prefill };
     }
@@ -325,7 +361,7 @@
         double rate = nearCapacity(deployment);
         double length = 120;
         auto [best, split] = bestFixedSplit(deployment, rate, length / 2);
-        PlayedPool pool(deployment, true, 1);
+        PlayedPool pool(deployment, Planning::ByNumber, 1);
         double share = pool.play(rate, length);
         BOOST_TEST_MESSAGE(deployment.name << ": " << rate << " requests a second, best split " << split
                                            << " serves " << best << ", planned roles " << share << " after "
@@ -338,9 +374,58 @@
 BOOST_AUTO_TEST_CASE(changesRolesRarely)
 {
     Deployment deployment { "usual", 18, 5 };
-    PlayedPool pool(deployment, true, 3);
+    PlayedPool pool(deployment, Planning::ByNumber, 3);
     pool.play(nearCapacity(deployment), 300);
     BOOST_TEST(pool.roleChanges <= 6);
 }
 
+/// Load: 40 engines of unequal speed, a wave of 55 % over 17 s, 22 entries. Guards against a prefill pool of
+/// slow engines that stays too small, and against changes that speeds ask for while the load swings.
+BOOST_AUTO_TEST_CASE(weighsEnginesOfUnequalSpeed)
+{
+    constexpr int Seeds = 3;
+    constexpr double Length = 120;
+    struct Start {
+        std::string name;
+        int prefill;
+        std::vector<double> factors;
+        /// On time when planned by speed, as a share of those when planned by number.
+        double minShare;
+    };
+    std::vector<double> slowFirst(13, 1.7);
+    slowFirst.resize(40, 0.7);
+    std::vector<double> fastFirst(27, 0.7);
+    fastFirst.resize(40, 1.7);
+    const std::vector<double> mixed { 0.7, 0.7, 1.7 };
+    const std::vector<Start> starts { { "8 mixed", 8, mixed, 0.98 }, { "12 mixed", 12, mixed, 0.98 },
+        { "20 mixed", 20, mixed, 0.98 }, { "8 slow", 8, slowFirst, 1.2 }, { "8 fast", 8, fastFirst, 0.98 } };
+    for (double mean : { 36.0, 42.0, 48.0 }) {
+        auto rate
+            = [mean](double at) { return mean * (1 + 0.55 * std::sin(2 * std::numbers::pi * at / 17)); };
+        for (const Start& start : starts) {
+            Deployment deployment { start.name, 40, start.prefill, 0.09, 0.00005, 0.036, 0.0015, 3200, 94, 8,
+                25'992, start.factors, 22 };
+            std::map<Planning, std::pair<int, int>> results;
+            for (Planning planning : { Planning::ByNumber, Planning::BySpeed }) {
+                for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+                    PlayedPool pool(deployment, planning, seed);
+                    pool.play(rate, Length);
+                    results[planning].first += pool.countOnTime();
+                    results[planning].second += pool.roleChanges;
+                }
+            }
+            auto [byNumber, changesByNumber] = results[Planning::ByNumber];
+            auto [bySpeed, changesBySpeed] = results[Planning::BySpeed];
+            BOOST_TEST_MESSAGE(mean << " requests a second, " << start.name << " engines on prefill: "
+                                    << byNumber / (Seeds * Length) << " on time a second and "
+                                    << changesByNumber << " changes by number, " << bySpeed / (Seeds * Length)
+                                    << " and " << changesBySpeed << " by speed");
+            BOOST_TEST(bySpeed >= start.minShare * byNumber, start.name);
+            // A pool that is too small for its speed is worth more changes.
+            bool isTooSmall = start.minShare > 1;
+            BOOST_TEST((isTooSmall || changesBySpeed <= changesByNumber), start.name);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/core/serving/role_plan_test.cpp
+++ b/src/libperidotgrade/core/serving/role_plan_test.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
+#include <map>
 #include <string>
 
 using namespace peridotgrade;
@@ -239,4 +241,105 @@
     BOOST_TEST(plan.nextAssignment(bare.engines(), most).has_value());
 }
 
+// A learned speed must not move engines in the middle of a burst: demand as measured decides whether any
+// change.
+BOOST_AUTO_TEST_CASE(speedsAloneChangeNothing)
+{
+    std::uint32_t best = RolePlan::bestSplit(40, UsualDemand);
+    for (bool isPrefillFast : { false, true }) {
+        Pool pool;
+        pool.add("a", ServerRole::Prefill, static_cast<int>(best));
+        pool.add("a", ServerRole::Decode, 40 - static_cast<int>(best));
+        RolePlan plan;
+        BOOST_REQUIRE(pool.settle(plan, UsualDemand) == 0);
+        EngineSpeeds speeds;
+        for (const ServerRecord& record : pool.records)
+            speeds[record.id] = (record.role == ServerRole::Prefill) == isPrefillFast ? 1 : 0.41;
+        plan.setSpeeds(speeds);
+        BOOST_TEST(pool.settle(plan, UsualDemand) == 0);
+    }
+}
+
+// One decision must move no more than a tenth of the speed of all engines: by number it moves too much if the
+// engines that change are fast.
+BOOST_AUTO_TEST_CASE(countsEnginesBySpeed)
+{
+    RoleDemand demand { milliseconds { 400 }, milliseconds { 330 } };
+    std::map<bool, int> changes;
+    for (bool areKnown : { false, true }) {
+        Pool pool;
+        pool.add("a", ServerRole::Prefill, 10);
+        pool.add("a", ServerRole::Decode, 30);
+        EngineSpeeds speeds;
+        for (int index = 0; index < 10; ++index)
+            speeds[pool.records[static_cast<std::size_t>(index)].id] = 0.5;
+        RolePlan plan;
+        if (areKnown)
+            plan.setSpeeds(speeds);
+        for (std::uint32_t round = 0; round < RolePlan::AgreeingUpdates; ++round)
+            plan.update(pool.engines(), demand, Cost, Now);
+        auto engines = pool.engines();
+        while (plan.nextAssignment(engines, 0)) {
+            auto assignment = *plan.nextAssignment(engines, 0);
+            for (ServerRecord& record : pool.records)
+                record.role = record.id == assignment.server ? assignment.role : record.role;
+            ++changes[areKnown];
+        }
+    }
+    // One decision moves four mean engines; a fast one is worth 1.14 of them.
+    BOOST_TEST(changes[false] == 4);
+    BOOST_TEST(changes[true] == 3);
+}
+
+BOOST_AUTO_TEST_CASE(prefersTheChangeThatComesNearestToTheTarget)
+{
+    // Fast prefill engines are too many. Without regard to speed the pool would end beside its target.
+    Pool pool;
+    pool.add("a", ServerRole::Prefill, static_cast<int>(RolePlan::bestSplit(18, UsualDemand)) + 1);
+    pool.add("a", ServerRole::Decode, 18 - static_cast<int>(pool.records.size()));
+    EngineSpeeds speeds;
+    for (const ServerRecord& record : pool.records) {
+        if (record.role == ServerRole::Prefill)
+            speeds[record.id] = 2;
+    }
+    speeds[pool.records.front().id] = 0.4;
+    RolePlan plan;
+    plan.setSpeeds(speeds);
+    plan.updateIdle(pool.engines(), UsualDemand);
+    int changes = 0;
+    while (auto assignment = plan.nextAssignment(pool.engines(), 0)) {
+        for (ServerRecord& record : pool.records)
+            record.role = record.id == assignment->server ? assignment->role : record.role;
+        BOOST_REQUIRE(++changes < 18);
+    }
+    double sum = 0;
+    double ofPrefill = 0;
+    for (const ServerRecord& record : pool.records) {
+        double speed = speeds.contains(record.id) ? speeds[record.id] : 1;
+        sum += speed;
+        ofPrefill += record.role == ServerRole::Prefill ? speed : 0;
+    }
+    BOOST_TEST(std::abs(ofPrefill / sum * 18 - plan.prefillTarget()) <= 0.5);
+}
+
+// The minimum of a role is a number of engines: one fast engine does not replace two.
+BOOST_AUTO_TEST_CASE(keepsTwoEnginesOfARoleWhateverTheirSpeed)
+{
+    Pool pool;
+    pool.add("a", ServerRole::Prefill, 6);
+    pool.add("a", ServerRole::Decode, 6);
+    RolePlan plan;
+    EngineSpeeds speeds;
+    for (int index = 0; index < 6; ++index)
+        speeds[pool.records[static_cast<std::size_t>(index)].id] = 4;
+    plan.setSpeeds(speeds);
+    pool.settle(plan, RoleDemand { milliseconds { 5 }, seconds { 5 } });
+    BOOST_TEST(pool.prefills() == 2);
+    speeds[pool.records.back().id] = 0.25;
+    plan.setSpeeds(speeds);
+    pool.records[0].role = ServerRole::Decode;
+    pool.settle(plan, std::nullopt);
+    BOOST_TEST(pool.prefills() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/core/serving/routing_configuration.cpp
+++ b/src/libperidotgrade/core/serving/routing_configuration.cpp
@@ -3,6 +3,7 @@
 
 #include "peridotgrade/core/base/name_table.h"
 
+#include <algorithm>
 #include <array>
 
 namespace peridotgrade {
@@ -13,6 +14,12 @@
     return nameAt(Names, kind);
 }
 
+const Tenant* RoutingConfiguration::tenantOfKey(std::string_view key) const
+{
+    auto at = this->apiKeys.tenantOf(key);
+    return at && *at < this->tenants.size() ? &this->tenants[*at] : nullptr;
+}
+
 const ServiceRoute* RoutingConfiguration::routeFor(std::string_view host, std::string_view path) const
 {
     const ServiceRoute* best = nullptr;
@@ -33,4 +40,21 @@
     return nullptr;
 }
 
+bool RoutingConfiguration::hasPriorities(const ServiceId& service) const
+{
+    if (!this->tenants.empty())
+        return true;
+    const ServiceRoute* first = nullptr;
+    for (const ServiceRoute& route : this->routes) {
+        bool isServed = std::any_of(route.services.begin(), route.services.end(),
+            [&](const WeightedService& each) { return each.service == service; });
+        if (!isServed)
+            continue;
+        if (first != nullptr && first->priority != route.priority)
+            return true;
+        first = &route;
+    }
+    return false;
+}
+
 } // namespace peridotgrade
--- a/src/libperidotgrade/core/serving/serving_values_test.cpp
+++ b/src/libperidotgrade/core/serving/serving_values_test.cpp
@@ -1,6 +1,8 @@
 // Tests of server health, output estimates, event framing, Retry-After delays and routes.
 #include "peridotgrade/core/serving/event_framer.h"
 #include "peridotgrade/core/serving/output_estimate.h"
+#include "peridotgrade/core/serving/request_cost.h"
+#include "peridotgrade/core/serving/request_priority.h"
 #include "peridotgrade/core/serving/retry_after.h"
 #include "peridotgrade/core/serving/routing_configuration.h"
 #include "peridotgrade/core/serving/server_health.h"
@@ -71,6 +73,31 @@
     BOOST_TEST(estimate.tokensToReserve("r", 0, 1760) < 1760U);
 }
 
+BOOST_AUTO_TEST_CASE(hintsThatSayNothingAreNotUsed)
+{
+    // Guards against a caller whose hints are in another unit: far too much memory would be reserved.
+    OutputEstimate estimate;
+    for (int answer = 0; answer < 100; ++answer)
+        estimate.record("r", answer % 2 == 0 ? 4000 : 3000, 700 + 10 * (answer % 7));
+    std::uint32_t expected = estimate.expectedTokens("r", 4000, 8000);
+    BOOST_TEST(expected >= 680U);
+    BOOST_TEST(expected <= 780U);
+}
+
+BOOST_AUTO_TEST_CASE(costCountsPromptOutputAndEvents)
+{
+    EngineSpec engine;
+    engine.kvCapacityTokens = 20'000;
+    engine.tokensPerEvent = 8;
+    RequestCost cost = RequestCost::estimate({ "r", 3000, 1900, 500 }, OutputEstimate {}, engine);
+    BOOST_TEST(cost.outputTokens == 500U);
+    BOOST_TEST(cost.events == 63U);
+    BOOST_TEST(cost.reservedTokens == 3900U);
+    // Guards against an overflow, and against a request that fits no engine.
+    cost = RequestCost::estimate({ "r", 4'294'967'295, 4'294'967'295, 4'294'967'295 }, {}, engine);
+    BOOST_TEST(cost.reservedTokens == 20'000U);
+}
+
 BOOST_AUTO_TEST_CASE(framerReleasesCompleteEventsOnly)
 {
     EventFramer framer;
@@ -87,6 +114,31 @@
     BOOST_TEST(framer.events() == 3U);
 }
 
+// Guards against a stream with repeated ids that is taken for one that makes progress, or resumed elsewhere.
+BOOST_AUTO_TEST_CASE(framerStopsAtAnIdThatDoesNotGrow)
+{
+    const std::string first = "id: 4\ndata: a\n\n";
+    const std::string comment = ": no event with an id\n\n";
+    for (const std::string repeated : { "id: 4\ndata: b\n\n", "id: 3\r\ndata: b\r\n\r\n" }) {
+        EventFramer framer { EventFramer::EventIds::Growing };
+        BOOST_TEST(framer.push(first + comment) == first + comment);
+        BOOST_TEST(!framer.hasRepeatedId());
+        BOOST_TEST(framer.push("id: 6\n\n" + repeated + "id: 7\n\nid: 8") == "id: 6\n\n");
+        BOOST_TEST(framer.hasRepeatedId());
+        BOOST_TEST(!framer.hasPartialEvent());
+        BOOST_TEST(framer.push("\n\nid: 9\n\n").empty());
+        BOOST_TEST((framer.lastId() == 6U));
+        BOOST_TEST(framer.events() == 3U);
+        // Streams that are never resumed need no ids.
+        EventFramer other;
+        BOOST_TEST(other.push(first + repeated) == first + repeated);
+        BOOST_TEST(!other.hasRepeatedId());
+    }
+    EventFramer resumed { EventFramer::EventIds::Growing, 4 };
+    BOOST_TEST(resumed.push(first).empty());
+    BOOST_TEST(resumed.hasRepeatedId());
+}
+
 BOOST_AUTO_TEST_CASE(retryAfterIsWithinAThirdOfTheTimeLeftAndSpreadOut)
 {
     RandomSource random(7);
@@ -121,6 +173,19 @@
     BOOST_TEST(configuration.routeFor("h", "/a/x")->name == "short");
     BOOST_TEST((configuration.routeFor("h", "/ab") == nullptr));
     BOOST_TEST((configuration.routeFor("i", "/a/") == nullptr));
+    // Only where requests of one service differ: servers of other deployments see no new field.
+    for (ServiceRoute& route : configuration.routes)
+        route.services = { { ServiceId { "s" }, 1 } };
+    configuration.routes[2].services = { { ServiceId { "t" }, 1 } };
+    configuration.routes[2].priority = 1;
+    BOOST_TEST(!configuration.hasPriorities(ServiceId { "s" }));
+    configuration.routes[1].priority = 1;
+    BOOST_TEST(configuration.hasPriorities(ServiceId { "s" }));
+    BOOST_TEST(!configuration.hasPriorities(ServiceId { "t" }));
+    configuration.tenants.emplace_back();
+    BOOST_TEST(configuration.hasPriorities(ServiceId { "t" }));
+    BOOST_TEST(urgencyOf({ 2, 1 }) == 7U);
+    BOOST_TEST(urgencyOf({ 9, 9 }) == 9U);
 }
 
 BOOST_AUTO_TEST_CASE(retryAfterIsNotBeforeTheServersAreBack)
--- a/src/libperidotgrade/gateway/crash_log.cpp
+++ b/src/libperidotgrade/gateway/crash_log.cpp
@@ -49,8 +49,14 @@
         return isWhole ? std::optional { value } : std::nullopt;
     }
 
+    // In place of the request, which the record of a request need not name. Earlier versions skip it.
+    constexpr const char* AnsweredValue = "answered";
+
     /// The request that had the suspect, so that no value is empty.
-    std::string valueOf(const CrashRecord& record) { return textOf(record.request); }
+    std::string valueOf(const CrashRecord& record)
+    {
+        return record.wasAnswered ? AnsweredValue : textOf(record.request);
+    }
 
     /// A record of an earlier version, or a withdrawal, names no request; of a request's record none is
     /// needed.
@@ -67,7 +73,7 @@
             return std::nullopt;
         auto request = suspectFrom(published.value.value_or(""));
         return CrashRecord { *suspect, ServerCrash { std::string { key.substr(second + 1) }, *incarnation },
-            request ? request->content : Fingerprint {} };
+            request ? request->content : Fingerprint {}, published.value == AnsweredValue };
     }
 
 } // namespace
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -56,7 +56,10 @@
 boost::asio::awaitable<void> answerNotRun(GatewayState& state, RequestContext& context,
     std::string_view reason, std::optional<std::chrono::milliseconds> retryAfter, std::string_view server)
 {
+    context.quota.refund();
     state.metrics.countRefusal(std::string { reason });
+    if (context.request.urgency)
+        state.metrics.countRefusalByPriority(*context.request.urgency);
     std::string detail = retryAfter ? "retry_after_ms " + std::to_string(retryAfter->count()) : "";
     logEnd(state, context, "not_run", reason, server, detail);
     co_await context.exchange.respond(notRunResponse(reason, retryAfter));
@@ -73,6 +76,15 @@
     co_await answerNotRun(state, context, "quarantined", std::chrono::ceil<std::chrono::milliseconds>(held));
 }
 
+boost::asio::awaitable<void> answerOverQuota(
+    GatewayState& state, RequestContext& context, std::chrono::milliseconds retryAfter)
+{
+    state.metrics.countRefusal("over_quota");
+    logEnd(
+        state, context, "not_run", "over_quota", {}, "retry_after_ms " + std::to_string(retryAfter.count()));
+    co_await context.exchange.respond(overQuotaResponse(retryAfter));
+}
+
 boost::asio::awaitable<void> answerFailed(GatewayState& state, RequestContext& context, std::uint16_t status,
     std::string_view reason, std::string_view server, std::string_view detail)
 {
@@ -110,6 +122,8 @@
             { "first_event_ms", stream ? millisecondsText(stream->firstEvent) : "" },
             { "longest_pause_ms", stream ? millisecondsText(stream->longestPause) : "" },
             { "events", stream ? std::to_string(stream->events) : "" },
+            { "expected_output", stream ? std::to_string(stream->expectedOutputTokens) : "" },
+            { "output", stream ? std::to_string(stream->outputTokens) : "" },
             { "partial_event", stream ? (stream->hasPartialEvent ? "true" : "false") : "" },
             { "took_ms", millisecondsText(took) } });
 }
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -2,13 +2,17 @@
 #include "peridotgrade/gateway/gateway_node.h"
 
 #include "peridotgrade/core/serving/retry_after.h"
+#include "peridotgrade/gateway/caller_authentication.h"
 #include "peridotgrade/gateway/crash_log.h"
 #include "peridotgrade/gateway/final_answer.h"
 #include "peridotgrade/gateway/gateway_state.h"
 #include "peridotgrade/gateway/generation_call.h"
 #include "peridotgrade/gateway/group_member.h"
+#include "peridotgrade/gateway/peer_notices.h"
+#include "peridotgrade/gateway/peer_socket.h"
 #include "peridotgrade/gateway/plain_call.h"
 #include "peridotgrade/gateway/quarantine_page.h"
+#include "peridotgrade/gateway/quota_service.h"
 #include "peridotgrade/gateway/store_follower.h"
 #include "peridotgrade/gateway/stream_origin_log.h"
 #include "platform/caller_protocol.h"
@@ -39,6 +43,8 @@
     // Callers keep connections for less than the configured idle time, which is at most this.
     constexpr std::chrono::milliseconds CallerIdleTimeout { 60'000 };
     constexpr std::uint64_t MaxBodyBytes = 16 * 1024 * 1024;
+    // Probes and operators send no bodies of any size.
+    constexpr std::uint64_t MaxInternalBodyBytes = 64 * 1024;
     constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
     // Out of 4,100 file descriptors; the rest is for connections to servers and the store.
     constexpr std::uint32_t MaxCallerConnections = 2'500;
@@ -62,7 +68,24 @@
     /// The host without its port.
     std::string_view hostName(std::string_view host) { return host.substr(0, host.find(':')); }
 
-    HttpServerSettings serverSettings(const Endpoint& listen)
+    struct KeyCheck {
+        /// Null before the first one.
+        std::shared_ptr<const RoutingConfiguration> configuration;
+        /// Null if none matches.
+        const ServiceRoute* route;
+        CallerAuthentication caller;
+        /// The answer to a caller that is not accepted.
+        std::optional<HttpResponse> rejection;
+    };
+
+    const ServiceRoute* routeOf(const RoutingConfiguration& configuration, const HttpRequest& request)
+    {
+        std::string_view host = request.field("Host");
+        const ServiceRoute* route = configuration.routeFor(host, request.path());
+        return route != nullptr ? route : configuration.routeFor(hostName(host), request.path());
+    }
+
+    HttpServerSettings serverSettings(const Endpoint& listen, const MemoryBudgets& budgets)
     {
         HttpServerSettings settings;
         settings.listen = listen;
@@ -70,6 +93,8 @@
         settings.maxBodyBytes = MaxBodyBytes;
         settings.maxConnections = MaxCallerConnections;
         settings.idleTimeout = CallerIdleTimeout;
+        settings.sendBufferBytes = budgets.socketBufferBytes;
+        settings.receiveBufferBytes = budgets.socketBufferBytes;
         return settings;
     }
 
@@ -82,21 +107,27 @@
         , state(this->context.get_executor(), std::move(settings), this->registry, seed)
         , store(this->context.get_executor(), this->state.settings.store)
         , follower(this->state, this->store)
-        , groupMember(this->state, this->store)
+        , peerSocket(this->context.get_executor())
+        , quotas(this->state, this->peerSocket, this->registry)
+        , notices(this->state, this->peerSocket, this->registry)
+        , groupMember(this->state, this->store, this->quotas, this->notices)
         , originLog(this->state, this->store)
         , crashLog(this->state, this->store)
         , signals(this->context, SIGTERM, SIGINT, SIGHUP)
-        , callers(this->context.get_executor(), serverSettings(this->state.settings.callersListen),
+        , callers(this->context.get_executor(), this->callerSettings(),
               [this](HttpExchange& exchange) { return this->serveCaller(exchange); })
-        , readiness(this->context.get_executor(), serverSettings(this->state.settings.readinessListen),
+        , readiness(this->context.get_executor(),
+              this->internalSettings(this->state.settings.readinessListen),
               [this](HttpExchange& exchange) { return this->answerReadiness(exchange); })
-        , metricsServer(this->context.get_executor(), serverSettings(this->state.settings.metricsListen),
+        , metricsServer(this->context.get_executor(),
+              this->internalSettings(this->state.settings.metricsListen),
               [this](HttpExchange& exchange) { return this->serveOperator(exchange); })
     {
         addProcessMetrics(this->registry);
         this->registry.callbackCounter(
             { "peridot_gateway_store_calls_total", "Calls to the platform's store", "", "" },
             [this] { return static_cast<double>(this->store.calls()); });
+        this->addMemoryMetrics();
     }
 
     std::optional<std::string> start()
@@ -106,11 +137,15 @@
             if (auto* error = std::get_if<NetError>(&bound))
                 return error->detail;
         }
+        const auto& peerListen = this->state.settings.peerListen;
+        if (auto error = peerListen ? this->peerSocket.listen(*peerListen) : std::nullopt)
+            return error->detail;
         this->state.log.write(LogLevel::Info, "started",
             { { "version", PERIDOT_VERSION }, { "listen", toString(this->state.settings.callersListen) },
                 { "store", toString(this->state.settings.store) },
                 { "data_centre", this->state.settings.dataCentre } });
         this->follower.start();
+        this->notices.start();
         this->groupMember.start();
         this->crashLog.start();
         this->awaitSignal();
@@ -124,12 +159,80 @@
     }
 
 private:
+    HttpServerSettings callerSettings()
+    {
+        HttpServerSettings settings
+            = serverSettings(this->state.settings.callersListen, this->state.memoryBudgets);
+        settings.bodyMemory = this->state.requestMemory;
+        settings.noMemoryResponse = [this](const HttpRequest& request) { return this->refuseBody(request); };
+        return settings;
+    }
+
+    HttpServerSettings internalSettings(const Endpoint& listen) const
+    {
+        HttpServerSettings settings = serverSettings(listen, this->state.memoryBudgets);
+        settings.maxBodyBytes = MaxInternalBodyBytes;
+        return settings;
+    }
+
+    void addMemoryMetrics()
+    {
+        auto add = [this](const char* kind, const BodyMemory* memory) {
+            this->registry.gauge(
+                { "peridot_gateway_body_bytes", "Bytes of bodies that are held as a whole", "kind", kind },
+                [memory] { return memory != nullptr ? static_cast<double>(memory->used()) : 0; });
+        };
+        add("request", this->state.requestMemory.get());
+        add("answer", &this->state.answerMemory);
+    }
+
+    HttpResponse refuseBody(const HttpRequest& request)
+    {
+        if (auto unauthorized = this->checkKey(request).rejection)
+            return std::move(*unauthorized);
+        constexpr std::string_view Reason = "no_memory";
+        auto parsed = parseCallerRequest(request, {}, this->state.now());
+        const auto* read = std::get_if<GatewayRequest>(&parsed);
+        auto timeout = read != nullptr ? read->callerTimeout : std::nullopt;
+        auto retryAfter = chooseRetryAfter(timeout.value_or(DefaultCallerTimeout), this->state.random);
+        this->state.metrics.countRefusal(std::string { Reason });
+        this->state.log.write(LogLevel::Info, "request_ended",
+            { { "request", read != nullptr ? read->attempt : "" }, { "outcome", "not_run" },
+                { "reason", std::string { Reason } },
+                { "held_bytes", std::to_string(this->state.requestMemory->used()) } });
+        return notRunResponse(Reason, retryAfter);
+    }
+
+    /// Finds the route of a request and checks its caller's key.
+    KeyCheck checkKey(const HttpRequest& request)
+    {
+        auto configuration = this->state.configuration;
+        const ServiceRoute* route = configuration ? routeOf(*configuration, request) : nullptr;
+        CallerAuthentication caller(configuration.get(), route, request);
+        if (caller.result() != AuthenticationResult::NotRequired)
+            this->state.metrics.countAuthentication(std::string { nameOf(caller.result()) });
+        if (caller.isAccepted())
+            return { configuration, route, caller, std::nullopt };
+        this->state.log.write(LogLevel::Info, "request_ended",
+            { { "request", std::string { attemptOf(request) } }, { "outcome", "unauthorized" },
+                { "reason", std::string { nameOf(caller.result()) } }, { "route", route->name } });
+        return { configuration, route, caller, rejectionResponse(401, "unauthorized") };
+    }
+
     asio::awaitable<void> serveCaller(HttpExchange& exchange)
     {
         if (isReadinessProbe(exchange.request())) {
             co_await this->answerReadiness(exchange);
             co_return;
         }
+        // Keys are checked before anything is spent on the request, also by an entry that is not ready yet.
+        KeyCheck checked = this->checkKey(exchange.request());
+        if (checked.rejection) {
+            co_await exchange.respond(std::move(*checked.rejection));
+            co_return;
+        }
+        const auto& configuration = checked.configuration;
+        const ServiceRoute* route = checked.route;
         auto parsed = parseCallerRequest(exchange.request(), exchange.clientAddress(), this->state.now());
         if (auto* problem = std::get_if<std::string>(&parsed)) {
             this->state.log.write(LogLevel::Warn, "request_malformed", { { "detail", *problem } });
@@ -137,7 +240,8 @@
             co_return;
         }
         auto& request = std::get<GatewayRequest>(parsed);
-        auto configuration = this->state.configuration;
+        checked.caller.applyTo(request.message);
+        request.body = std::make_shared<const std::string>(exchange.takeBody());
         if (!configuration || !this->state.hasServers || !this->crashLog.isStarted()) {
             // The store is unavailable, mostly for seconds. The Retry-After delay is the same as after any
             // other rejection, and spread.
@@ -146,9 +250,6 @@
             co_await this->rejectEarly(exchange, request, "not_ready", retryAfter);
             co_return;
         }
-        const ServiceRoute* route = configuration->routeFor(request.host, exchange.request().path());
-        if (route == nullptr)
-            route = configuration->routeFor(hostName(request.host), exchange.request().path());
         if (route == nullptr) {
             this->state.log.write(LogLevel::Info, "request_ended",
                 { { "request", request.attempt }, { "outcome", "no_route" }, { "host", request.host },
@@ -156,11 +257,13 @@
             co_await exchange.respond(rejectionResponse(404, "no route"));
             co_return;
         }
-        co_await this->serveRoute(exchange, std::move(request), configuration, *route);
+        co_await this->serveRoute(
+            exchange, std::move(request), configuration, *route, checked.caller.tenant());
     }
 
     asio::awaitable<void> serveRoute(HttpExchange& exchange, GatewayRequest request,
-        std::shared_ptr<const RoutingConfiguration> configuration, const ServiceRoute& route)
+        std::shared_ptr<const RoutingConfiguration> configuration, const ServiceRoute& route,
+        const Tenant* tenant)
     {
         this->state.metrics.countRequest(std::string { nameOf(route.kind) });
         CancellationSignal cancellation;
@@ -170,10 +273,13 @@
         TimePoint deadline = request.arrivedAt + time;
         bool isSampled = this->state.random.below(RequestTrace::SampleEvery) == 0;
         RequestTrace trace(request.attempt, request.arrivedAt, isSampled);
-        RequestContext context { exchange, std::move(request), configuration, route, this->pickService(route),
-            std::nullopt, deadline, cancellation, std::move(trace) };
+        RequestContext context { exchange, std::move(request), configuration, route, tenant,
+            priorityOf(tenant, route), this->pickService(route), std::nullopt, deadline, cancellation,
+            std::move(trace) };
         bool mayGoOn = co_await this->chooseOrigin(context);
         const ServiceSpec* service = configuration->serviceNamed(context.service);
+        if (configuration->hasPriorities(context.service))
+            context.request.urgency = urgencyOf(context.priority);
         bool isGeneration = service != nullptr && service->engine;
         if (this->isRejecting && (isGeneration || deadline > this->stopAt)) {
             // The request might not end before this process has to, and a caller that still connects here
@@ -183,6 +289,8 @@
         } else if (!mayGoOn) {
             auto retryAfter = chooseRetryAfter(timeLeft(this->state, context), this->state.random);
             co_await answerNotRun(this->state, context, "unknown_stream", retryAfter);
+        } else if (auto overQuota = co_await this->quotas.charge(context)) {
+            co_await answerOverQuota(this->state, context, *overQuota);
         } else if (isGeneration) {
             OpenCount counted(this->openGenerations);
             auto broker = this->brokerOf(context.service);
@@ -324,10 +432,15 @@
     void finishWhenIdle()
     {
         // If no other entry is ready, callers are still sent here, so the port stays open as long as it can.
-        if (this->openGenerations == 0 || this->state.now() >= this->stopAt)
+        bool hasClosedBefore = this->isClosed;
+        if (!this->isClosed && (this->openGenerations == 0 || this->state.now() >= this->stopAt)) {
+            this->isClosed = true;
             this->callers.stopAccepting();
+        }
+        // Requests that were sent just before the port closed are seen at the next check.
         bool isIdle = this->callers.openExchanges() == 0;
-        if (!isIdle && this->state.now() < this->stopAt) {
+        bool isAwaited = !isIdle || !hasClosedBefore || this->callers.arrivingRequests() > 0;
+        if (isAwaited && this->state.now() < this->stopAt) {
             this->state.subscribeAfter(StopCheckInterval, [this] { this->finishWhenIdle(); });
             return;
         }
@@ -344,6 +457,9 @@
     GatewayState state;
     StoreClient store;
     StoreFollower follower;
+    PeerSocket peerSocket;
+    QuotaService quotas;
+    PeerNotices notices;
     GroupMember groupMember;
     StreamOriginLog originLog;
     CrashLog crashLog;
@@ -355,6 +471,8 @@
     TimePoint stopAt {};
     std::size_t openGenerations = 0;
     bool isRejecting = false;
+    /// The port for callers is closed.
+    bool isClosed = false;
     bool hasDrained = true;
 };
 
--- a/src/libperidotgrade/gateway/gateway_settings.cpp
+++ b/src/libperidotgrade/gateway/gateway_settings.cpp
@@ -21,6 +21,7 @@
     "callersListen": { "type": "string", "description": "the address for callers, as ip:port" },
     "readinessListen": { "type": "string", "description": "the address for readiness checks, as ip:port" },
     "metricsListen": { "type": "string", "description": "the address for metrics, as ip:port" },
+    "peerListen": { "type": "string", "description": "the address for datagrams of other entries, as ip:port" },
     "store": { "type": "string", "description": "the address of the platform's store, as ip:port" },
     "storePartitions": { "type": "integer", "minimum": 1, "description": "partitions of each topic of the store" },
     "logLevel": { "enum": ["trace", "debug", "info", "warn", "error"],
@@ -35,6 +36,8 @@
     "stopWithinSeconds": { "type": "number", "minimum": 1, "description": "seconds from SIGTERM to the end, at least 1" },
     "dutyLeaseMs": { "type": "integer", "minimum": 0, "description": "a whole number of milliseconds" },
     "shortestMembershipMs": { "type": "integer", "minimum": 1, "description": "a whole number of milliseconds" },
+    "memoryMb": { "type": "integer", "minimum": 32, "maximum": 1000000,
+      "description": "the memory limit of the process, a whole number of megabytes from 32" },
     "expectedDemand": { "type": "object", "additionalProperties": false, "required": ["prefillMs", "decodeMs"],
       "description": "an object with prefillMs and decodeMs",
       "properties": {
@@ -62,6 +65,13 @@
         return limits;
     }
 
+    /// The schema has checked that it is a whole number in range.
+    std::optional<std::uint32_t> memoryFrom(const boost::json::object& fields)
+    {
+        const auto* memory = fields.if_contains("memoryMb");
+        return memory != nullptr ? std::optional { memory->to_number<std::uint32_t>() } : std::nullopt;
+    }
+
     std::optional<RoleDemand> demandFrom(const boost::json::object& fields)
     {
         const auto* demand = fields.if_contains("expectedDemand");
@@ -133,19 +143,38 @@
     return *this;
 }
 
+GatewaySettingsBuilder& GatewaySettingsBuilder::memory(std::optional<std::uint32_t> megabytes)
+{
+    this->settings.memoryMb = megabytes;
+    return *this;
+}
+
+GatewaySettingsBuilder& GatewaySettingsBuilder::peers(std::optional<Endpoint> listen)
+{
+    this->settings.peerListen = std::move(listen);
+    return *this;
+}
+
 std::variant<GatewaySettings, SettingsError> GatewaySettingsBuilder::build() const
 {
     const GatewaySettings& built = this->settings;
-    bool isShared = built.callersListen.port != 0
-        && (built.callersListen == built.readinessListen || built.callersListen == built.metricsListen);
-    if (!isShared)
-        return built;
     SettingsError error;
     error.kind = SettingsErrorKind::BadValue;
-    error.key = "callersListen";
-    error.problem = "is the same address as readinessListen or metricsListen";
-    error.fix = "give it a port of its own";
-    return error;
+    bool isShared = built.callersListen.port != 0
+        && (built.callersListen == built.readinessListen || built.callersListen == built.metricsListen);
+    if (isShared) {
+        error.key = "callersListen";
+        error.problem = "is the same address as readinessListen or metricsListen";
+        error.fix = "give it a port of its own";
+        return error;
+    }
+    if (built.peerListen && built.peerListen->port == 0) {
+        error.key = "peerListen";
+        error.problem = "has port 0, which other entries cannot send to";
+        error.fix = "give it a fixed port";
+        return error;
+    }
+    return built;
 }
 
 std::variant<GatewaySettings, SettingsError> parseGatewaySettings(
@@ -169,6 +198,9 @@
     reader.read("maxLogLinesPerSecond", read.maxLogLinesPerSecond);
     reader.read("dutyLeaseMs", read.leaderLease);
     reader.read("shortestMembershipMs", read.minMembershipLifetime);
+    Endpoint peerListen;
+    if (fields.contains("peerListen"))
+        reader.read("peerListen", peerListen);
     if (reader.error())
         return *reader.error();
     auto built = GatewaySettingsBuilder()
@@ -180,6 +212,8 @@
                      .stopWithin(secondsOf(fields, "stopWithinSeconds", read.stopWithin))
                      .leadership(read.leaderLease, read.minMembershipLifetime)
                      .expectedDemand(demandFrom(fields))
+                     .memory(memoryFrom(fields))
+                     .peers(fields.contains("peerListen") ? std::optional { peerListen } : std::nullopt)
                      .build();
     if (auto* error = std::get_if<SettingsError>(&built))
         error->file = file;
--- a/src/libperidotgrade/gateway/gateway_settings_test.cpp
+++ b/src/libperidotgrade/gateway/gateway_settings_test.cpp
@@ -33,7 +33,8 @@
         { "listen.front", "10.1.0.38:8149" }, { "listen.ready", "10.1.0.38:8141" }, { "ip", "10.1.0.38" },
         { "platform.addr", "10.200.1.7:8142" }, { "platform.parts", "12" }, { "platform.ttl_min_ms", "1000" },
         { "bounds.retry_budget_ratio", "0.2" }, { "bounds.budget_extra", "52" },
-        { "bounds.budget_window_s", "10" }, { "bounds.grace_s", "8" }, { "bounds.lease_ms", "3000" } };
+        { "bounds.budget_window_s", "10" }, { "bounds.grace_s", "8" }, { "bounds.lease_ms", "3000" },
+        { "limits.memory_mb", "88" }, { "port_range.0", "9100" } };
     std::size_t at = 0;
     while ((at = text.find("{{", at)) != std::string::npos) {
         std::size_t end = text.find("}}", at);
@@ -71,6 +72,9 @@
     BOOST_REQUIRE(settings.expectedDemand.has_value());
     BOOST_TEST((settings.expectedDemand->prefill == 100ms));
     BOOST_TEST((settings.expectedDemand->decode == 450ms));
+    BOOST_TEST(settings.memoryMb.value() == 88U);
+    // Guards against entries that can not ask each other for quotas or share observations.
+    BOOST_TEST(toString(settings.peerListen.value()) == "10.1.0.38:9100");
 }
 
 BOOST_AUTO_TEST_CASE(deploymentFileHasTheExpectedEntries)
@@ -98,7 +102,11 @@
              Case {
                  changed("\"nodeName\"", "\"expectedDemand\":{\"prefillMs\":0,\"decodeMs\":9},\"nodeName\""),
                  "prefillMs" },
+             Case { changed("\"nodeName\"", "\"memoryMb\":-88,\"nodeName\""), "memoryMb" },
+             Case { changed("\"nodeName\"", "\"memoryMb\":1e30,\"nodeName\""), "memoryMb" },
              Case { changed("10.0.0.1:81", "10.0.0.1:80"), "callersListen" },
+             Case { changed("\"nodeName\"", "\"peerListen\":\"10.0.0.1\",\"nodeName\""), "peerListen" },
+             Case { changed("\"nodeName\"", "\"peerListen\":\"10.0.0.1:0\",\"nodeName\""), "peerListen" },
              Case { changed("\"nodeName\"", "\"colour\":1,\"nodeName\""), "colour" } }) {
         auto parsed = parseGatewaySettings(each.text, File);
         auto* error = std::get_if<SettingsError>(&parsed);
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -6,12 +6,22 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 #include <set>
 
 namespace peridotgrade {
 
 namespace {
 
+    // Full decode engines refuse, so the fastest one that has room is worth a few refusals.
+    constexpr double DecodeSelectivity = 3;
+    // Prefill engines queue what they get. In placement_load_test 4 to 10 differ little, 2 has a third more
+    // late answers near saturation.
+    constexpr double PrefillSelectivity = 5;
+
+    // Evidence that a server has ended: its address refuses connections.
+    constexpr std::string_view RefusedEvidence = "refused";
+
     ServerCrash incarnationOf(const ServerRecord& server)
     {
         return { server.id.raw(), static_cast<std::uint64_t>(server.startedAt.time_since_epoch().count()) };
@@ -23,6 +33,7 @@
     MetricsRegistry& registry, std::uint64_t seed)
     : executor(executor)
     , settings(std::move(settings))
+    , memoryBudgets(memoryBudgetsFor(this->settings.memoryMb))
     , timers(TimerDriver::now())
     , driver(executor,
           [this] {
@@ -34,14 +45,25 @@
           this->settings.maxLogLinesPerSecond })
     , metrics(registry)
     , limits(this->random.unit())
+    , requestMemory(this->memoryBudgets.requestBytes
+              ? std::make_shared<BodyMemory>(*this->memoryBudgets.requestBytes)
+              : nullptr)
     , clients(executor,
           { [this](const ServerRecord& server) { this->limits.recordCall(server, this->now()); },
               [this](const ServerRecord& server, const ServerNotice& notice) {
                   this->noteServerNotice(server, notice);
-              } })
+              },
+              [this](const ServerRecord& server) {
+                  const ServerRecord* current = this->directory.find(server.id);
+                  return current != nullptr && current->startedAt == server.startedAt;
+              } },
+          HttpChannelSettings { this->memoryBudgets.socketBufferBytes })
     , endProbe(executor)
     , unusedRetryBudget(this->settings.retries)
 {
+    this->reservedLoad.usePace(this->pace, DecodeSelectivity);
+    this->prefillLoad.usePace(this->pace, PrefillSelectivity);
+    this->prefillLoad.useBacklog(this->backlog);
 }
 
 GatewayState::~GatewayState() { this->driver.stop(); }
@@ -59,15 +81,34 @@
 
 RetryBudgetShare& GatewayState::retryBudgetOf(const ServiceId& service)
 {
+    this->endExpiredMembership();
     return this->retryBudgets.try_emplace(service, this->unusedRetryBudget).first->second;
 }
 
-void GatewayState::setRetryShare(double retryShare)
+void GatewayState::noteMembership(double share, const HeldPartitions& partitions, TimePoint endsAt)
+{
+    this->membershipEndsAt = endsAt;
+    this->heldPartitions = partitions;
+    this->setRetryShare(share);
+    this->limits.setPartitions(partitions, this->now());
+}
+
+void GatewayState::endExpiredMembership()
+{
+    if (!this->heldPartitions.isConfirmed || TimerDriver::bootNow() <= this->membershipEndsAt)
+        return;
+    this->heldPartitions.isConfirmed = false;
+    this->setRetryShare(0);
+    this->limits.setPartitions(this->heldPartitions, this->now());
+    this->log.write(LogLevel::Warn, "membership_lost", {});
+}
+
+void GatewayState::setRetryShare(double share)
 {
-    this->retryShare = retryShare;
-    this->unusedRetryBudget.setShare(retryShare, this->now());
-    for (auto& [service, share] : this->retryBudgets)
-        share.setShare(retryShare, this->now());
+    this->retryShare = share;
+    this->unusedRetryBudget.setShare(share, this->now());
+    for (auto& [service, budget] : this->retryBudgets)
+        budget.setShare(share, this->now());
 }
 
 std::uint32_t GatewayState::entryCount() const
@@ -91,6 +132,7 @@
 
 std::optional<TimePoint> GatewayState::closedUntil(const ServerRecord& server)
 {
+    this->endExpiredMembership();
     TimePoint now = this->now();
     auto backoffEnd = this->backoff.until(server, now);
     auto nextCall = this->limits.nextCallAt(server, now);
@@ -120,6 +162,18 @@
     return "servers_back_off";
 }
 
+std::string GatewayState::notePace(const ServerId& server)
+{
+    const ServerRecord* record = this->directory.find(server);
+    if (record == nullptr)
+        return "";
+    this->metrics.addServerPace(this->pace.factor(*record, this->now()));
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.2f*%.2f", this->pace.ratio(*record),
+        this->pace.slowness(*record, this->now()));
+    return text;
+}
+
 void GatewayState::noteServerNotice(const ServerRecord& server, const ServerNotice& notice)
 {
     if (notice.backoff) {
@@ -128,6 +182,8 @@
             { { "server", server.id.raw() }, { "for_ms", std::to_string(notice.backoff->count()) } });
     }
     this->noteLimit(server, notice);
+    if (notice.load)
+        this->pace.noteReport(server, *notice.load, this->now());
     if (notice.isLeaving)
         this->onDirectoryChanges(this->directory.noteLeaving(server.id, server.startedAt));
 }
@@ -157,7 +213,7 @@
     this->health.record(server, result, this->now());
     const ServerRecord* record = this->directory.find(server);
     if (failure.isConnectionRefused && record != nullptr)
-        this->noteEnd(incarnationOf(*record), "refused");
+        this->noteEnd(incarnationOf(*record), RefusedEvidence);
 }
 
 boost::asio::awaitable<void> GatewayState::noteLostRun(ServerId server, std::vector<Suspect> suspects)
@@ -170,7 +226,7 @@
     this->crashes.recordLoss(incarnation, suspects, this->now());
     bool hasEnded = co_await this->endProbe.hasEnded(this->clients.clientFor(*record));
     if (hasEnded)
-        this->noteEnd(incarnation, "refused");
+        this->noteEnd(incarnation, RefusedEvidence);
 }
 
 void GatewayState::noteSilentRun(const ServerId& server, const std::vector<Suspect>& suspects)
@@ -200,11 +256,13 @@
         co_return;
     }
     this->crashes.recordLoss(incarnationOf(server), suspects, this->now());
-    this->noteEnd(incarnationOf(server), "refused");
+    this->noteEnd(incarnationOf(server), RefusedEvidence);
 }
 
 void GatewayState::noteEnd(const ServerCrash& incarnation, std::string_view evidence)
 {
+    if (evidence == RefusedEvidence && this->onServerEnded)
+        this->onServerEnded(incarnation);
     std::size_t lost = this->crashes.recordEnd(incarnation, this->now());
     if (lost == 0)
         return;
@@ -248,6 +306,8 @@
         this->health.forget(change.id);
         this->backoff.forget(change.id);
         this->limits.forget(change.id);
+        this->pace.forget(change.id);
+        this->backlog.forget(change.id);
         this->reservedLoad.forget(change.id);
         this->prefillLoad.forget(change.id);
     }
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -11,12 +11,6 @@
 namespace asio = boost::asio;
 
 namespace {
-    // Callers give up a stream without an event after four seconds at the earliest.
-    constexpr std::chrono::milliseconds MaxSilence { 3300 };
-    // A caller's first attempt has at least this share of the route's time.
-    constexpr double FirstAttemptShare = 0.8;
-    // A repeated round of one request gets a reservation quickly or not at all.
-    constexpr std::chrono::milliseconds MinReservationWait { 250 };
     // Rounds of reservation, prefill and stream of one request.
     constexpr std::uint32_t MaxRounds = 3;
 } // namespace
@@ -28,42 +22,19 @@
     , engine(engine)
     , broker(std::move(broker))
     , originLog(originLog)
+    , framer(context.route.isResumable ? EventFramer::EventIds::Growing : EventFramer::EventIds::Any,
+          context.request.lastEvent)
     , version(context.version)
-    , retryAccounting(state.retryBudgetOf(context.service))
+    , retryAccounting(state.retryBudgetOf(context.service), this->urgency())
 {
 }
 
-bool GenerationCall::isFirstAttempt() const
-{
-    return !this->context.request.callerTimeout
-        || *this->context.request.callerTimeout >= this->context.route.timeout * FirstAttemptShare;
-}
-
 bool GenerationCall::canResume() const
 {
     return this->context.route.isResumable && this->runs < this->context.route.maxAttempts
         && (this->framer.lastId().has_value() || !this->hasBegun);
 }
 
-TimePoint GenerationCall::reservationDue() const
-{
-    TimePoint arrived = this->context.request.arrivedAt;
-    TimePoint due = arrived + MaxSilence;
-    if (this->isFirstAttempt() && !this->hasBegun)
-        due = arrived + this->context.route.latencyTarget - TimeToFirstEvent;
-    if (this->rounds > 1)
-        due = std::max(due, this->state.now() + MinReservationWait);
-    return std::min(due, this->context.deadline - TimeToFirstEvent);
-}
-
-std::uint32_t GenerationCall::tokensNeeded() const
-{
-    GenerationSize size = this->context.request.size.value_or(GenerationSize {});
-    std::uint32_t output = this->state.outputs.tokensToReserve(
-        this->context.route.name, size.expectedOutputTokens, size.maxOutputTokens);
-    return std::min(size.promptTokens + output, this->engine.kvCapacityTokens);
-}
-
 bool GenerationCall::isQuarantined() const
 {
     return this->state.crashes.quarantinedAmong(this->context.request.suspects()).has_value();
@@ -71,7 +42,7 @@
 
 asio::awaitable<void> GenerationCall::serve()
 {
-    this->state.retryBudgetOf(this->context.service).recordRequest(this->state.now());
+    this->state.retryBudgetOf(this->context.service).recordRequest(this->state.now(), this->urgency());
     if (this->isQuarantined()) {
         co_await answerQuarantined(this->state, this->context);
         co_return;
@@ -94,13 +65,13 @@
         limit = "rounds";
     else if (this->runs > 0 && !this->canResume())
         limit = this->context.route.isResumable ? "attempts" : "not_resumable";
-    else if (timeLeft(this->state, this->context) <= TimeToFirstEvent)
+    else if (this->state.now() + TimeToFirstEvent >= this->firstEventDue())
         limit = "time";
     else if (this->isQuarantined())
         limit = "quarantined";
     else if (this->hasReachedServer() && !this->state.crashes.mayRepeat(this->context.request.suspects()))
         limit = "suspect";
-    else if (!this->hasPrefillBudget() || !this->takeRunBudget())
+    else if (!this->hasRoundBudget() || !this->takeRunBudget())
         limit = "retry_budget";
     if (limit.empty())
         return true;
@@ -111,7 +82,8 @@
 void GenerationCall::noteNoRetry(std::string_view limit)
 {
     TimePoint now = this->state.now();
-    auto budget = static_cast<int>(this->state.retryBudgetOf(this->context.service).left(now));
+    auto budget
+        = static_cast<int>(this->state.retryBudgetOf(this->context.service).left(now, this->urgency()));
     this->context.trace.addFailure(now, "retry_refused",
         { { "limit", std::string { limit } }, { "rounds", std::to_string(this->rounds) },
             { "runs", std::to_string(this->runs) },
@@ -125,6 +97,8 @@
     if (this->unusedCache)
         this->freeInBackground(*this->unusedCache);
     if (this->context.cancellation.isCancelled()) {
+        if (!this->hasReachedServer())
+            this->context.quota.refund();
         noteCallerDisconnected(this->state, this->context, this->failure);
         co_return;
     }
@@ -173,12 +147,13 @@
     }
     this->context.trace.add(began, "reservation_asked",
         { { "round", std::to_string(this->rounds) }, { "tokens", std::to_string(this->tokensNeeded()) },
+            { "expected_output", std::to_string(this->cost().outputTokens) },
             { "due_ms", millisecondsText(this->reservationDue() - began) },
             { "candidates", std::to_string(candidates.size()) },
             { "waiting", std::to_string(this->broker->waitingRequests()) },
             { "list_age_ms", millisecondsText(began - this->state.serversReadAt) } });
-    auto reservation = co_await this->broker->acquire(this->context.trace, this->tokensNeeded(),
-        this->version, this->reservationDue(), this->context.cancellation);
+    auto reservation = co_await this->broker->acquire(
+        this->context.trace, this->waitingRequest(), this->context.cancellation);
     if (this->context.cancellation.isCancelled()) {
         if (reservation)
             this->broker->cancel(*reservation);
@@ -191,11 +166,13 @@
         // The request has waited as long as is useful; another round would meet the same engines.
         co_return Next::GiveUp;
     }
-    this->reservationWait = this->state.now() - began;
+    this->reservedAt = this->state.now();
+    this->reservationWait = this->reservedAt - began;
     this->state.metrics.addReservationWait(this->reservationWait);
     this->lastServer = reservation->engine->record().id.raw();
     this->context.trace.add(this->state.now(), "reservation_granted",
-        { { "server", this->lastServer }, { "waited_ms", millisecondsText(this->reservationWait) } });
+        { { "server", this->lastServer }, { "waited_ms", millisecondsText(this->reservationWait) },
+            { "pace", this->state.notePace(reservation->engine->record().id) } });
     this->failure = "no_prefill";
     auto kvCache = this->takeUnusedCache();
     if (!kvCache)
@@ -235,7 +212,7 @@
 bool GenerationCall::takeRunBudget()
 {
     bool isRetry = this->retryAccounting.isNextRunRetry();
-    if (!this->retryAccounting.tryRun(this->state.now()))
+    if (!this->retryAccounting.tryRun(this->state.spendTime()))
         return false;
     if (isRetry)
         this->state.metrics.countRetry(this->context.service.raw());
@@ -276,6 +253,7 @@
             { "cache_left_ms", millisecondsText(this->cacheUsableUntil - began) },
             { "after_event", options.lastEvent ? std::to_string(*options.lastEvent) : "" } });
     options.callReserve = reservation.runReserve;
+    this->progressAt = began;
     auto result = co_await reservation.engine->run(
         this->context.request, options, this->readTimeout(), this->context.cancellation);
     if (auto* failed = std::get_if<CallFailure>(&result)) {
@@ -324,7 +302,7 @@
     this->state.reservedLoad.noteServed(server);
     ++this->runs;
     this->runVersion = reservation.engine->record().softwareVersion;
-    Next next = co_await this->forward(*answer, server);
+    Next next = co_await this->forward(*answer, reservation.engine->record());
     answer->abort();
     if (next == Next::Done)
         this->state.demandOf(this->context.service)
--- a/src/libperidotgrade/gateway/generation_prefill.cpp
+++ b/src/libperidotgrade/gateway/generation_prefill.cpp
@@ -1,4 +1,4 @@
-// Prefill of a generation: choice of the engine, retries, and what becomes of a KV cache.
+// Cost and prefill of a generation: choice of the engine, retries, and what becomes of a KV cache.
 #include "peridotgrade/gateway/generation_call.h"
 
 #include "peridotgrade/gateway/final_answer.h"
@@ -29,10 +29,9 @@
 
 } // namespace
 
-bool GenerationCall::hasPrefillBudget()
+bool GenerationCall::hasRoundBudget()
 {
-    bool isRetry = !this->unusedCache && this->retryAccounting.prefillsReached() > 0;
-    return !isRetry || this->state.retryBudgetOf(this->context.service).left(this->state.now()) >= 1;
+    return this->retryAccounting.coversRound(!this->unusedCache, this->state.now());
 }
 
 asio::awaitable<std::optional<KvLocation>> GenerationCall::prefill(const EngineReservation& reservation)
@@ -44,12 +43,14 @@
     // A prefill that ends later finds its reservation expired, and is wasted. A prompt that takes longer than
     // any reservation lasts is tried all the same: the decode engine may have room without one.
     bool fits = this->state.now() + cost + HandOverTime < reservation.expiresAt;
-    TimePoint end = fits ? std::min(reservation.expiresAt, this->context.deadline) : this->context.deadline;
+    TimePoint due = this->firstEventDue();
+    TimePoint end = fits ? std::min(reservation.expiresAt, due) : due;
     TimePoint latest = end - HandOverTime - cost;
     while (!this->context.cancellation.isCancelled() && this->state.now() < latest) {
         auto engines = this->state.healthyServers(this->context.service, ServerRole::Prefill);
         auto choice = this->state.prefillLoad.choose(engines, reservation.engine->record().dataCentre,
-            this->promptTokens(), this->state.now(), this->state.random);
+            this->promptTokens(), this->state.now(), this->state.random,
+            [this](const ServerRecord& server) { return this->cachedTokensAt(server); });
         if (!choice) {
             auto until = this->state.allClosedUntil(this->context.service, ServerRole::Prefill);
             if (until && *until >= latest)
@@ -64,14 +65,17 @@
             co_return std::nullopt;
         }
         bool isLimitReached = this->retryAccounting.prefillsReached() >= MaxPrefills;
-        if (isLimitReached || !this->retryAccounting.tryPrefill(this->state.now())) {
+        if (isLimitReached || !this->retryAccounting.tryPrefill(this->state.spendTime())) {
             this->noteNoRetry(isLimitReached ? "prefills" : "retry_budget");
             co_return std::nullopt;
         }
         this->context.trace.add(this->state.now(), "prefill_sent",
             { { "server", choice->raw() }, { "tokens", std::to_string(this->promptTokens()) },
                 { "candidates", std::to_string(engines.size()) },
-                { "own_tokens_there", std::to_string(this->state.prefillLoad.tokensAt(*choice)) } });
+                { "own_tokens_there", std::to_string(this->state.prefillLoad.tokensAt(*choice)) },
+                { "cached_tokens",
+                    std::to_string(this->cachedTokensAt(*this->state.directory.find(*choice))) },
+                { "pace", this->state.notePace(*choice) } });
         auto kvCache = co_await this->prefillAt(*choice, latest + cost);
         if (kvCache)
             co_return kvCache;
@@ -86,7 +90,7 @@
 bool GenerationCall::takePrefillResendBudget()
 {
     this->retryAccounting.notePrefillReached();
-    if (this->retryAccounting.tryPrefill(this->state.now()))
+    if (this->retryAccounting.tryPrefill(this->state.spendTime()))
         return true;
     this->noteNoRetry("retry_budget");
     return false;
@@ -101,9 +105,7 @@
     TimePoint began = this->state.now();
     auto callReserve = this->state.limits.reserve(*record);
     this->state.prefillLoad.reserve(server, this->promptTokens());
-    Duration longest = this->state.demandOf(this->context.service)
-                           .prefillTimeout(this->promptTokens())
-                           .value_or(InitialPrefillTimeout);
+    Duration longest = this->prefillTimeout(*record);
     auto timeLimit = std::chrono::ceil<std::chrono::milliseconds>(std::min(longest, due - began));
     ResendPermission mayResend
         = [this, client] { return this->state.mayCall(client->record()) && this->takePrefillResendBudget(); };
@@ -116,7 +118,7 @@
             this->retryAccounting.notePrefillReached();
         Duration took = this->state.now() - began;
         if (took >= timeLimit && !this->context.cancellation.isCancelled())
-            this->state.demandOf(this->context.service).recordTimedOutPrefill(this->promptTokens(), took);
+            this->recordTimedOutPrefill(client->record(), took);
         this->notePrefillFailure(server, *failed, this->state.now() - began);
         bool isCancelled = this->context.cancellation.isCancelled();
         if (failed->isConnectionLost && !isCancelled)
@@ -131,8 +133,8 @@
     this->state.health.record(server, ServerCallResult::Answered, this->state.now());
     this->state.prefillLoad.noteServed(server);
     this->cacheUsableUntil = this->state.now() + this->engine.kvHandleLifetime - HandOverTime;
-    this->state.demandOf(this->context.service)
-        .recordPrefill(this->promptTokens(), this->state.now() - began);
+    this->recordPrefill(client->record(), this->state.now() - began);
+    this->state.promptCaches.noteRead(client->record(), this->context.request.sharedParts, this->state.now());
     this->state.metrics.addPrefill(this->state.now() - began);
     co_return std::get<KvLocation>(std::move(result));
 }
@@ -158,6 +160,67 @@
             { "lost", failed.isConnectionLost ? "true" : "false" }, { "detail", failed.detail } });
 }
 
+Duration GenerationCall::prefillTimeout(const ServerRecord& server)
+{
+    EngineDemand& demand = this->state.demandOf(this->context.service);
+    auto longest = demand.prefillTimeout(this->promptTokens());
+    auto cost = demand.prefillCost().estimate(this->promptTokens());
+    if (!longest || !cost)
+        return InitialPrefillTimeout;
+    double more = std::max(this->state.pace.factor(server, this->state.now()), 1.0) - 1;
+    return *longest + std::chrono::duration_cast<Duration>(*cost * more * EngineDemand::TimeoutCostFactor);
+}
+
+std::uint32_t GenerationCall::cachedTokensAt(const ServerRecord& server) const
+{
+    return this->state.promptCaches.cachedTokens(
+        server, this->context.request.sharedParts, this->state.now());
+}
+
+void GenerationCall::recordPrefill(const ServerRecord& server, Duration took)
+{
+    EngineDemand& demand = this->state.demandOf(this->context.service);
+    Duration comparable = demand.prefillCost().atMeanSize(this->promptTokens(), took);
+    this->state.pace.record(
+        server, PaceSample::Prefill, std::chrono::duration<double>(comparable).count(), this->state.now());
+    if (auto cost = demand.prefillCost().estimate(this->promptTokens()))
+        this->broker->notePrefill(this->state.now(), took, *cost);
+    this->recordBacklog(server, took);
+    demand.recordPrefill(this->promptTokens(), this->atMeanEngine(server, took));
+}
+
+void GenerationCall::recordTimedOutPrefill(const ServerRecord& server, Duration took)
+{
+    this->recordBacklog(server, took);
+    this->state.demandOf(this->context.service)
+        .recordTimedOutPrefill(this->promptTokens(), this->atMeanEngine(server, took));
+}
+
+Duration GenerationCall::atMeanEngine(const ServerRecord& server, Duration took)
+{
+    // The demand follows the quickest prefills. Without the factor these are those of the fastest engines,
+    // and the role plan takes engines from a pool that is too small already.
+    auto pool = this->state.healthyServers(this->context.service, ServerRole::Prefill);
+    return std::chrono::duration_cast<Duration>(took * this->state.pace.meanEngineFactor(server, pool));
+}
+
+void GenerationCall::recordBacklog(const ServerRecord& server, Duration took)
+{
+    auto cost = this->state.demandOf(this->context.service).prefillCost().estimate(this->promptTokens());
+    if (cost && this->state.weighsBacklog())
+        this->state.backlog.record(server, this->promptTokens(), *cost, took, this->state.now());
+}
+
+std::uint32_t GenerationCall::tokensNeeded() const { return this->cost().reservedTokens; }
+
+RequestCost GenerationCall::cost() const
+{
+    GenerationSize size = this->context.request.size.value_or(GenerationSize {});
+    StatedCost stated { this->context.route.name, size.promptTokens, size.maxOutputTokens,
+        size.expectedOutputTokens };
+    return RequestCost::estimate(stated, this->state.outputs, this->engine);
+}
+
 std::uint32_t GenerationCall::promptTokens() const
 {
     return this->context.request.size ? this->context.request.size->promptTokens : 1;
@@ -180,7 +243,7 @@
     asio::co_spawn(
         this->state.executor,
         [](GatewayState& state, std::shared_ptr<ServerClient> client, ServerRole role,
-            Duration switchTime) -> asio::awaitable<void> {
+            std::chrono::milliseconds switchTime) -> asio::awaitable<void> {
             auto report = co_await client->report(ReportTimeout);
             auto* found = std::get_if<EngineReport>(&report);
             if (found == nullptr || (!found->isCommandInProgress && found->role == role))
@@ -188,6 +251,9 @@
             EngineLoad& load = role == ServerRole::Prefill ? state.prefillLoad : state.reservedLoad;
             load.noteChangingRole(client->record().id, state.now() + switchTime);
             state.log.write(LogLevel::Info, "role_change_seen", { { "server", client->record().id.raw() } });
+            ServerRole next = role == ServerRole::Prefill ? ServerRole::Decode : ServerRole::Prefill;
+            if (state.onRoleChangeSeen)
+                state.onRoleChangeSeen(client->record(), next, switchTime);
         }(this->state, std::move(engineClient), role, this->engine.roleSwitchTime),
         asio::detached);
 }
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -19,8 +19,11 @@
 
 } // namespace
 
-asio::awaitable<GenerationCall::Next> GenerationCall::forward(ServerAnswer& answer, const ServerId& server)
+asio::awaitable<GenerationCall::Next> GenerationCall::forward(
+    ServerAnswer& answer, const ServerRecord& record)
 {
+    const ServerId server = record.id;
+    this->recordedAt = {};
     if (answer.head().response.status != Success && !this->hasBegun)
         co_return co_await this->forwardErrorAnswer(answer, server);
     if (answer.head().response.status != Success) {
@@ -28,12 +31,20 @@
         co_return Next::Retry;
     }
     bool isEmpty = true;
+    this->progressAt = this->state.now();
     while (true) {
+        // Bytes that complete no event, such as comments, are no progress.
+        if (this->isStallWatched() && this->stallTimeLeft() <= Duration::zero()) {
+            this->noteBrokenStream(answer, server, "no event in time");
+            this->state.noteSilentRun(server, this->context.request.suspects());
+            co_return Next::Retry;
+        }
         // A server that never pauses is never late by the time-out of a single read.
         if (timeLeft(this->state, this->context).count() == 0) {
             this->noteBrokenStream(answer, server, "the stream did not end in time");
             co_return Next::Retry;
         }
+        TimePoint waitBegan = this->state.now();
         this->context.cancellation.setHandler([&answer] { answer.abort(); });
         auto piece = co_await answer.readBody(this->readTimeout());
         this->context.cancellation.clearHandler();
@@ -52,8 +63,18 @@
         if (bytes.empty())
             break;
         isEmpty = false;
+        auto lastId = this->framer.lastId();
         if (!co_await this->deliver(answer, std::move(bytes)))
             co_return Next::Retry;
+        this->recordEvents(record, waitBegan);
+        // The time that the caller took is not the engine's.
+        if (this->framer.lastId() != lastId)
+            this->progressAt = this->state.now();
+        if (this->framer.hasRepeatedId()) {
+            // What the caller has of this stream cannot be told by its ids, so no engine can go on with it.
+            this->noteBrokenStream(answer, server, "the id of an event does not grow");
+            co_return Next::GiveUp;
+        }
         if (this->framer.isEventTooLong()) {
             this->noteBrokenStream(
                 answer, server, "an event exceeds " + std::to_string(EventFramer::MaxEventBytes) + " bytes");
@@ -73,17 +94,25 @@
     co_await this->context.exchange.endStream();
     this->state.health.record(server, ServerCallResult::Answered, this->state.now());
     this->originLog.noteCompleted(this->context.request);
-    std::uint32_t expected
-        = this->context.request.size ? this->context.request.size->expectedOutputTokens : 0;
-    this->state.outputs.record(
-        this->context.route.name, expected, this->framer.events() * this->engine.tokensPerEvent);
+    std::uint32_t expected = this->cost().outputTokens;
+    std::uint32_t output = this->recordOutput(expected);
     noteAnswered(this->state, this->context,
         { Success, server.raw(), this->rounds, answer.framing(),
             StreamSummary { this->firstEvent.value_or(Duration::zero()), this->longestPause,
-                this->framer.events(), this->framer.hasPartialEvent() } });
+                this->framer.events(), this->framer.hasPartialEvent(), expected, output } });
     co_return Next::Done;
 }
 
+std::uint32_t GenerationCall::recordOutput(std::uint32_t expected)
+{
+    std::uint32_t hint = this->context.request.size ? this->context.request.size->expectedOutputTokens : 0;
+    std::uint32_t output = this->framer.events() * this->engine.tokensPerEvent;
+    if (expected > 0)
+        this->state.metrics.addOutputError(static_cast<double>(output) / expected);
+    this->state.outputs.record(this->context.route.name, hint, output);
+    return output;
+}
+
 asio::awaitable<bool> GenerationCall::deliver(ServerAnswer& answer, std::string bytes)
 {
     TimePoint now = this->state.now();
@@ -98,6 +127,7 @@
         this->hasBegun = true;
         this->noteBegun();
         this->firstEvent = this->state.now() - this->context.request.arrivedAt;
+        this->broker->noteFirstEvent(this->state.now(), this->state.now() - this->reservedAt);
         HttpResponse head = answer.head().response;
         head.body = std::move(sent);
         isOk = co_await this->context.exchange.beginStream(std::move(head));
@@ -109,6 +139,23 @@
     co_return isOk;
 }
 
+void GenerationCall::recordEvents(const ServerRecord& server, TimePoint waitBegan)
+{
+    std::uint32_t events = this->framer.events();
+    TimePoint arrivedAt = this->lastPieceAt;
+    bool isFirst = this->recordedAt == TimePoint {};
+    Duration took = arrivedAt - this->recordedAt;
+    // The time that a slow caller took to read says nothing of the server.
+    bool isOwnTime = !isFirst && arrivedAt - waitBegan >= took / 2;
+    if (isOwnTime && events > this->recordedEvents)
+        this->state.pace.recordEvents(
+            server, events - this->recordedEvents, took, this->context.route.gapTarget, arrivedAt);
+    if (isFirst || events > this->recordedEvents) {
+        this->recordedEvents = events;
+        this->recordedAt = arrivedAt;
+    }
+}
+
 void GenerationCall::noteBegun()
 {
     if (this->version)
@@ -138,8 +185,9 @@
 {
     HttpResponse response = answer.head().response;
     this->context.cancellation.setHandler([&answer] { answer.abort(); });
-    auto body = co_await readWholeBody(
-        answer, this->context.deadline, { GatewayState::MaxAnswerBytes, &this->state.answerMemory });
+    BodyMemory::Share share(&this->state.answerMemory);
+    auto body
+        = co_await readWholeBody(answer, this->context.deadline, { GatewayState::MaxAnswerBytes, &share });
     this->context.cancellation.clearHandler();
     if (auto* error = std::get_if<NetError>(&body)) {
         this->lastDetail = error->detail;
@@ -161,8 +209,19 @@
 {
     Duration left
         = std::max<Duration>(this->context.deadline - this->state.now(), std::chrono::milliseconds { 1 });
-    bool isStallWatched = this->hasBegun && this->canResume() && this->context.route.gapTarget.count() > 0;
-    return isStallWatched ? std::min<Duration>(left, this->context.route.gapTarget * StallGapCount) : left;
+    if (!this->isStallWatched())
+        return left;
+    return std::min(left, std::max<Duration>(this->stallTimeLeft(), std::chrono::milliseconds { 1 }));
+}
+
+bool GenerationCall::isStallWatched() const
+{
+    return this->hasBegun && this->canResume() && this->context.route.gapTarget.count() > 0;
+}
+
+Duration GenerationCall::stallTimeLeft() const
+{
+    return this->progressAt + this->context.route.gapTarget * StallGapCount - this->state.now();
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -7,6 +7,8 @@
 #include "peridotgrade/net/whole_body.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace peridotgrade {
 
@@ -24,20 +26,25 @@
     // this.
     constexpr int AttemptTimeDivisor = 2;
     constexpr std::uint16_t FirstServerError = 500;
+    // Bytes of an answer that are written to its caller at once.
+    constexpr std::size_t PassedPart = 64 * 1024;
 } // namespace
 
 PlainCall::PlainCall(GatewayState& state, RequestContext& context)
     : state(state)
     , context(context)
-    , retryAccounting(state.retryBudgetOf(context.service))
+    , retryAccounting(state.retryBudgetOf(context.service), context.request.urgency.value_or(0))
 {
 }
 
 asio::awaitable<void> PlainCall::serve()
 {
-    this->state.retryBudgetOf(this->context.service).recordRequest(this->state.now());
+    this->state.retryBudgetOf(this->context.service)
+        .recordRequest(this->state.now(), this->context.request.urgency.value_or(0));
     while (true) {
         if (this->context.cancellation.isCancelled()) {
+            if (this->runs == 0)
+                this->context.quota.refund();
             noteCallerDisconnected(this->state, this->context, "waiting for a server");
             co_return;
         }
@@ -68,7 +75,7 @@
     if (this->runs > 0 && !this->state.crashes.mayRepeat(this->context.request.suspects()))
         return "suspect";
     bool isRetry = this->retryAccounting.isNextRunRetry();
-    if (!this->retryAccounting.tryRun(this->state.now()))
+    if (!this->retryAccounting.tryRun(this->state.spendTime()))
         return "retry_budget";
     if (isRetry)
         this->state.metrics.countRetry(this->context.service.raw());
@@ -83,7 +90,7 @@
 bool PlainCall::takeResendBudget()
 {
     this->retryAccounting.noteRunReached();
-    if (!this->retryAccounting.tryRun(this->state.now())) {
+    if (!this->retryAccounting.tryRun(this->state.spendTime())) {
         this->noteNoSend("retry_budget");
         return false;
     }
@@ -124,7 +131,7 @@
         bool isOtherVersion = this->context.version && server->softwareVersion != *this->context.version;
         if (isOtherVersion || this->tried.contains(server->id))
             continue;
-        double cost = static_cast<double>(this->state.reservedLoad.tokensAt(server->id))
+        double cost = this->expectedTime(*server)
             + FailureWeight * this->state.health.failureShare(server->id) + this->state.random.unit() / 2;
         if (server->dataCentre.raw() != this->state.settings.dataCentre)
             cost += OtherDataCentreWeight;
@@ -136,6 +143,17 @@
     return best;
 }
 
+double PlainCall::requestsAt(const ServerRecord& server) const
+{
+    auto own = static_cast<double>(this->state.reservedLoad.tokensAt(server.id));
+    return std::max(own, this->state.pace.reportedRequests(server, this->state.now()).value_or(0));
+}
+
+double PlainCall::expectedTime(const ServerRecord& server) const
+{
+    return this->state.pace.expectedTime(server, this->requestsAt(server), this->state.now());
+}
+
 asio::awaitable<PlainCall::Next> PlainCall::attempt(const ServerRecord& record)
 {
     auto client = this->state.clients.clientFor(record);
@@ -152,7 +170,12 @@
     this->context.trace.add(this->state.now(), "call_sent",
         { { "server", this->lastServer },
             { "own_calls_there", std::to_string(this->state.reservedLoad.tokensAt(server)) },
+            { "pace", this->state.notePace(server) },
+            { "requests_there", std::to_string(std::lround(this->requestsAt(record))) },
             { "limit_ms", millisecondsText(this->attemptTime()) } });
+    double slots = std::max<double>(record.slots, 1);
+    double shareOfSlot = std::max(1.0, (this->requestsAt(record) + 1) / slots);
+    TimePoint began = this->state.now();
     // One token stands for one running request at plain servers.
     this->state.reservedLoad.reserve(server, 1);
     auto result = co_await client->run(
@@ -178,6 +201,10 @@
     }
     this->retryAccounting.noteRunReached();
     auto answer = std::move(std::get<std::unique_ptr<ServerAnswer>>(result));
+    double seconds = std::chrono::duration<double>(this->state.now() - began).count();
+    if (!answer->head().isNotRun && answer->head().response.status < FirstServerError)
+        this->state.pace.record(
+            client->record(), PaceSample::PlainCall, seconds / shareOfSlot, this->state.now());
     co_return co_await this->forwardAnswer(*answer, server);
 }
 
@@ -185,10 +212,15 @@
 {
     HttpResponse response = answer.head().response;
     this->context.cancellation.setHandler([&answer] { answer.abort(); });
-    auto body = co_await readWholeBody(
-        answer, this->context.deadline, { GatewayState::MaxAnswerBytes, &this->state.answerMemory });
+    BodyMemory::Share share(&this->state.answerMemory);
+    auto error = co_await appendWholeBody(
+        answer, this->context.deadline, { GatewayState::MaxAnswerBytes, &share }, response.body);
     this->context.cancellation.clearHandler();
-    if (auto* error = std::get_if<NetError>(&body)) {
+    if (error && error->kind == NetErrorKind::NoMemory && this->isFinal(answer.head())) {
+        co_await this->passOn(answer, server, std::move(response), std::move(share));
+        co_return Next::Done;
+    }
+    if (error) {
         this->lastDetail = error->detail;
         this->runs += answer.head().isNotRun ? 0 : 1;
         answer.abort();
@@ -200,7 +232,6 @@
             co_await this->state.noteLostRun(server, this->context.request.suspects());
         co_return Next::TryOther;
     }
-    response.body = std::get<std::string>(std::move(body));
     if (answer.head().isNotRun) {
         this->lastDetail = "rejected with status " + std::to_string(response.status);
         this->context.trace.addFailure(this->state.now(), "call_rejected",
@@ -218,6 +249,7 @@
         this->context.trace.add(this->state.now(), "server_error",
             { { "server", server.raw() }, { "status", std::to_string(response.status) } });
         this->lastAnswer = std::move(response);
+        this->lastShare = std::move(share);
         this->lastFraming = answer.framing();
         co_return Next::TryOther;
     }
@@ -227,6 +259,52 @@
     co_return Next::Done;
 }
 
+bool PlainCall::isFinal(const ServerAnswerHead& head) const
+{
+    // The run of this answer counts.
+    bool canRunAgain = this->context.route.kind == CallKind::Idempotent
+        && this->runs + 1 < this->context.route.maxAttempts;
+    return !head.isNotRun && (head.response.status < FirstServerError || !canRunAgain);
+}
+
+asio::awaitable<void> PlainCall::passOn(
+    ServerAnswer& answer, const ServerId& server, HttpResponse begun, BodyMemory::Share share)
+{
+    ++this->runs;
+    std::uint16_t status = begun.status;
+    this->context.trace.add(this->state.now(), "answer_passed_on",
+        { { "server", server.raw() }, { "bytes", std::to_string(begun.body.size()) } });
+    std::string held = std::exchange(begun.body, {});
+    bool isOk = co_await this->context.exchange.beginStream(std::move(begun));
+    // Small parts, since each is copied to be framed.
+    for (std::size_t at = 0; isOk && at < held.size(); at += PassedPart)
+        isOk = co_await this->context.exchange.writeChunk(held.substr(at, PassedPart));
+    held = {};
+    share.release();
+    while (isOk) {
+        this->context.cancellation.setHandler([&answer] { answer.abort(); });
+        auto left = std::max<Duration>(timeLeft(this->state, this->context), std::chrono::milliseconds { 1 });
+        auto piece = co_await answer.readBody(left);
+        this->context.cancellation.clearHandler();
+        if (auto* error = std::get_if<NetError>(&piece)) {
+            this->state.health.record(server, ServerCallResult::Unreachable, this->state.now());
+            abortStream(this->state, this->context, "server_lost", server.raw(), error->detail);
+            co_return;
+        }
+        std::string& bytes = std::get<std::string>(piece);
+        if (bytes.empty())
+            break;
+        isOk = co_await this->context.exchange.writeChunk(std::move(bytes));
+    }
+    if (!isOk || !co_await this->context.exchange.endStream()) {
+        answer.abort();
+        noteCallerDisconnected(this->state, this->context, "reading the answer");
+        co_return;
+    }
+    this->state.health.record(server, ServerCallResult::Answered, this->state.now());
+    noteAnswered(this->state, this->context, { status, server.raw(), this->sends, answer.framing(), {} });
+}
+
 asio::awaitable<void> PlainCall::giveUp()
 {
     if (this->lastAnswer) {
--- a/src/libperidotgrade/gateway/reservation_broker.cpp
+++ b/src/libperidotgrade/gateway/reservation_broker.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <cmath>
+
 namespace peridotgrade {
 
 namespace asio = boost::asio;
@@ -47,14 +49,16 @@
 {
 }
 
-asio::awaitable<std::optional<EngineReservation>> ReservationBroker::acquire(RequestTrace& trace,
-    std::uint32_t tokens, std::optional<SoftwareVersion> version, TimePoint due,
-    CancellationSignal& cancellation)
+asio::awaitable<std::optional<EngineReservation>> ReservationBroker::acquire(
+    RequestTrace& trace, WaitingRequest request, CancellationSignal& cancellation)
 {
     auto self = this->shared_from_this();
     RequestId id { ++this->lastId };
-    if (!this->queue.add({ id, due, tokens, std::move(version) }, this->state.now()))
+    request.id = id;
+    if (auto rejection = this->queue.add(request, this->state.now())) {
+        noteRejection(trace, *rejection, this->state.now());
         co_return std::nullopt;
+    }
     auto waiter = std::make_shared<Waiter>(this->state.executor, trace);
     this->waiters[id] = waiter;
     cancellation.setHandler([self, id] {
@@ -88,7 +92,7 @@
 {
     // No engine takes a request before then, so waiting longer is useless.
     if (auto until = this->state.allClosedUntil(this->service, ServerRole::Decode)) {
-        for (RequestId id : this->queue.takeDueBy(*until))
+        for (RequestId id : this->queue.takeDueBy(*until, this->state.now()))
             this->finish(id, std::nullopt);
     }
     auto candidates = this->state.healthyServers(this->service, ServerRole::Decode);
@@ -96,12 +100,29 @@
         candidates, DataCentreId { this->state.settings.dataCentre }, this->state.now(), this->state.random);
     for (RequestId id : schedule.overdue)
         this->finish(id, std::nullopt);
+    for (const EarlyRejection& rejection : schedule.rejected) {
+        if (auto waiter = this->waiters.find(rejection.request); waiter != this->waiters.end())
+            noteRejection(waiter->second->trace, rejection, this->state.now());
+        this->finish(rejection.request, std::nullopt);
+    }
     for (const ReservationCall& call : schedule.calls)
         this->startCall(call);
     if (schedule.nextAt)
         this->dispatchAt(*schedule.nextAt);
 }
 
+void ReservationBroker::noteRejection(RequestTrace& trace, const EarlyRejection& rejection, TimePoint now)
+{
+    trace.addFailure(now, "rejected_early",
+        { { "reason", std::string { nameOf(rejection.reason) } },
+            { "tenant_priority", std::to_string(rejection.priority.tenant) },
+            { "route_priority", std::to_string(rejection.priority.route) },
+            { "tokens_ahead", std::to_string(rejection.tokensAhead) },
+            { "tokens_per_s", std::to_string(std::llround(rejection.tokensPerSecond)) },
+            { "left_ms", millisecondsText(rejection.timeLeft) },
+            { "served_percent", std::to_string(std::llround(100 * rejection.servedShare)) } });
+}
+
 void ReservationBroker::dispatchAt(TimePoint due)
 {
     if (this->nextDispatchAt && *this->nextDispatchAt <= due)
--- a/src/libperidotgrade/gateway/server_clients.cpp
+++ b/src/libperidotgrade/gateway/server_clients.cpp
@@ -9,7 +9,8 @@
     bool isSameIncarnation = client && client->record().address == record.address
         && client->record().startedAt == record.startedAt;
     if (!isSameIncarnation)
-        client = std::make_shared<ServerClient>(this->executor, record, this->callbacks);
+        client
+            = std::make_shared<ServerClient>(this->executor, record, this->callbacks, this->channelSettings);
     return client;
 }
 
--- a/src/libperidotgrade/gateway/store_follower.cpp
+++ b/src/libperidotgrade/gateway/store_follower.cpp
@@ -2,6 +2,7 @@
 #include "peridotgrade/gateway/store_follower.h"
 
 #include "peridotgrade/core/base/invariant.h"
+#include "peridotgrade/gateway/configuration_log.h"
 #include "platform/configuration_codec.h"
 #include "platform/server_record_codec.h"
 #include "platform/wire_names.h"
@@ -71,7 +72,8 @@
     for (const StoreRecord& record : records) {
         if (record.key != wire_names::ConfigurationKey || !record.value)
             continue;
-        auto parsed = parseRoutingConfiguration(*record.value);
+        std::vector<ConfigurationFinding> findings;
+        auto parsed = parseRoutingConfiguration(*record.value, findings);
         if (auto* problem = std::get_if<std::string>(&parsed)) {
             this->state.log.write(LogLevel::Error, "configuration_unreadable",
                 { { "offset", std::to_string(record.offset.raw()) }, { "detail", *problem } });
@@ -84,11 +86,7 @@
             continue;
         checkInvariant(!this->state.configuration || current < configuration.version,
             Invariant::ConfigurationNeverReverts, "an older configuration would come into force");
-        this->state.log.write(LogLevel::Info, "configuration_applied",
-            { { "version", std::to_string(configuration.version.raw()) },
-                { "before", std::to_string(current.raw()) },
-                { "routes", std::to_string(configuration.routes.size()) },
-                { "services", std::to_string(configuration.services.size()) } });
+        logConfiguration(this->state.log, this->state.configuration.get(), configuration, findings);
         this->state.configuration = std::make_shared<const RoutingConfiguration>(std::move(configuration));
     }
 }
--- a/src/libperidotgrade/net/beast_convert.cpp
+++ b/src/libperidotgrade/net/beast_convert.cpp
@@ -49,16 +49,21 @@
         head.insert(field.name, field.value);
 }
 
-http::request<http::string_body> beastRequest(HttpRequest request, const Endpoint& server)
+void fillRequestHead(http::request_header<>& head, const HttpRequest& request, const Endpoint& server)
 {
-    http::request<http::string_body> message;
-    message.version(11);
-    message.method_string(request.method);
-    message.target(request.target);
+    head.version(11);
+    head.method_string(request.method);
+    head.target(request.target);
     if (request.field("Host").empty())
-        message.set(http::field::host, toString(server));
+        head.set(http::field::host, toString(server));
     for (const HttpField& field : request.fields)
-        message.insert(field.name, field.value);
+        head.insert(field.name, field.value);
+}
+
+http::request<http::string_body> beastRequest(HttpRequest request, const Endpoint& server)
+{
+    http::request<http::string_body> message;
+    fillRequestHead(message, request, server);
     message.body() = std::move(request.body);
     message.prepare_payload();
     return message;
--- a/src/libperidotgrade/net/beast_convert.h
+++ b/src/libperidotgrade/net/beast_convert.h
@@ -21,6 +21,10 @@
 void fillHead(boost::beast::http::response_header<>& head, const HttpResponse& response);
 
 /// The request as it is sent to `server`. The Host field names the server unless the request has its own.
+/// Sets method, target and fields; the body is left as it is.
+void fillRequestHead(
+    boost::beast::http::request_header<>& head, const HttpRequest& request, const Endpoint& server);
+
 boost::beast::http::request<boost::beast::http::string_body> beastRequest(
     HttpRequest request, const Endpoint& server);
 
