Switch load-aware scheduling by setting and configuration

Cause: placement by learned speed, the order of late retries, the expected time to the first event, engines kept for large requests and the early end of prefills applied in every deployment under load, so earlier ones were not served as before (docs/design/bursts.md said so). Change: one decision, loadAwareReason. By default scheduling is load-aware where the configuration has tenants or a server reports slowness; the setting loadAwareScheduling (auto, on, off) overrides it. Otherwise every server counts as equal and waits are weighed as before. Line load_aware_scheduling on each change. It replaces weighsBacklog.

--- a/src/include/peridotgrade/core/serving/admission_queue.h
+++ b/src/include/peridotgrade/core/serving/admission_queue.h
@@ -100,6 +100,8 @@
     /// left the queue must be cancelled.
     bool onAnswer(const ReservationCall& call, ReservationResult result, TimePoint now);
     std::size_t size() const { return this->waiting.size(); }
+    /// Whether engines are kept for large requests while these are starved.
+    void setKeepsEngines(bool value) { this->keepsEngines = value; }
 
 private:
     /// The engines that may be called now.
@@ -135,6 +137,7 @@
     /// When less urgent and late requests that were refused ask again. Invariant: only of waiting requests.
     std::map<RequestId, TimePoint> pausedUntil;
     QueueForecast forecast;
+    bool keepsEngines = true;
     /// Requests with a call in flight, whether they still wait or not.
     std::set<RequestId> inFlight;
 };
--- a/src/include/peridotgrade/core/serving/server_pace.h
+++ b/src/include/peridotgrade/core/serving/server_pace.h
@@ -62,6 +62,9 @@
         std::chrono::milliseconds pauseLimit, TimePoint now);
     void noteReport(const ServerRecord& server, const ServerLoadReport& report, TimePoint now);
     void forget(const ServerId& server);
+    /// While it is not in use all servers count as equal and no load as reported; times are recorded all the
+    /// same.
+    void setInUse(bool value) { this->isInUse = value; }
     /// Replaces the evidence of peers; `evidence` has their sum for each server and kind.
     void setPeerEvidence(const std::vector<PaceEvidence>& evidence, const ServerLookup& find);
 
@@ -131,6 +134,7 @@
     std::map<ServerId, Server> servers;
     std::map<ServiceId, Service> services;
     bool hasPeerEvidence = false;
+    bool isInUse = true;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/gateway/gateway_settings.h
+++ b/src/include/peridotgrade/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "peridotgrade/core/serving/engine_demand.h"
+#include "peridotgrade/core/serving/load_aware_scheduling.h"
 #include "peridotgrade/core/serving/retry_budget_share.h"
 #include "peridotgrade/net/endpoint.h"
 #include "peridotgrade/ops/logger.h"
@@ -43,6 +44,8 @@
     /// Address for datagrams of other entries, for quotas of tenants and observations of servers. Without it
     /// an entry allows each tenant its own share only, and shares no observations.
     std::optional<Endpoint> peerListen;
+    /// Placement by learned speeds, queues by expected times, and their exchange with other entries.
+    LoadAwareScheduling loadAwareScheduling = LoadAwareScheduling::Auto;
 };
 
 /// Collects settings and checks the constraints between them.
@@ -59,6 +62,7 @@
     GatewaySettingsBuilder& expectedDemand(std::optional<RoleDemand> value);
     GatewaySettingsBuilder& memory(std::optional<std::uint32_t> megabytes);
     GatewaySettingsBuilder& peers(std::optional<Endpoint> listen);
+    GatewaySettingsBuilder& loadAwareScheduling(LoadAwareScheduling mode);
     std::variant<GatewaySettings, SettingsError> build() const;
 
 private:
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -67,13 +67,12 @@
     }
     /// Entries of the group, from this one's share of the retries; 1 if it has none.
     std::uint32_t entryCount() const;
-    /// The deployment asks for a choice of prefill engines by their waits: it has tenants, or servers that
-    /// share their machines and report slowness.
-    bool weighsBacklog() const
-    {
-        return this->pace.hasSlownessReports()
-            || (this->configuration && !this->configuration->tenants.empty());
-    }
+    /// Scheduling follows learned speeds, waits and expected times to the first event.
+    bool isLoadAware() const { return !this->loadAwareReason.empty(); }
+    /// Why it does (core/serving/load_aware_scheduling.h); empty if it does not.
+    std::string_view whyLoadAware() const { return this->loadAwareReason; }
+    /// To be called when the configuration has been replaced.
+    void updateLoadAwareness();
     EngineDemand& demandOf(const ServiceId& service) { return this->demands[service]; }
     /// Servers of a service that may get requests and are not ejected; all of them if every one is ejected.
     /// Servers that may get no call now are never among them.
@@ -141,7 +140,7 @@
     ServerLimits limits;
     /// Speeds of the servers and their reports of load.
     ServerPace pace;
-    /// Waits at prefill engines. Recorded only where `weighsBacklog`.
+    /// Waits at prefill engines. Recorded only where `isLoadAware`.
     EngineBacklog backlog;
     PromptCacheMap promptCaches;
     /// Requests and parts of prompts that crash servers, as far as the entries know them.
@@ -165,6 +164,7 @@
     void noteEndsInList(const DirectoryChange& change);
 
     ServerEndProbe endProbe;
+    std::string_view loadAwareReason;
 
     void setRetryShare(double share);
 
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -88,6 +88,8 @@
     bool isFirstAttempt() const;
     /// A caller without an event has given up after this; one whose stream has begun waits to the deadline.
     TimePoint firstEventDue() const;
+    /// Lateness decides who yields: scheduling is load-aware, or requests have priorities.
+    bool weighsLateness() const;
     /// True if the first event would be late for the caller, counted from its first attempt. What it has left
     /// of the route's time tells when that was.
     bool isLateRetry() const;
--- a/src/libperidotgrade/core/serving/admission_queue.cpp
+++ b/src/libperidotgrade/core/serving/admission_queue.cpp
@@ -199,7 +199,8 @@
         }
         if (!open) {
             open = this->openAmong(candidates, ownDataCentre, now);
-            kept = this->large.keptEngines(candidates);
+            if (this->keepsEngines)
+                kept = this->large.keptEngines(candidates);
         }
         // The engines of a version are few, and may all be kept.
         bool mayAskKept = kept.empty() || request->version || this->large.isLarge(*request)
--- a/src/libperidotgrade/core/serving/server_pace.cpp
+++ b/src/libperidotgrade/core/serving/server_pace.cpp
@@ -240,7 +240,7 @@
 double ServerPace::ratio(const ServerRecord& server) const
 {
     const Server* found = this->find(server);
-    return found == nullptr ? 1 : found->ratio;
+    return found == nullptr || !this->isInUse ? 1 : found->ratio;
 }
 
 double ServerPace::meanEngineFactor(
@@ -265,13 +265,13 @@
 double ServerPace::slowness(const ServerRecord& server, TimePoint now) const
 {
     const Server* found = this->find(server);
-    return found == nullptr ? 1 : slownessOf(*found, now);
+    return found == nullptr || !this->isInUse ? 1 : slownessOf(*found, now);
 }
 
 ServerOutlook ServerPace::outlook(const ServerRecord& server, TimePoint now) const
 {
     const Server* found = this->find(server);
-    if (found == nullptr)
+    if (found == nullptr || !this->isInUse)
         return {};
     bool isLate = found->latePauses > MaxLatePauses
         && found->latePauses * decay(now - found->pausedAt, LatePauseLifetime) > MaxLatePauses;
@@ -287,7 +287,7 @@
 std::optional<double> ServerPace::reportedRequests(const ServerRecord& server, TimePoint now) const
 {
     auto service = this->services.find(server.service);
-    if (service == this->services.end() || !service->second.meanRequests)
+    if (!this->isInUse || service == this->services.end() || !service->second.meanRequests)
         return std::nullopt;
     double mean = *service->second.meanRequests;
     const Server* found = this->find(server);
--- a/src/libperidotgrade/core/serving/server_pace_test.cpp
+++ b/src/libperidotgrade/core/serving/server_pace_test.cpp
@@ -50,6 +50,22 @@
     BOOST_TEST(pace.ratio(servers[2]) > 0.35);
 }
 
+// Guards against learned speeds that change the placement where scheduling is not load-aware.
+BOOST_AUTO_TEST_CASE(serversCountAsEqualWhileThePaceIsNotInUse)
+{
+    pace.setInUse(false);
+    stream({ 0.7, 0.7, 1.7, 0.7, 0.7, 1.7 });
+    pace.noteReport(servers[0], { 5, 3, 6, 2.5 }, now);
+    BOOST_TEST(pace.ratio(servers[2]) == 1);
+    BOOST_TEST(pace.factor(servers[0], now) == 1);
+    BOOST_TEST(pace.expectedTime(servers[0], 4, now) == 4);
+    BOOST_TEST(!pace.reportedRequests(servers[0], now).has_value());
+    // What was measured meanwhile counts at once.
+    pace.setInUse(true);
+    BOOST_TEST(pace.ratio(servers[2]) < 0.6);
+    BOOST_TEST(pace.slowness(servers[0], now) > 2);
+}
+
 BOOST_AUTO_TEST_CASE(equalServersHaveEqualRatios)
 {
     // Guards against a changed placement in deployments whose servers are alike but differently busy.
--- a/src/libperidotgrade/gateway/gateway_settings.cpp
+++ b/src/libperidotgrade/gateway/gateway_settings.cpp
@@ -42,7 +42,8 @@
       "description": "an object with prefillMs and decodeMs",
       "properties": {
         "prefillMs": { "type": "number", "exclusiveMinimum": 0, "description": "engine time of a prefill in milliseconds, above 0" },
-        "decodeMs": { "type": "number", "exclusiveMinimum": 0, "description": "a run's share of an engine times its time in milliseconds, above 0" } } }
+        "decodeMs": { "type": "number", "exclusiveMinimum": 0, "description": "a run's share of an engine times its time in milliseconds, above 0" } } },
+    "loadAwareScheduling": { "enum": ["auto", "on", "off"], "description": "one of auto, on, off" }
   }
 })json";
 
@@ -155,6 +156,12 @@
     return *this;
 }
 
+GatewaySettingsBuilder& GatewaySettingsBuilder::loadAwareScheduling(LoadAwareScheduling mode)
+{
+    this->settings.loadAwareScheduling = mode;
+    return *this;
+}
+
 std::variant<GatewaySettings, SettingsError> GatewaySettingsBuilder::build() const
 {
     const GatewaySettings& built = this->settings;
@@ -187,6 +194,7 @@
     SettingsReader reader(fields, file);
     GatewaySettings read;
     std::string level { nameOf(read.logLevel) };
+    std::string scheduling { nameOf(read.loadAwareScheduling) };
     reader.read("nodeName", read.nodeName);
     reader.read("dataCentre", read.dataCentre);
     reader.read("callersListen", read.callersListen);
@@ -198,23 +206,26 @@
     reader.read("maxLogLinesPerSecond", read.maxLogLinesPerSecond);
     reader.read("dutyLeaseMs", read.leaderLease);
     reader.read("shortestMembershipMs", read.minMembershipLifetime);
+    reader.read("loadAwareScheduling", scheduling);
     Endpoint peerListen;
     if (fields.contains("peerListen"))
         reader.read("peerListen", peerListen);
     if (reader.error())
         return *reader.error();
-    auto built = GatewaySettingsBuilder()
-                     .node(read.nodeName, read.dataCentre)
-                     .listen(read.callersListen, read.readinessListen, read.metricsListen)
-                     .store(read.store, read.storePartitions)
-                     .logs(logLevelFrom(level).value_or(read.logLevel), read.maxLogLinesPerSecond)
-                     .retries(retriesFrom(fields.at("retries").as_object()))
-                     .stopWithin(secondsOf(fields, "stopWithinSeconds", read.stopWithin))
-                     .leadership(read.leaderLease, read.minMembershipLifetime)
-                     .expectedDemand(demandFrom(fields))
-                     .memory(memoryFrom(fields))
-                     .peers(fields.contains("peerListen") ? std::optional { peerListen } : std::nullopt)
-                     .build();
+    auto built
+        = GatewaySettingsBuilder()
+              .node(read.nodeName, read.dataCentre)
+              .listen(read.callersListen, read.readinessListen, read.metricsListen)
+              .store(read.store, read.storePartitions)
+              .logs(logLevelFrom(level).value_or(read.logLevel), read.maxLogLinesPerSecond)
+              .retries(retriesFrom(fields.at("retries").as_object()))
+              .stopWithin(secondsOf(fields, "stopWithinSeconds", read.stopWithin))
+              .leadership(read.leaderLease, read.minMembershipLifetime)
+              .expectedDemand(demandFrom(fields))
+              .memory(memoryFrom(fields))
+              .peers(fields.contains("peerListen") ? std::optional { peerListen } : std::nullopt)
+              .loadAwareScheduling(loadAwareSchedulingFrom(scheduling).value_or(read.loadAwareScheduling))
+              .build();
     if (auto* error = std::get_if<SettingsError>(&built))
         error->file = file;
     return built;
--- a/src/libperidotgrade/gateway/gateway_settings_test.cpp
+++ b/src/libperidotgrade/gateway/gateway_settings_test.cpp
@@ -73,6 +73,7 @@
     BOOST_TEST((settings.expectedDemand->prefill == 100ms));
     BOOST_TEST((settings.expectedDemand->decode == 450ms));
     BOOST_TEST(settings.memoryMb.value() == 88U);
+    BOOST_TEST((settings.loadAwareScheduling == LoadAwareScheduling::Auto));
     // Guards against entries that can not ask each other for quotas or share observations.
     BOOST_TEST(toString(settings.peerListen.value()) == "10.1.0.38:9100");
 }
@@ -107,6 +108,8 @@
              Case { changed("10.0.0.1:81", "10.0.0.1:80"), "callersListen" },
              Case { changed("\"nodeName\"", "\"peerListen\":\"10.0.0.1\",\"nodeName\""), "peerListen" },
              Case { changed("\"nodeName\"", "\"peerListen\":\"10.0.0.1:0\",\"nodeName\""), "peerListen" },
+             Case { changed("\"nodeName\"", "\"loadAwareScheduling\":\"yes\",\"nodeName\""),
+                 "loadAwareScheduling" },
              Case { changed("\"nodeName\"", "\"colour\":1,\"nodeName\""), "colour" } }) {
         auto parsed = parseGatewaySettings(each.text, File);
         auto* error = std::get_if<SettingsError>(&parsed);
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -64,6 +64,8 @@
     this->reservedLoad.usePace(this->pace, DecodeSelectivity);
     this->prefillLoad.usePace(this->pace, PrefillSelectivity);
     this->prefillLoad.useBacklog(this->backlog);
+    this->pace.setInUse(false);
+    this->updateLoadAwareness();
 }
 
 GatewayState::~GatewayState() { this->driver.stop(); }
@@ -174,6 +176,19 @@
     return text;
 }
 
+void GatewayState::updateLoadAwareness()
+{
+    bool hasTenants = this->configuration && !this->configuration->tenants.empty();
+    std::string_view reason = peridotgrade::loadAwareReason(
+        this->settings.loadAwareScheduling, hasTenants, this->pace.hasSlownessReports());
+    if (reason == this->loadAwareReason)
+        return;
+    this->loadAwareReason = reason;
+    this->pace.setInUse(this->isLoadAware());
+    this->log.write(LogLevel::Info, "load_aware_scheduling",
+        { { "active", this->isLoadAware() ? "true" : "false" }, { "reason", std::string { reason } } });
+}
+
 void GatewayState::noteServerNotice(const ServerRecord& server, const ServerNotice& notice)
 {
     if (notice.backoff) {
@@ -182,8 +197,10 @@
             { { "server", server.id.raw() }, { "for_ms", std::to_string(notice.backoff->count()) } });
     }
     this->noteLimit(server, notice);
-    if (notice.load)
+    if (notice.load) {
         this->pace.noteReport(server, *notice.load, this->now());
+        this->updateLoadAwareness();
+    }
     if (notice.isLeaving)
         this->onDirectoryChanges(this->directory.noteLeaving(server.id, server.startedAt));
 }
--- a/src/libperidotgrade/gateway/gateway_state_test.cpp
+++ b/src/libperidotgrade/gateway/gateway_state_test.cpp
@@ -9,6 +9,11 @@
 using namespace peridotgrade;
 using namespace std::chrono_literals;
 
+namespace {
+// The logging library cannot be initialized again once the last logger is gone.
+const Logger FirstLogger("test", LogLevel::Error);
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(GatewayStateTest)
 
 // An entry that was paused for longer than its membership lasts must not spend retries that other entries
@@ -38,4 +43,26 @@
     BOOST_TEST(!kept.trySpend(state.spendTime()));
 }
 
+// Scheduling becomes load-aware with the first report of a slow machine, and not with a report of load alone,
+// which servers of earlier deployments send too.
+BOOST_AUTO_TEST_CASE(reportsOfSlownessMakeSchedulingLoadAware)
+{
+    boost::asio::io_context context;
+    MetricsRegistry registry;
+    GatewaySettings settings;
+    settings.logLevel = LogLevel::Error;
+    GatewayState state(context.get_executor(), settings, registry, 1);
+    ServerRecord server;
+    server.id = ServerId { "i-1" };
+    ServerNotice notice;
+    notice.load = ServerLoadReport { 3, 0, 8, 1 };
+    state.noteServerNotice(server, notice);
+    BOOST_TEST(!state.isLoadAware());
+    BOOST_TEST(!state.pace.reportedRequests(server, state.now()).has_value());
+    notice.load->slowness = 2.5;
+    state.noteServerNotice(server, notice);
+    BOOST_TEST(state.whyLoadAware() == "slowness_reports");
+    BOOST_TEST(state.pace.factor(server, state.now()) > 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/gateway/generation_admission.cpp
+++ b/src/libperidotgrade/gateway/generation_admission.cpp
@@ -21,18 +21,25 @@
 
 bool GenerationCall::isLateRetry() const
 {
-    if (this->isFirstAttempt() || this->hasBegun)
+    if (!this->state.isLoadAware() || this->isFirstAttempt() || this->hasBegun)
         return false;
     Duration sinceFirst = this->context.route.timeout - *this->context.request.callerTimeout;
     return sinceFirst >= this->context.route.latencyTarget - TimeToFirstEvent;
 }
 
+bool GenerationCall::weighsLateness() const
+{
+    return this->state.isLoadAware() || this->context.request.urgency;
+}
+
 TimePoint GenerationCall::firstEventDue() const
 {
+    if (this->hasBegun || !this->weighsLateness())
+        return this->context.deadline;
     auto targets
         = std::chrono::duration_cast<Duration>(this->context.route.latencyTarget * MaxSilenceTargets);
     TimePoint givenUpAt = this->context.request.arrivedAt + std::max<Duration>(MaxSilence, targets);
-    return this->hasBegun ? this->context.deadline : std::min(givenUpAt, this->context.deadline);
+    return std::min(givenUpAt, this->context.deadline);
 }
 
 TimePoint GenerationCall::reservationDue() const
@@ -51,7 +58,7 @@
 
 std::optional<TimePoint> GenerationCall::onTimeUntil() const
 {
-    if (!this->isFirstAttempt() || this->hasBegun || this->rounds > 1)
+    if (!this->weighsLateness() || !this->isFirstAttempt() || this->hasBegun || this->rounds > 1)
         return std::nullopt;
     const ServiceRoute& route = this->context.route;
     auto longest = std::chrono::duration_cast<Duration>(route.latencyTarget * MaxFirstEventShare);
--- a/src/libperidotgrade/gateway/generation_prefill.cpp
+++ b/src/libperidotgrade/gateway/generation_prefill.cpp
@@ -207,7 +207,7 @@
 void GenerationCall::recordBacklog(const ServerRecord& server, Duration took)
 {
     auto cost = this->state.demandOf(this->context.service).prefillCost().estimate(this->promptTokens());
-    if (cost && this->state.weighsBacklog())
+    if (cost && this->state.isLoadAware())
         this->state.backlog.record(server, this->promptTokens(), *cost, took, this->state.now());
 }
 
--- a/src/libperidotgrade/gateway/group_member.cpp
+++ b/src/libperidotgrade/gateway/group_member.cpp
@@ -299,9 +299,8 @@
     for (const ServerRecord& record : planned)
         engines.push_back(&record);
     const auto& expected = this->state.settings.expectedDemand;
-    auto demand = expected && this->state.weighsBacklog()
-        ? this->state.demandOf(service).currentNear(*expected)
-        : this->state.demandOf(service).current();
+    auto demand = expected && this->state.isLoadAware() ? this->state.demandOf(service).currentNear(*expected)
+                                                        : this->state.demandOf(service).current();
     std::uint32_t before = plan.prefillTarget();
     plan.setSpeeds(this->speedsOf(engines));
     if (expected && this->state.demandOf(service).isUnused())
--- a/src/libperidotgrade/gateway/peer_notices.cpp
+++ b/src/libperidotgrade/gateway/peer_notices.cpp
@@ -56,13 +56,7 @@
     }
 }
 
-std::string_view PeerNotices::reason() const
-{
-    const auto& configuration = this->state.configuration;
-    if (configuration && !configuration->tenants.empty())
-        return "tenants";
-    return this->state.pace.hasSlownessReports() ? "slowness_reports" : "";
-}
+std::string_view PeerNotices::reason() const { return this->state.whyLoadAware(); }
 
 void PeerNotices::advance()
 {
--- a/src/libperidotgrade/gateway/reservation_broker.cpp
+++ b/src/libperidotgrade/gateway/reservation_broker.cpp
@@ -96,6 +96,7 @@
             this->finish(id, std::nullopt);
     }
     auto candidates = this->state.healthyServers(this->service, ServerRole::Decode);
+    this->queue.setKeepsEngines(this->state.isLoadAware());
     ReservationSchedule schedule = this->queue.schedule(
         candidates, DataCentreId { this->state.settings.dataCentre }, this->state.now(), this->state.random);
     for (RequestId id : schedule.overdue)
--- a/src/libperidotgrade/gateway/store_follower.cpp
+++ b/src/libperidotgrade/gateway/store_follower.cpp
@@ -88,6 +88,7 @@
             Invariant::ConfigurationNeverReverts, "an older configuration would come into force");
         logConfiguration(this->state.log, this->state.configuration.get(), configuration, findings);
         this->state.configuration = std::make_shared<const RoutingConfiguration>(std::move(configuration));
+        this->state.updateLoadAwareness();
     }
 }
 
