Break off answers whose servers exited inside them

Change: such an answer is completed only if its server still accepts connections; otherwise it counts as lost, is resumed where the route allows it, and feeds the crash registry. Servers that leave by plan are not asked.

--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -107,6 +107,10 @@
     /// connection marks may have been broken off between two events, so it shows something new only if the
     /// server is still there.
     void noteAnsweredRun(const ServerId& server, std::vector<Suspect> suspects, BodyFraming framing);
+    /// True if an answer whose end only the end of its connection marks came from a server that has ended
+    /// since: its process may have ended inside the answer, and its system closes connections in an orderly
+    /// way.
+    boost::asio::awaitable<bool> isBrokenOff(ServerRecord server, BodyFraming framing);
     void onDirectoryChanges(const std::vector<DirectoryChange>& changes);
 
     boost::asio::any_io_executor executor;
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -276,6 +276,16 @@
     this->noteEnd(incarnationOf(server), RefusedEvidence);
 }
 
+boost::asio::awaitable<bool> GatewayState::isBrokenOff(ServerRecord server, BodyFraming framing)
+{
+    const ServerRecord* current = this->directory.find(server.id);
+    bool isCurrent = current != nullptr && current->startedAt == server.startedAt;
+    // A server that leaves ends after its last answer.
+    if (framing != BodyFraming::ConnectionEnd || !isCurrent || current->isDraining)
+        co_return false;
+    co_return co_await this->endProbe.hasEnded(this->clients.clientFor(server));
+}
+
 void GatewayState::noteEnd(const ServerCrash& incarnation, std::string_view evidence)
 {
     if (evidence == RefusedEvidence && this->onServerEnded)
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -84,8 +84,15 @@
     // Every stream has an event, unless its caller has them all and resumes it.
     bool isResumed = this->hasBegun || this->context.request.isResumption();
     bool isLost = isEmpty && (!isResumed || answer.framing() == BodyFraming::ConnectionEnd);
-    if (isLost || this->framer.hasPartialEvent()) {
-        this->noteBrokenStream(answer, server, isLost ? "end without an event" : "end inside an event");
+    std::string_view broken;
+    if (isLost)
+        broken = "end without an event";
+    else if (this->framer.hasPartialEvent())
+        broken = "end inside an event";
+    else if (co_await this->state.isBrokenOff(record, answer.framing()))
+        broken = "the server ended with its answer";
+    if (!broken.empty()) {
+        this->noteBrokenStream(answer, server, std::string { broken });
         co_await this->state.noteLostRun(server, this->context.request.suspects());
         co_return Next::Retry;
     }
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -28,6 +28,7 @@
     constexpr std::uint16_t FirstServerError = 500;
     // Bytes of an answer that are written to its caller at once.
     constexpr std::size_t PassedPart = 64 * 1024;
+    constexpr std::string_view EndedWithAnswer = "the server ended with its answer";
 } // namespace
 
 PlainCall::PlainCall(GatewayState& state, RequestContext& context)
@@ -205,11 +206,12 @@
     if (!answer->head().isNotRun && answer->head().response.status < FirstServerError)
         this->state.pace.record(
             client->record(), PaceSample::PlainCall, seconds / shareOfSlot, this->state.now());
-    co_return co_await this->forwardAnswer(*answer, server);
+    co_return co_await this->forwardAnswer(*answer, client->record());
 }
 
-asio::awaitable<PlainCall::Next> PlainCall::forwardAnswer(ServerAnswer& answer, const ServerId& server)
+asio::awaitable<PlainCall::Next> PlainCall::forwardAnswer(ServerAnswer& answer, const ServerRecord& record)
 {
+    const ServerId& server = record.id;
     HttpResponse response = answer.head().response;
     this->context.cancellation.setHandler([&answer] { answer.abort(); });
     BodyMemory::Share share(&this->state.answerMemory);
@@ -217,9 +219,11 @@
         answer, this->context.deadline, { GatewayState::MaxAnswerBytes, &share }, response.body);
     this->context.cancellation.clearHandler();
     if (error && error->kind == NetErrorKind::NoMemory && this->isFinal(answer.head())) {
-        co_await this->passOn(answer, server, std::move(response), std::move(share));
+        co_await this->passOn(answer, record, std::move(response), std::move(share));
         co_return Next::Done;
     }
+    if (!error && !answer.head().isNotRun && co_await this->state.isBrokenOff(record, answer.framing()))
+        error = NetError { NetErrorKind::Closed, true, std::string { EndedWithAnswer } };
     if (error) {
         this->lastDetail = error->detail;
         this->runs += answer.head().isNotRun ? 0 : 1;
@@ -268,8 +272,9 @@
 }
 
 asio::awaitable<void> PlainCall::passOn(
-    ServerAnswer& answer, const ServerId& server, HttpResponse begun, BodyMemory::Share share)
+    ServerAnswer& answer, const ServerRecord& record, HttpResponse begun, BodyMemory::Share share)
 {
+    const ServerId& server = record.id;
     ++this->runs;
     std::uint16_t status = begun.status;
     this->context.trace.add(this->state.now(), "answer_passed_on",
@@ -296,6 +301,10 @@
             break;
         isOk = co_await this->context.exchange.writeChunk(std::move(bytes));
     }
+    if (isOk && co_await this->state.isBrokenOff(record, answer.framing())) {
+        abortStream(this->state, this->context, "server_lost", server.raw(), std::string { EndedWithAnswer });
+        co_return;
+    }
     if (!isOk || !co_await this->context.exchange.endStream()) {
         answer.abort();
         noteCallerDisconnected(this->state, this->context, "reading the answer");
--- a/testsuite/gateway_truncated_answers/case.py
+++ b/testsuite/gateway_truncated_answers/case.py
@@ -1,4 +1,6 @@
 """An answer that its server broke off never reaches its caller as a complete one, however its end is marked."""
+import time
+
 from support.gateway import Caller, platform_site
 
 
@@ -47,6 +49,23 @@
                 assert answer.status == 200 and answer.is_whole, (framing, events, answer.__dict__)
             assert breaking.break_after is None and platform.runs[answer.attempt] == 2, answer.__dict__
 
+        # A server that exits between two events ends its connections in an orderly way, so the end of the connection
+        # alone looks like the end of the stream.
+        for path, runs in (("/text/exit", 1), ("/resume/exit", 2)):
+            for engine in decodes:
+                engine.framing, engine.break_inside_event = "connection", False
+                engine.break_after, engine.exits_inside_answer = None, False
+            exiting = decodes[0]
+            exiting.break_after, exiting.exits_inside_answer = 12, True
+            attempts = 0
+            while exiting.exits_inside_answer and attempts < 20:
+                answer = caller.send(path)
+                attempts += 1
+            assert not exiting.exits_inside_answer, path
+            assert answer.is_whole == (runs == 2), (path, answer.__dict__)
+            assert platform.runs[answer.attempt] == runs, (path, answer.__dict__)
+            time.sleep(2)
+
         # A plain answer without a length ends with its connection; one that is reset is incomplete.
         for server in platform.plain_servers:
             server.framing = "connection"
@@ -56,4 +75,9 @@
             server.reset_inside_answers = True
         assert caller.send("/act/reset").status == 502
         assert caller.send("/read/reset", "GET", b"").status == 502
+        time.sleep(1)
+        for server in platform.plain_servers:
+            server.reset_inside_answers, server.exits_inside_answer = False, True
+        answer = caller.send("/act/exit")
+        assert answer.status == 502, answer.__dict__
         platform.wait_until_idle(3)
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -300,6 +300,9 @@
         self.limited_since = None
         self.limited_requests = []
         self.heartbeat = None
+        # Ends inside its next answer, and its connections in an orderly way, as those of a process that exits.
+        self.exits_inside_answer = False
+        self.is_crashing = False
 
     async def start(self):
         self.name = f"i-{self.platform.random.getrandbits(40):010x}"
@@ -320,6 +323,15 @@
         asyncio.get_event_loop().call_later(
             seconds, lambda: setattr(self, "heartbeat", asyncio.ensure_future(self._send_heartbeats())))
 
+    async def exit_inside_answer(self, writer):
+        """The listener is closed before the connection of the answer ends; the server is back a second later."""
+        self.exits_inside_answer = False
+        self.heartbeat.cancel()
+        self.server.close()
+        await writer.drain()
+        asyncio.get_event_loop().call_later(1, lambda: asyncio.ensure_future(self.start()))
+        raise ConnectionEnds
+
     async def crash(self):
         self.heartbeat.cancel()
         await self.stop()
@@ -335,6 +347,9 @@
             return False
         now = time.monotonic()
         self.platform.crash_runs[cause].append((now, self.name))
+        if self.is_crashing:
+            return True
+        self.is_crashing = True
         asyncio.ensure_future(self._crash_and_return(1.0, cause, request.path in self.platform.crashing_silently))
         return True
 
@@ -348,6 +363,7 @@
         self.platform.crash_ends[cause].append(time.monotonic())
         await self.crash()
         await asyncio.sleep(seconds)
+        self.is_crashing = False
         await self.start()
 
     async def drain(self):
@@ -469,6 +485,9 @@
             await asyncio.sleep(0.05)
             reset(writer)
             return
+        if self.exits_inside_answer:
+            writer.write(response(200, body[:20], headers, self.framing))
+            await self.exit_inside_answer(writer)
         writer.write(response(200, body, headers, self.framing))
         if self.framing == "connection":
             raise ConnectionEnds
@@ -624,6 +643,8 @@
                     await asyncio.sleep(3600)
             if is_broken_off and self.break_inside_event:
                 self._write_part(writer, f"id: {last + 1}\ndata: ".encode(), framing)
+            if is_broken_off and self.exits_inside_answer:
+                await self.exit_inside_answer(writer)
             if framing == "connection":
                 raise ConnectionEnds
             writer.write(b"0\r\n\r\n")
