Count announced role changes in the leader's plan

A new leader learned of its predecessor's changes from reports only, though notices of entries tell of them sooner. Change: announcements that have not expired count as changes under way, unless the leader knows better. Test: role_changes_test announcedChangesCountUntilTheyEnd. Result: core_serving_test passes; not measured on a site.

--- a/src/include/peridotgrade/core/serving/role_changes.h
+++ b/src/include/peridotgrade/core/serving/role_changes.h
@@ -37,6 +37,9 @@
 
     /// A command for that role has been sent to the engine, or may have been.
     void begin(const ServerId& server, ServerRole role, TimePoint now);
+    /// A change that another entry has announced and that ends by `until`; it was commanded by a former
+    /// leader or seen in a report.
+    void noteAnnounced(const ServerId& server, ServerRole role, TimePoint until);
     /// The command has certainly not been sent.
     void cancel(const ServerId& server) { this->pending.erase(server); }
     void expire(TimePoint now);
--- a/src/libperidotgrade/core/serving/role_changes.cpp
+++ b/src/libperidotgrade/core/serving/role_changes.cpp
@@ -60,6 +60,12 @@
     this->pending[server] = { role, now + Lifetime };
 }
 
+void RoleChanges::noteAnnounced(const ServerId& server, ServerRole role, TimePoint until)
+{
+    // What this leader has commanded, or read in a report, is known better.
+    this->pending.try_emplace(server, Pending { role, until });
+}
+
 void RoleChanges::expire(TimePoint now)
 {
     std::erase_if(this->pending, [now](const auto& each) { return now >= each.second.until; });
--- a/src/libperidotgrade/core/serving/role_changes_test.cpp
+++ b/src/libperidotgrade/core/serving/role_changes_test.cpp
@@ -163,4 +163,20 @@
     BOOST_TEST(this->changes.countChanging(this->engines()) == 0U);
 }
 
+// Guards against a second engine that is changed while one that a former leader announced is under way.
+BOOST_FIXTURE_TEST_CASE(announcedChangesCountUntilTheyEnd, Fixture)
+{
+    const ServerRecord& announced = this->listed[5];
+    this->changes.noteAnnounced(announced.id, ServerRole::Prefill, Start + seconds { 6 });
+    BOOST_TEST((this->changes.futureRole(announced) == ServerRole::Prefill));
+    BOOST_TEST(this->changes.countChanging(this->engines()) == 1U);
+    this->changes.expire(Start + seconds { 6 });
+    BOOST_TEST((this->changes.futureRole(announced) == ServerRole::Decode));
+    // A command of this leader lasts longer than the announcement that it has sent itself.
+    this->changes.begin(announced.id, ServerRole::Prefill, Start);
+    this->changes.noteAnnounced(announced.id, ServerRole::Prefill, Start + seconds { 6 });
+    this->changes.expire(Start + seconds { 7 });
+    BOOST_TEST(this->changes.contains(announced.id));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/gateway/group_member.cpp
+++ b/src/libperidotgrade/gateway/group_member.cpp
@@ -294,6 +294,11 @@
 boost::asio::awaitable<bool> GroupMember::assignRolesOf(ServiceId service, EngineSpec engine)
 {
     RolePlan& plan = this->plans[service];
+    for (const ServerRecord* record : this->state.directory.usable(service)) {
+        auto announced = this->notices.announcedRole(*record);
+        if (announced && announced->role != record->role)
+            this->changes.noteAnnounced(record->id, announced->role, announced->until);
+    }
     auto planned = this->plannedEnginesOf(service);
     std::vector<const ServerRecord*> engines;
     for (const ServerRecord& record : planned)
