Wait until entries know all VMs before a case begins

Trace: the entry had read a list of two of the three VMs (vm_list_changed vms=2) and served with these, and its next read came after the check. Cases promise N backends, so small_site waits until each entry has read all of them. The checks are as they were.

--- a/testsuite/support/site.py
+++ b/testsuite/support/site.py
@@ -247,6 +247,9 @@
         site.configure()
         for number in range(entries):
             site.add_entry(f"entry-{number + 1}")
+        # An entry may have read a list without the backends that were started last, and serves without them.
+        for name, entry in site.entries.items():
+            wait_for(lambda: f"vm_list_changed vms={len(site.backends)}" in entry.log_tail(), f"{name} knows all VMs")
         site.wait_until_serving()
         return site
     except BaseException as failure:
