Let entries that have lost the store ask the holders of quotas

Callers of tenants below their limit got 429. These entries had lost the store and not the other entries, but stopped asking with the end of their membership, though the holder could have answered. An own share of a 29th holds less than one request. Change: an entry that has lost its membership goes on asking the holder that it knew; whoever is not the holder names it (QuotaGrant.holder), HolderLookup follows. Holders accept datagrams of former members for as long as they remember their share, and set nothing aside for those that ask. The whole own share is used 4 s after the last answer. Only the holder grants, so the limit is exact for these entries too.

--- a/src/include/peridotgrade/core/admission/quota_balance.h
+++ b/src/include/peridotgrade/core/admission/quota_balance.h
@@ -39,7 +39,8 @@
     /// Small requests are served before their tokens arrive, up to this part of the burst, so that plain
     /// calls, which come far apart at each entry, do not wait for the holder.
     static constexpr double CreditShare = 0.01;
-    /// An entry whose membership has ended uses its whole share after this time. By then the others have read
+    /// An entry whose membership has ended, and that no holder has answered since, uses its whole share after
+    /// this time. By then the others have read
     /// that it is no member any more and leave its share to it: they read the members every 1.5 s.
     static constexpr std::chrono::milliseconds WholeShareAfter { 4000 };
 
@@ -59,6 +60,8 @@
     void setQuota(const TenantQuota& newQuota, std::uint64_t version, TimePoint now);
     /// This entry's part of all partitions, 0 to 1.
     void setShare(double value, TimePoint now);
+    /// Whether this entry's membership is confirmed.
+    void setMember(bool value, TimePoint now);
     /// The member that holds the account; nothing if it is not known.
     void setHolder(std::optional<std::string_view> newHolder, TimePoint now);
 
@@ -126,8 +129,10 @@
     bool hasStarted = false;
     TokenBucket ownShare;
     std::optional<std::string> holder;
-    /// When the holder was last known.
-    TimePoint holderLostAt {};
+    bool isMember = true;
+    /// When the others last counted on this entry: the membership ended, the holder became unknown, or the
+    /// holder answered.
+    TimePoint countedAt {};
     /// The holder has not answered in time, or says that it is not the holder.
     bool isUnreachable = false;
     Duration backoff {};
--- a/src/include/peridotgrade/core/admission/quota_grant.h
+++ b/src/include/peridotgrade/core/admission/quota_grant.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace peridotgrade {
 
@@ -17,6 +18,8 @@
     std::chrono::milliseconds retryAfter { 0 };
     /// False if the member that answers does not hold the account; then nothing is granted.
     bool isHolder = false;
+    /// The holder, if the member that answers is not and knows it; else empty.
+    std::string holder;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/core/admission/quota_group.h
+++ b/src/include/peridotgrade/core/admission/quota_group.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -40,8 +41,12 @@
     /// Part of the partitions that the member holds, 0 to 1.
     double shareOf(const std::string& member) const;
     const std::map<std::string, double>& shares() const { return this->members; }
-    /// Sum of the last shares of members that are no longer named and may still serve callers, 0 to 1.
-    double formerShare(TimePoint now) const;
+    /// Sum of the last shares of members that are no longer named and may still serve callers, 0 to 1;
+    /// without those that `isReached`.
+    double formerShare(
+        TimePoint now, const std::function<bool(const std::string& member)>& isReached = {}) const;
+    /// Members that are no longer named and may still serve callers.
+    std::vector<std::string> formerNames() const;
 
 private:
     struct Former {
--- a/src/include/peridotgrade/gateway/quota_service.h
+++ b/src/include/peridotgrade/gateway/quota_service.h
@@ -1,6 +1,7 @@
 // Quotas of tenants over all entries: charges requests, and keeps the accounts that this entry holds.
 #pragma once
 
+#include "peridotgrade/core/admission/holder_lookup.h"
 #include "peridotgrade/core/admission/quota_balance.h"
 #include "peridotgrade/core/admission/quota_holder.h"
 #include "peridotgrade/gateway/gateway_state.h"
@@ -68,6 +69,9 @@
     void answer(const Endpoint& from, const QuotaRequest& request);
     void sendTo(const std::string& holder, const QuotaRequest& request);
     void acceptGrant(const std::string& from, const QuotaGrant& grant);
+    /// Asks another member if that one is not the holder. Only if this entry is no member itself, and does
+    /// not read the owners.
+    void redirect(Account& account, const std::string& from, const QuotaGrant& grant);
     void advance();
     void arm(std::optional<TimePoint> due);
 
@@ -80,7 +84,9 @@
     QuotaGroup group;
     std::string member;
     double share = 0;
-    /// Addresses of the members, and the reverse.
+    /// When the membership was last confirmed.
+    std::optional<TimePoint> confirmedAt;
+    /// Addresses of the members and of former ones, and the reverse.
     std::map<std::string, Endpoint> addresses;
     std::map<Endpoint, std::string> members;
     /// Tenants with requests at this entry.
--- a/src/libperidotgrade/core/admission/quota_account.cpp
+++ b/src/libperidotgrade/core/admission/quota_account.cpp
@@ -64,7 +64,13 @@
         if (member.isActive && now - member.heardAt > SilenceTime)
             silentShare += group.shareOf(name);
     }
-    double left = std::min(OwnShare * silentShare + group.formerShare(now), 1.0);
+    // A former member that still asks here uses what it is granted, and its own share only once it gets no
+    // answer.
+    auto isReached = [&](const std::string& name) {
+        auto found = this->members.find(name);
+        return found != this->members.end() && now - found->second.heardAt <= SilenceTime;
+    };
+    double left = std::min(OwnShare * silentShare + group.formerShare(now, isReached), 1.0);
     this->currentRate = this->quota.perSecond * (1 - left);
     this->bucket.refill({ this->currentRate, this->quota.burst }, now);
 }
--- a/src/libperidotgrade/core/admission/quota_balance.cpp
+++ b/src/libperidotgrade/core/admission/quota_balance.cpp
@@ -32,7 +32,7 @@
     , hooks(std::move(hooks))
     , quota(quota)
     , ownShare(0, now)
-    , holderLostAt(now)
+    , countedAt(now)
     , used(fillTime(quota))
     , usedLately(LatelyUsed)
 {
@@ -40,7 +40,8 @@
 
 TokenRate QuotaBalance::ownRate(TimePoint now) const
 {
-    bool isWhole = !this->holder && now - this->holderLostAt >= WholeShareAfter;
+    bool isLeftOut = !this->holder || !this->isMember;
+    bool isWhole = isLeftOut && now - this->countedAt >= WholeShareAfter;
     double part = (isWhole ? 1 : QuotaAccount::OwnShare) * this->share;
     return { part * this->quota.perSecond, part * this->quota.burst };
 }
@@ -71,11 +72,19 @@
     this->ownShare.limitTo(this->ownRate(now).capacity);
 }
 
+void QuotaBalance::setMember(bool value, TimePoint now)
+{
+    if (this->isMember && !value)
+        this->countedAt = now;
+    this->isMember = value;
+}
+
 void QuotaBalance::setHolder(std::optional<std::string_view> newHolder, TimePoint now)
 {
     if (newHolder == this->holder)
         return;
-    this->holderLostAt = now;
+    if (!newHolder && this->isMember)
+        this->countedAt = now;
     this->holder = newHolder ? std::optional<std::string> { *newHolder } : std::nullopt;
     this->question.reset();
     this->refused.reset();
@@ -217,6 +226,7 @@
     }
     Question answered = *std::exchange(this->question, std::nullopt);
     this->isUnreachable = false;
+    this->countedAt = now;
     this->balance += grant.tokens;
     this->usedAt = now;
     bool isRefused = answered.request.tokens > 0 && grant.tokens <= 0;
--- a/src/libperidotgrade/core/admission/quota_group.cpp
+++ b/src/libperidotgrade/core/admission/quota_group.cpp
@@ -30,16 +30,26 @@
     return next;
 }
 
-double QuotaGroup::formerShare(TimePoint now) const
+double QuotaGroup::formerShare(
+    TimePoint now, const std::function<bool(const std::string& member)>& isReached) const
 {
     double share = 0;
     for (const auto& [name, former] : this->formerMembers) {
         Duration missing = now - former.missingSince;
-        share += missing >= MissingTime && missing < FormerTime ? former.share : 0;
+        bool isMissing = missing >= MissingTime && missing < FormerTime;
+        share += isMissing && !(isReached && isReached(name)) ? former.share : 0;
     }
     return std::min(share, 1.0);
 }
 
+std::vector<std::string> QuotaGroup::formerNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, former] : this->formerMembers)
+        names.push_back(name);
+    return names;
+}
+
 std::uint32_t QuotaGroup::partitionOf(const TenantId& tenant, std::uint32_t partitions)
 {
     return static_cast<std::uint32_t>(XXH3_64bits(tenant.raw().data(), tenant.raw().size()) % partitions);
--- a/src/libperidotgrade/core/admission/quota_holder.cpp
+++ b/src/libperidotgrade/core/admission/quota_holder.cpp
@@ -45,8 +45,11 @@
 std::optional<QuotaGrant> QuotaHolder::answer(const QuotaRequest& request, TimePoint now)
 {
     QuotaGrant refusal { request.requestId, request.tenant, 0, {}, false };
-    if (!this->holds(request.tenant, now) || !this->configuration || this->group == nullptr)
+    if (!this->holds(request.tenant, now) || !this->configuration || this->group == nullptr) {
+        if (this->group != nullptr && this->isMember(now))
+            refusal.holder = this->group->holderOf(request.tenant).value_or("");
         return refusal;
+    }
     auto quota = this->quotas.find(request.tenant);
     if (quota == this->quotas.end()) {
         // The tenant has no limit any more, or is one of a newer configuration that has not arrived here.
--- a/src/libperidotgrade/core/admission/quota_load_site.h
+++ b/src/libperidotgrade/core/admission/quota_load_site.h
@@ -1,6 +1,7 @@
 // A site of entries in virtual time, on links that lose and delay datagrams, for tests of quotas.
 #pragma once
 
+#include "peridotgrade/core/admission/holder_lookup.h"
 #include "peridotgrade/core/admission/quota_balance.h"
 #include "peridotgrade/core/admission/quota_holder.h"
 #include "peridotgrade/core/base/random_source.h"
@@ -49,6 +50,10 @@
     QuotaHolder holder;
     QuotaGroup group;
     std::map<TenantId, QuotaBalance> balances;
+    std::map<TenantId, HolderLookup> lookups;
+    std::optional<TimePoint> confirmedAt;
+    /// Whom it asks for each tenant.
+    std::map<TenantId, std::string> asked;
     std::map<std::pair<TenantId, QuotaTicket>, double> waiting;
     TimePoint nextConfirmation {};
     bool isDead = false;
@@ -141,15 +146,30 @@
         entry.group = entry.group.updated(names, this->now);
         entry.holder.setGroup(&entry.group);
         entry.holder.confirm(membership);
+        entry.confirmedAt = this->now;
         for (auto& [tenant, balance] : entry.balances)
             this->refresh(entry, tenant, balance);
     }
 
     void refresh(Entry& entry, const TenantId& tenant, QuotaBalance& balance)
     {
+        bool isMember = entry.holder.isMember(this->now);
         balance.setShare(entry.group.shareOf(entry.member), this->now);
-        balance.setHolder(
-            entry.holder.isMember(this->now) ? entry.group.holderOf(tenant) : std::nullopt, this->now);
+        balance.setMember(isMember, this->now);
+        HolderLookup& lookup = entry.lookups.try_emplace(tenant, tenant, entry.member).first->second;
+        auto holder
+            = lookup.find(entry.group, isMember, entry.confirmedAt, balance.isOnOwnShare(), this->now);
+        entry.asked[tenant] = std::string { holder.value_or("") };
+        balance.setHolder(holder, this->now);
+    }
+
+    void redirect(Entry& entry, const std::string& from, const QuotaGrant& grant, QuotaBalance& balance)
+    {
+        bool mayAskOther
+            = !grant.isHolder && !entry.holder.isMember(this->now) && entry.asked[grant.tenant] == from;
+        if (mayAskOther
+            && entry.lookups.at(grant.tenant).redirect(entry.group, from, grant.holder, this->now))
+            this->refresh(entry, grant.tenant, balance);
     }
 
     QuotaBalance& balanceOf(Entry& entry, Load& load)
@@ -161,11 +181,15 @@
                 for (Entry& each : this->entries) {
                     if (each.member == to)
                         this->deliver(entry, each, [this, &entry, &each, request] {
+                            if (!this->knows(each, request.member))
+                                return;
                             if (auto grant = each.holder.answer(request, this->now))
                                 this->deliver(each, entry, [this, &entry, from = each.member, grant] {
                                     auto balance = entry.balances.find(grant->tenant);
-                                    if (balance != entry.balances.end())
-                                        balance->second.accept(from, *grant, this->now);
+                                    if (balance == entry.balances.end())
+                                        return;
+                                    this->redirect(entry, from, *grant, balance->second);
+                                    balance->second.accept(from, *grant, this->now);
                                 });
                         });
                 }
@@ -181,6 +205,14 @@
         return found->second;
     }
 
+    /// Datagrams of others than present and former members are dropped.
+    static bool knows(const Entry& entry, const std::string& member)
+    {
+        auto former = entry.group.formerNames();
+        return entry.group.shareOf(member) > 0
+            || std::find(former.begin(), former.end(), member) != former.end();
+    }
+
     /// To a paused process it comes when it resumes; to one that has restarted never.
     void deliver(Entry& from, Entry& to, std::function<void()> action)
     {
--- a/src/libperidotgrade/core/admission/quota_load_test.cpp
+++ b/src/libperidotgrade/core/admission/quota_load_test.cpp
@@ -157,4 +157,50 @@
     BOOST_TEST(large.mostInWindow <= large.bound());
 }
 
+// Guards against callers of entries that do not reach the store being refused below the limit of their
+// tenant, although their entries reach the holder; and against more than the limit while such entries come
+// and go.
+BOOST_AUTO_TEST_CASE(entriesWithoutTheStoreStillAskTheHolder)
+{
+    constexpr std::size_t CutOff = 10;
+    std::vector<std::size_t> cut = allEntries();
+    cut.resize(CutOff);
+    constexpr double PerSecond = 90'000;
+    Site site({ loadOf("hot", 187'000, 7 * 187'000, allEntries()),
+        loadOf("below", PerSecond, 0.55 * PerSecond, allEntries()) });
+    Load& hot = site.loads[0];
+    Load& below = site.loads[1];
+    site.runUntil(at(12));
+    for (std::size_t index : cut)
+        site.entries[index].hasStore = false;
+    site.runUntil(at(16.6));
+    for (std::size_t index : cut)
+        site.reassign(index);
+    // The group and the new holders settle within a renewal, as after any change.
+    site.runUntil(at(19));
+    below.refusedByHolder = below.refusedOnOwnShare = 0;
+    double before = hot.used;
+    site.runUntil(at(40));
+    BOOST_TEST_MESSAGE("refused below the limit " << below.refusedByHolder << " + " << below.refusedOnOwnShare
+                                                  << ", hot " << hot.mostInWindow << " of " << hot.bound()
+                                                  << ", used " << (hot.used - before) / (21 * 187'000));
+    BOOST_TEST(below.refusedByHolder == 0);
+    BOOST_TEST(below.refusedOnOwnShare == 0);
+    // Nothing of the limit is set aside for entries that ask.
+    BOOST_TEST(hot.used - before > 0.95 * 21 * hot.quota.perSecond);
+    BOOST_TEST(hot.mostInWindow <= hot.bound());
+    // Then they lose the others too, and come back.
+    for (std::size_t index : cut)
+        site.entries[index].network = 1;
+    site.runUntil(at(60));
+    BOOST_TEST(hot.mostInWindow <= hot.bound());
+    for (std::size_t index : cut) {
+        site.entries[index].network = 0;
+        site.entries[index].hasStore = true;
+    }
+    site.runUntil(at(75));
+    BOOST_TEST(hot.mostInWindow <= hot.bound());
+    BOOST_TEST(below.mostInWindow <= below.bound());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/gateway/quota_service.cpp
+++ b/src/libperidotgrade/gateway/quota_service.cpp
@@ -53,11 +53,13 @@
     Account(const Tenant& tenant, std::string member, TimePoint now, QuotaBalance::Hooks hooks)
         : tenant(tenant.name)
         , quota(*tenant.quota)
+        , lookup(tenant.name, member)
         , balance(tenant.name, std::move(member), *tenant.quota, now, std::move(hooks))
     {
     }
     TenantId tenant;
     TenantQuota quota;
+    HolderLookup lookup;
     QuotaBalance balance;
     std::map<QuotaTicket, std::shared_ptr<Waiter>> waiters;
     std::optional<std::string> knownHolder;
@@ -178,8 +180,11 @@
 {
     account.balance.setQuota(account.quota, this->configuration->version.raw(), now);
     account.balance.setShare(this->share, now);
-    bool mayAsk = this->hasPeers() && this->holder.isMember(now);
-    auto newHolder = mayAsk ? this->group.holderOf(account.tenant) : std::nullopt;
+    bool isMember = this->holder.isMember(now);
+    account.balance.setMember(isMember, now);
+    auto newHolder = this->hasPeers()
+        ? account.lookup.find(this->group, isMember, this->confirmedAt, account.balance.isOnOwnShare(), now)
+        : std::nullopt;
     account.balance.setHolder(newHolder, now);
     if (newHolder == account.knownHolder)
         return;
@@ -216,6 +221,7 @@
 void QuotaService::confirm(const QuotaMembership& membership)
 {
     this->holder.confirm(membership);
+    this->confirmedAt = membership.confirmedAt;
     const HeldPartitions& held = membership.held;
     this->share = held.total == 0 ? 0 : static_cast<double>(held.numbers.size()) / held.total;
     this->refreshAll();
@@ -228,14 +234,19 @@
     this->addresses.clear();
     this->members.clear();
     std::set<Endpoint> peers;
-    for (const auto& [name, part] : this->group.shares()) {
+    auto add = [&](const std::string& name) {
         auto address = memberAddress(name);
         if (!address)
-            continue;
+            return;
         this->addresses[name] = *address;
         this->members[*address] = name;
         peers.insert(*address);
-    }
+    };
+    // Those that do not reach the store may still ask here. A member at the same address goes before.
+    for (const std::string& name : this->group.formerNames())
+        add(name);
+    for (const auto& [name, part] : this->group.shares())
+        add(name);
     this->socket.setPeers(std::move(peers));
     this->refreshAll();
 }
@@ -302,11 +313,23 @@
     auto account = this->accounts.find(grant.tenant);
     if (account == this->accounts.end())
         return;
+    if (!grant.isHolder)
+        this->redirect(*account->second, from, grant);
     account->second->balance.accept(from, grant, TimerDriver::bootNow());
     this->noteShare(*account->second);
     this->arm(account->second->balance.nextDue());
 }
 
+void QuotaService::redirect(Account& account, const std::string& from, const QuotaGrant& grant)
+{
+    TimePoint now = TimerDriver::bootNow();
+    bool isFromHolder = account.knownHolder == from;
+    if (!isFromHolder || this->holder.isMember(now))
+        return;
+    if (account.lookup.redirect(this->group, from, grant.holder, now))
+        this->refresh(account, now);
+}
+
 void QuotaService::arm(std::optional<TimePoint> due)
 {
     if (!due || (this->armedFor && *this->armedFor <= *due))
--- a/src/libperidotgrade/wire/quota_codec.cpp
+++ b/src/libperidotgrade/wire/quota_codec.cpp
@@ -44,6 +44,7 @@
         write(out, 3, grant.tokens);
         write(out, 4, static_cast<std::int64_t>(grant.retryAfter.count()));
         write(out, 5, grant.isHolder);
+        write(out, 6, grant.holder);
     }
 
     /// The fields of one struct, by type; fields that are missing keep their default.
@@ -103,7 +104,8 @@
         if (!isValid(fields) || fields.texts[2].empty() || fields.numbers[4] > MaxRetryAfterMs)
             return std::nullopt;
         return QuotaGrant { static_cast<std::uint64_t>(fields.numbers[1]), TenantId { fields.texts[2] },
-            fields.amounts[3], std::chrono::milliseconds { fields.numbers[4] }, fields.flags[5] };
+            fields.amounts[3], std::chrono::milliseconds { fields.numbers[4] }, fields.flags[5],
+            fields.texts[6] };
     }
 
 } // namespace
--- a/src/thrift/peridot.thrift
+++ b/src/thrift/peridot.thrift
@@ -300,6 +300,7 @@
   3: double tokens
   4: i64 retryAfterMs
   5: bool isHolder
+  6: string holder
 }
 
 union QuotaFrame {
