--- a/testsuite/gateway_memory/case.py
+++ b/testsuite/gateway_memory/case.py
@@ -181,7 +181,15 @@
             thread.join()
     print(f"answers: {sum(c for _, _, c in answers)} of {len(answers)} were passed on as they arrived")
     bad = [answer for answer in answers if answer[0] != b"HTTP/1.1 200" or not answer[1]]
-    assert not bad, (len(bad), bad[:3])
+    assert not bad, (len(bad), bad[:3], trace_of_failures(gateway))
+
+
+def trace_of_failures(gateway):
+    """The log lines of requests that were not answered."""
+    ended = [line for line in gateway.log_lines("request_ended") if "outcome=answered" not in line]
+    requests = [part for line in ended[-3:] for part in line.split() if part.startswith("request=")]
+    with open(gateway.log_path, errors="replace") as log:
+        return [line.strip() for line in log if any(request in line for request in requests)]
 
 
 def open_stream(gateway):
