Keep a copy of the holder's name while a quota balance changes

Read in review: the name that HolderLookup returns refers to its own state, which an answer that comes at once could replace before QuotaService compares it. No run showed it, since a redirected entry never asks itself. Change: refresh keeps a copy. Result: core_admission_test and core_admission_quota_load_test pass.

--- a/src/include/peridotgrade/core/admission/holder_lookup.h
+++ b/src/include/peridotgrade/core/admission/holder_lookup.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace peridotgrade {
 
--- a/src/include/peridotgrade/core/admission/quota_balance.h
+++ b/src/include/peridotgrade/core/admission/quota_balance.h
@@ -40,8 +40,8 @@
     /// calls, which come far apart at each entry, do not wait for the holder.
     static constexpr double CreditShare = 0.01;
     /// An entry whose membership has ended, and that no holder has answered since, uses its whole share after
-    /// this time. By then the others have read
-    /// that it is no member any more and leave its share to it: they read the members every 1.5 s.
+    /// this time. By then the others have read that it is no member any more and leave its share to it: they
+    /// read the members every 1.5 s.
     static constexpr std::chrono::milliseconds WholeShareAfter { 4000 };
 
     /// A tenant is at its limit for this time after a refusal. A tenant that sends three times its limit is
--- a/src/libperidotgrade/gateway/quota_service.cpp
+++ b/src/libperidotgrade/gateway/quota_service.cpp
@@ -182,13 +182,17 @@
     account.balance.setShare(this->share, now);
     bool isMember = this->holder.isMember(now);
     account.balance.setMember(isMember, now);
-    auto newHolder = this->hasPeers()
+    auto found = this->hasPeers()
         ? account.lookup.find(this->group, isMember, this->confirmedAt, account.balance.isOnOwnShare(), now)
         : std::nullopt;
+    // A copy, since an answer that comes at once may change what the lookup refers to.
+    std::optional<std::string> newHolder;
+    if (found)
+        newHolder.emplace(*found);
     account.balance.setHolder(newHolder, now);
     if (newHolder == account.knownHolder)
         return;
-    account.knownHolder = newHolder ? std::optional<std::string> { *newHolder } : std::nullopt;
+    account.knownHolder = std::move(newHolder);
     this->state.log.write(LogLevel::Info, "quota_holder_changed",
         { { "tenant", account.tenant.raw() }, { "holder", account.knownHolder.value_or("unknown") } });
     this->arm(account.balance.nextDue());
