Give the partitions of an ended entry away when its successor starts

Cause: partitions stay with the ended processes until their memberships expire (4.5 s), so no holder answers, the new processes hold nothing and have an own share of zero; and a holder drops datagrams of a process that is not yet among the owners. Change: an entry that finds an earlier process of its own place and address among the owners ends that membership (log-leave, one call for a restart, line predecessor_removed); holders answer a process whose predecessor is a member; until it has held partitions an entry has the share of one. Only where owners are read.

--- a/src/include/peridotgrade/core/admission/quota_group.h
+++ b/src/include/peridotgrade/core/admission/quota_group.h
@@ -40,6 +40,13 @@
     std::optional<std::string_view> holderOf(const TenantId& tenant) const;
     /// Part of the partitions that the member holds, 0 to 1.
     double shareOf(const std::string& member) const;
+    /// Members of the same place and address as `member`, which are earlier processes there and have ended.
+    std::vector<std::string> predecessorsOf(const std::string& member) const;
+    /// True if both are processes of one place, so that at most the later one runs.
+    static bool areOfOnePlace(std::string_view one, std::string_view other)
+    {
+        return placeOf(one) == placeOf(other);
+    }
     const std::map<std::string, double>& shares() const { return this->members; }
     /// Sum of the last shares of members that are no longer named and may still serve callers, 0 to 1;
     /// without those that `isReached`.
--- a/src/include/peridotgrade/gateway/group_member.h
+++ b/src/include/peridotgrade/gateway/group_member.h
@@ -1,6 +1,7 @@
 // The entry's membership in the group of entries, which shares the retry budget and has one leader.
 #pragma once
 
+#include "peridotgrade/core/admission/quota_group.h"
 #include "peridotgrade/core/serving/leader_lease.h"
 #include "peridotgrade/core/serving/role_changes.h"
 #include "peridotgrade/core/serving/role_plan.h"
@@ -16,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,8 @@
     boost::asio::awaitable<bool> join();
     /// Reads who owns the partitions, if that may have changed since they were last read.
     boost::asio::awaitable<void> readOwners();
+    /// Ends the memberships of earlier processes at this place, which hold partitions until they expire.
+    boost::asio::awaitable<void> removePredecessors(const QuotaGroup& group);
     boost::asio::awaitable<void> assignRoles();
     boost::asio::awaitable<void> changeRoleOf(
         ServiceId service, RoleAssignment assignment, std::chrono::milliseconds switchTime);
@@ -65,6 +69,8 @@
     QuotaService& quotas;
     PeerNotices& notices;
     const std::string member;
+    /// Predecessors that the store has been told of.
+    std::set<std::string> removed;
     std::map<ServiceId, RolePlan> plans;
     /// Era of the store to which `generation` belongs.
     std::uint64_t era = 0;
--- a/src/include/peridotgrade/gateway/quota_service.h
+++ b/src/include/peridotgrade/gateway/quota_service.h
@@ -42,7 +42,7 @@
     /// the quota, returns when the caller may come back.
     boost::asio::awaitable<std::optional<std::chrono::milliseconds>> charge(RequestContext& context);
 
-    /// This entry's name in the group, before the first request; and its share until it is a member.
+    /// This entry's name in the group, before the first request; and its share until it holds partitions.
     void setMember(std::string name, double initialShare)
     {
         this->member = std::move(name);
@@ -84,6 +84,7 @@
     QuotaGroup group;
     std::string member;
     double share = 0;
+    bool hasHeldPartitions = false;
     /// When the membership was last confirmed.
     std::optional<TimePoint> confirmedAt;
     /// Addresses of the members and of former ones, and the reverse.
--- a/src/libperidotgrade/core/admission/quota_group.cpp
+++ b/src/libperidotgrade/core/admission/quota_group.cpp
@@ -64,6 +64,22 @@
     return owner.empty() ? std::nullopt : std::optional<std::string_view> { owner };
 }
 
+std::vector<std::string> QuotaGroup::predecessorsOf(const std::string& member) const
+{
+    auto addressOf = [](std::string_view name) {
+        std::size_t at = name.rfind('@');
+        return at == std::string_view::npos ? std::string_view {} : name.substr(at);
+    };
+    std::vector<std::string> predecessors;
+    for (const auto& [name, share] : this->members) {
+        // A machine that has replaced another one under its name has another address.
+        bool isSamePlace = areOfOnePlace(name, member) && addressOf(name) == addressOf(member);
+        if (isSamePlace && name != member && !addressOf(name).empty())
+            predecessors.push_back(name);
+    }
+    return predecessors;
+}
+
 double QuotaGroup::shareOf(const std::string& member) const
 {
     auto found = this->members.find(member);
--- a/src/libperidotgrade/gateway/group_member.cpp
+++ b/src/libperidotgrade/gateway/group_member.cpp
@@ -163,8 +163,23 @@
             owners[*number] = each.member;
     }
     this->areOwnersRead = true;
+    QuotaGroup group(owners);
     this->notices.setOwners(owners);
     this->quotas.setOwners(std::move(owners));
+    co_await this->removePredecessors(group);
+}
+
+boost::asio::awaitable<void> GroupMember::removePredecessors(const QuotaGroup& group)
+{
+    for (const std::string& name : group.predecessorsOf(this->member)) {
+        if (!this->removed.insert(name).second)
+            continue;
+        auto failure = co_await this->store.leave(Group, name, JoinTimeout);
+        this->state.log.write(LogLevel::Info, "predecessor_removed",
+            { { "member", name }, { "detail", failure ? failure->detail : "" } });
+        // Its partitions are given to others with the next generation.
+        this->isSettling = true;
+    }
 }
 
 void GroupMember::enterEra(std::uint64_t newEra)
--- a/src/libperidotgrade/gateway/quota_service.cpp
+++ b/src/libperidotgrade/gateway/quota_service.cpp
@@ -227,7 +227,10 @@
     this->holder.confirm(membership);
     this->confirmedAt = membership.confirmedAt;
     const HeldPartitions& held = membership.held;
-    this->share = held.total == 0 ? 0 : static_cast<double>(held.numbers.size()) / held.total;
+    this->hasHeldPartitions = this->hasHeldPartitions || !held.numbers.empty();
+    // The first partitions come when those of former members are given away.
+    if (this->hasHeldPartitions)
+        this->share = static_cast<double>(held.numbers.size()) / std::max(held.total, 1U);
     this->refreshAll();
 }
 
@@ -274,8 +277,8 @@
     }
     const std::string& sender = this->members.at(from);
     if (const auto* request = std::get_if<QuotaRequest>(&*message)) {
-        // An earlier process at the same address is no member any more.
-        if (request->member == sender)
+        // A process that has just started is not among the owners yet, but its predecessor is.
+        if (QuotaGroup::areOfOnePlace(request->member, sender))
             this->answer(from, *request);
     } else {
         this->acceptGrant(sender, std::get<QuotaGrant>(*message));
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -205,6 +205,8 @@
             await self._append(request, writer)
         elif request.path == "/api/log-join":
             self._join(request, writer)
+        elif request.path == "/api/log-leave":
+            self._leave(request, writer)
         elif request.path == "/api/log-owners":
             self._owners(request, writer)
         else:
@@ -262,6 +264,13 @@
             if alive[index % len(alive)] == fields["member"]]
         writer.write(self.answer_json({"generation": self.generation, "ttl_ms": fields["ttl_ms"], "parts": rows}))
 
+    def _leave(self, request, writer):
+        member = request.json()["member"]
+        if self.members.pop(member, None) is not None:
+            self.generation += 1
+            self.assignment["alive"] = tuple(name for name in self.assignment.get("alive", ()) if name != member)
+        writer.write(self.answer_json({"generation": self.generation}))
+
     def _owners(self, request, writer):
         self.reads_of_owners += 1
         alive = self.assignment.get("alive", ()) if request.query["group"] == self.assignment.get("group") else ()
