Log what the identity of a request is made of

Change: `request_ended` of a request that failed has `client`, the address that it came from, and `content_of`, the parts of the identity: host, target and body as short hashes, so that a line is bounded and shows nothing of what callers sent. Answered requests have `content` too, and `server_crashed` names the first eight requests that were lost. No decision is changed.

--- a/src/include/peridotgrade/core/quarantine/crash_registry.h
+++ b/src/include/peridotgrade/core/quarantine/crash_registry.h
@@ -80,8 +80,8 @@
     /// The connection of a request to a server was lost while it may have been running there. The first of
     /// its suspects is the request itself.
     void recordLoss(const ServerCrash& incarnation, const std::vector<Suspect>& suspects, TimePoint now);
-    /// That incarnation of a server has ended. Returns the number of requests that were lost there.
-    std::size_t recordEnd(const ServerCrash& incarnation, TimePoint now);
+    /// That incarnation of a server has ended. Returns the requests that were lost there.
+    std::vector<Fingerprint> recordEnd(const ServerCrash& incarnation, TimePoint now);
     /// The incarnations of a server with lost requests, of which it is not known whether they have ended.
     std::vector<ServerCrash> undecided(const std::string& server, TimePoint now)
     {
--- a/src/include/peridotgrade/core/quarantine/request_content.h
+++ b/src/include/peridotgrade/core/quarantine/request_content.h
@@ -3,8 +3,10 @@
 
 #include "peridotgrade/core/base/ids.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace peridotgrade {
 
@@ -22,7 +24,12 @@
 
 /// Equal for equal contents, in every process.
 Fingerprint fingerprintOf(const RequestContent& content);
+/// The parts of a content for a line of the log. Parts that callers choose freely are short hashes, so that
+/// the text is bounded and tells only which contents agree in which part.
+std::string describe(const RequestContent& content);
 /// Sixteen hexadecimal digits, as logs and records have it.
 std::string textOf(Fingerprint fingerprint);
+/// The same of at most `count` fingerprints, with commas between them.
+std::string textOf(const std::vector<Fingerprint>& fingerprints, std::size_t count);
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/gateway/gateway_request.h
+++ b/src/include/peridotgrade/gateway/gateway_request.h
@@ -3,6 +3,7 @@
 
 #include "peridotgrade/core/base/ids.h"
 #include "peridotgrade/core/base/time.h"
+#include "peridotgrade/core/quarantine/request_content.h"
 #include "peridotgrade/core/quarantine/suspect.h"
 #include "peridotgrade/core/serving/prompt_cache_map.h"
 #include "peridotgrade/net/http_message.h"
@@ -32,6 +33,7 @@
     /// The caller's id of this attempt.
     std::string attempt;
     std::string host;
+    std::string clientAddress;
     /// Equal for every attempt with the same caller, method, target and body.
     Fingerprint fingerprint;
     /// Parts of the prompt that other requests share, by their identity.
@@ -52,6 +54,8 @@
 
     /// True if events of the stream were delivered by another attempt.
     bool isResumption() const { return this->lastEvent || this->resumedAttempt; }
+    /// What `fingerprint` is made of. Views of this object, valid until it changes.
+    RequestContent content() const;
     /// What it is suspected for if its server crashes: the request itself and the shared parts of its prompt.
     std::vector<Suspect> suspects() const;
 };
--- a/src/libperidotgrade/core/quarantine/crash_registry.cpp
+++ b/src/libperidotgrade/core/quarantine/crash_registry.cpp
@@ -60,13 +60,16 @@
         this->recordCrash(incarnation, std::move(lost), now);
 }
 
-std::size_t CrashRegistry::recordEnd(const ServerCrash& incarnation, TimePoint now)
+std::vector<Fingerprint> CrashRegistry::recordEnd(const ServerCrash& incarnation, TimePoint now)
 {
     std::vector<LostSuspect> lost = this->lostRuns.recordEnd(incarnation, now);
-    auto requests = std::count_if(lost.begin(), lost.end(),
-        [](const LostSuspect& each) { return each.suspect.kind == SuspectKind::Request; });
+    std::vector<Fingerprint> requests;
+    for (const LostSuspect& each : lost) {
+        if (each.suspect.kind == SuspectKind::Request)
+            requests.push_back(each.request);
+    }
     this->recordCrash(incarnation, std::move(lost), now);
-    return static_cast<std::size_t>(requests);
+    return requests;
 }
 
 void CrashRegistry::recordCrash(const ServerCrash& incarnation, std::vector<LostSuspect> lost, TimePoint now)
--- a/src/libperidotgrade/core/quarantine/crash_registry_test.cpp
+++ b/src/libperidotgrade/core/quarantine/crash_registry_test.cpp
@@ -63,7 +63,7 @@
 {
     registry.recordLoss(crashOf(1), { Poison }, Start);
     registry.recordLoss(crashOf(2), { Innocent }, Start);
-    BOOST_TEST(registry.recordEnd(crashOf(1), Start + 2s) == 1U);
+    BOOST_TEST((registry.recordEnd(crashOf(1), Start + 2s) == std::vector { Poison }));
     BOOST_TEST(registry.crashesOf(Poison) == 1U);
     BOOST_TEST(registry.crashesOf(Innocent) == 0U);
     // A loss that is noticed after the end belongs to it; one of another incarnation does not.
@@ -75,7 +75,7 @@
 BOOST_AUTO_TEST_CASE(evidenceThatComesTooLateCountsForNothing)
 {
     registry.recordLoss(crashOf(1), { Poison }, Start);
-    BOOST_TEST(registry.recordEnd(crashOf(1), Start + LostRuns::MaxEvidenceDelay + 1s) == 0U);
+    BOOST_TEST(registry.recordEnd(crashOf(1), Start + LostRuns::MaxEvidenceDelay + 1s).empty());
     BOOST_TEST(registry.crashesOf(Poison) == 0U);
 }
 
--- a/src/libperidotgrade/core/quarantine/request_content.cpp
+++ b/src/libperidotgrade/core/quarantine/request_content.cpp
@@ -3,10 +3,15 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstdio>
 
 namespace peridotgrade {
 
+namespace {
+    constexpr std::size_t ShortHashDigits = 8;
+} // namespace
+
 Fingerprint fingerprintOf(const RequestContent& content)
 {
     XXH64_hash_t hash = 0;
@@ -16,6 +21,16 @@
     return Fingerprint { hash };
 }
 
+std::string describe(const RequestContent& content)
+{
+    auto shortHash = [](std::string_view part) {
+        return textOf(Fingerprint { XXH3_64bits(part.data(), part.size()) }).substr(0, ShortHashDigits);
+    };
+    return "caller:" + std::string { content.caller } + " method:" + std::string { content.method }
+    + " host:" + shortHash(content.host) + " target:" + shortHash(content.target)
+        + " body:" + shortHash(content.body) + "/" + std::to_string(content.body.size());
+}
+
 std::string textOf(Fingerprint fingerprint)
 {
     char text[17];
@@ -23,4 +38,12 @@
     return text;
 }
 
+std::string textOf(const std::vector<Fingerprint>& fingerprints, std::size_t count)
+{
+    std::string text;
+    for (std::size_t index = 0; index < std::min(fingerprints.size(), count); ++index)
+        text += (text.empty() ? "" : ",") + textOf(fingerprints[index]);
+    return text;
+}
+
 } // namespace peridotgrade
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -21,14 +21,6 @@
     // The parts of a longer prompt do not fit a line.
     constexpr std::size_t MaxLoggedParts = 8;
 
-    std::string textOfParts(const std::vector<Fingerprint>& parts)
-    {
-        std::string text;
-        for (std::size_t index = 0; index < std::min(parts.size(), MaxLoggedParts); ++index)
-            text += (text.empty() ? "" : ",") + textOf(parts[index]);
-        return text;
-    }
-
     void logEnd(GatewayState& state, RequestContext& context, std::string_view outcome,
         std::string_view reason, std::string_view server, std::string_view detail)
     {
@@ -36,9 +28,12 @@
         writeTrace(state, context, true);
         state.log.write(LogLevel::Info, "request_ended",
             { { "request", context.request.attempt }, { "outcome", std::string { outcome } },
-                { "reason", std::string { reason } }, { "content", textOf(context.request.fingerprint) },
-                { "prompt_parts", textOfParts(context.request.promptParts) }, { "route", context.route.name },
-                { "service", context.service.raw() }, { "server", std::string { server } },
+                { "reason", std::string { reason } }, { "client", context.request.clientAddress },
+                { "content", textOf(context.request.fingerprint) },
+                { "content_of", describe(context.request.content()) },
+                { "prompt_parts", textOf(context.request.promptParts, MaxLoggedParts) },
+                { "route", context.route.name }, { "service", context.service.raw() },
+                { "server", std::string { server } },
                 { "took_ms", millisecondsText(state.now() - context.request.arrivedAt) },
                 { "left_ms", millisecondsText(context.deadline - state.now()) },
                 { "config", std::to_string(context.configuration->version.raw()) },
@@ -115,9 +110,9 @@
         state.metrics.addFirstEvent(stream->firstEvent);
     state.log.write(LogLevel::Info, "request_ended",
         { { "request", context.request.attempt }, { "outcome", "answered" },
-            { "status", std::to_string(answer.status) }, { "route", context.route.name },
-            { "service", context.service.raw() }, { "server", answer.server },
-            { "attempts", std::to_string(answer.attempts) },
+            { "status", std::to_string(answer.status) }, { "content", textOf(context.request.fingerprint) },
+            { "route", context.route.name }, { "service", context.service.raw() },
+            { "server", answer.server }, { "attempts", std::to_string(answer.attempts) },
             { "framing", std::string { nameOf(answer.framing) } },
             { "first_event_ms", stream ? millisecondsText(stream->firstEvent) : "" },
             { "longest_pause_ms", stream ? millisecondsText(stream->longestPause) : "" },
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -1,6 +1,8 @@
 // Timers, retry budgets, server selection and directory changes of the shared state.
 #include "peridotgrade/gateway/gateway_state.h"
 
+#include "peridotgrade/core/quarantine/request_content.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -19,6 +21,9 @@
     // late answers near saturation.
     constexpr double PrefillSelectivity = 5;
 
+    // More lost requests of one server do not fit a line.
+    constexpr std::size_t MaxLoggedContents = 8;
+
     // Evidence that a server has ended: its address refuses connections.
     constexpr std::string_view RefusedEvidence = "refused";
 
@@ -290,13 +295,13 @@
 {
     if (evidence == RefusedEvidence && this->onServerEnded)
         this->onServerEnded(incarnation);
-    std::size_t lost = this->crashes.recordEnd(incarnation, this->now());
-    if (lost == 0)
+    std::vector<Fingerprint> lost = this->crashes.recordEnd(incarnation, this->now());
+    if (lost.empty())
         return;
     this->metrics.countServerCrash(std::string { evidence });
     this->log.write(LogLevel::Warn, "server_crashed",
         { { "server", incarnation.server }, { "evidence", std::string { evidence } },
-            { "requests", std::to_string(lost) } });
+            { "requests", std::to_string(lost.size()) }, { "contents", textOf(lost, MaxLoggedContents) } });
 }
 
 void GatewayState::noteEndsInList(const DirectoryChange& change)
