Identify a request by its content, not by the address that it came from

Cause: the fingerprint that the entries count crashes by had the client's address. Callers of the users' platform come again from another address at another entry, so each attempt was a new suspect. Class: an identity that holds what belongs to the way of an attempt and not to the request, so that a limit over attempts never adds up. Change: the fingerprint is made of the tenant, method, host, target and body: what servers receive that the caller chose. The tenant's name is part of it, since servers are told, so one tenant's request does not get another's rejected; the key is not, since it may be replaced. Without tenants, equal requests of all callers are one. The address is logged only.

--- a/src/include/peridotgrade/core/quarantine/request_content.h
+++ b/src/include/peridotgrade/core/quarantine/request_content.h
@@ -10,11 +10,12 @@
 
 namespace peridotgrade {
 
-/// What makes two attempts of a caller the same request. Fields that differ from one attempt to the next, as
-/// ids and time limits do, are not part of it.
+/// What makes two attempts the same request: what servers receive of it and its caller chose. What differs
+/// from one attempt to the next is not part of it: ids and time limits, and everything of the way that it
+/// came, as the client's address, the connection, and the entry.
 struct RequestContent {
-    /// Address or name of the caller; empty if it is not known.
-    std::string_view caller;
+    /// The tenant to which the caller's key belongs, since servers are told; empty without one.
+    std::string_view tenant;
     std::string_view method;
     std::string_view host;
     /// Path and query.
--- a/src/include/peridotgrade/gateway/gateway_request.h
+++ b/src/include/peridotgrade/gateway/gateway_request.h
@@ -33,8 +33,11 @@
     /// The caller's id of this attempt.
     std::string attempt;
     std::string host;
+    /// For logs only: attempts of one request come from several addresses, and callers share addresses.
     std::string clientAddress;
-    /// Equal for every attempt with the same caller, method, target and body.
+    /// Name of the tenant whose key the caller showed; empty without one.
+    std::string tenant;
+    /// Equal for every attempt with the same `content`.
     Fingerprint fingerprint;
     /// Parts of the prompt that other requests share, by their identity.
     std::vector<Fingerprint> promptParts;
--- a/src/libperidotgrade/core/quarantine/request_content.cpp
+++ b/src/libperidotgrade/core/quarantine/request_content.cpp
@@ -16,7 +16,7 @@
 {
     XXH64_hash_t hash = 0;
     for (std::string_view part :
-        { content.caller, content.method, content.host, content.target, content.body })
+        { content.tenant, content.method, content.host, content.target, content.body })
         hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
     return Fingerprint { hash };
 }
@@ -26,7 +26,7 @@
     auto shortHash = [](std::string_view part) {
         return textOf(Fingerprint { XXH3_64bits(part.data(), part.size()) }).substr(0, ShortHashDigits);
     };
-    return "caller:" + std::string { content.caller } + " method:" + std::string { content.method }
+    return "tenant:" + std::string { content.tenant } + " method:" + std::string { content.method }
     + " host:" + shortHash(content.host) + " target:" + shortHash(content.target)
         + " body:" + shortHash(content.body) + "/" + std::to_string(content.body.size());
 }
--- a/src/libperidotgrade/core/quarantine/request_content_test.cpp
+++ b/src/libperidotgrade/core/quarantine/request_content_test.cpp
@@ -9,10 +9,10 @@
 
 BOOST_AUTO_TEST_CASE(everyPartOfTheContentCounts)
 {
-    const RequestContent content { "10.0.0.1", "POST", "site.example", "/a?b=1", "body" };
+    const RequestContent content { "mills", "POST", "site.example", "/a?b=1", "body" };
     Fingerprint fingerprint = fingerprintOf(content);
     BOOST_TEST((fingerprintOf(content) == fingerprint));
-    for (auto part : { &RequestContent::caller, &RequestContent::method, &RequestContent::host,
+    for (auto part : { &RequestContent::tenant, &RequestContent::method, &RequestContent::host,
              &RequestContent::target, &RequestContent::body }) {
         RequestContent other = content;
         other.*part = "other";
@@ -30,11 +30,11 @@
 // Guards against a log that cannot tell a repeated request from other ones.
 BOOST_AUTO_TEST_CASE(descriptionShowsInWhichPartTwoContentsDiffer)
 {
-    const RequestContent content { "10.0.0.1", "POST", "site.example", "/a?name=secret", "body" };
+    const RequestContent content { "mills", "POST", "site.example", "/a?name=secret", "body" };
     std::string text = describe(content);
     BOOST_TEST(text.find("secret") == std::string::npos);
     BOOST_TEST(text.find("/4") != std::string::npos);
-    for (auto part : { &RequestContent::caller, &RequestContent::method, &RequestContent::host,
+    for (auto part : { &RequestContent::tenant, &RequestContent::method, &RequestContent::host,
              &RequestContent::target, &RequestContent::body }) {
         RequestContent other = content;
         other.*part = "other";
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -233,13 +233,16 @@
         }
         const auto& configuration = checked.configuration;
         const ServiceRoute* route = checked.route;
-        auto parsed = parseCallerRequest(exchange.request(), exchange.clientAddress(), this->state.now());
+        const Tenant* tenant = checked.caller.tenant();
+        auto parsed = parseCallerRequest(exchange.request(),
+            tenant != nullptr ? tenant->name.raw() : std::string_view {}, this->state.now());
         if (auto* problem = std::get_if<std::string>(&parsed)) {
             this->state.log.write(LogLevel::Warn, "request_malformed", { { "detail", *problem } });
             co_await exchange.respond(rejectionResponse(400, *problem));
             co_return;
         }
         auto& request = std::get<GatewayRequest>(parsed);
+        request.clientAddress = exchange.clientAddress();
         checked.caller.applyTo(request.message);
         request.body = std::make_shared<const std::string>(exchange.takeBody());
         if (!configuration || !this->state.hasServers || !this->crashLog.isStarted()) {
@@ -257,8 +260,7 @@
             co_await exchange.respond(rejectionResponse(404, "no route"));
             co_return;
         }
-        co_await this->serveRoute(
-            exchange, std::move(request), configuration, *route, checked.caller.tenant());
+        co_await this->serveRoute(exchange, std::move(request), configuration, *route, tenant);
     }
 
     asio::awaitable<void> serveRoute(HttpExchange& exchange, GatewayRequest request,
--- a/src/libperidotgrade/gateway/gateway_request.cpp
+++ b/src/libperidotgrade/gateway/gateway_request.cpp
@@ -5,7 +5,7 @@
 
 RequestContent GatewayRequest::content() const
 {
-    return { this->clientAddress, this->message.method, this->host, this->message.target,
+    return { this->tenant, this->message.method, this->host, this->message.target,
         this->body ? std::string_view { *this->body } : std::string_view {} };
 }
 
