Try a popular request before holding it for crashes it ran beside

What callers saw: a read that many send was answered 503 for an hour after three servers on which it was running had crashed at once for a cause of their own. Cause: crashes were counted as evidence against whatever was running. A request that runs everywhere at all times is in every crash, and its count outgrew that of guilty ones, whose crashes it then explained. Class: correlation taken for cause where the base rate is not known. Unless another one shares them it is on probation: rejected but for one trial at a time over all entries. The right to a trial is claimed by an append that the store takes only if the claimant has read all records. An answer clears the request everywhere; two trials that end in crashes quarantine it. It explains no crash until then. Entries that saw it answered say so in the records of others.

--- a/src/include/peridotgrade/core/quarantine/crash_registry.h
+++ b/src/include/peridotgrade/core/quarantine/crash_registry.h
@@ -9,12 +9,17 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
 namespace peridotgrade {
 
+/// A trial of a request on probation. The next one may begin once its owners have given it up.
+class Trial { };
+
 /// A suspect was running on a server when it crashed. The entries share such records: each counts those of
 /// all of them, so that three crashes at three entries quarantine a request at every one.
 struct CrashRecord {
@@ -22,8 +27,10 @@
     ServerCrash crash;
     /// A request that had the suspect there.
     Fingerprint request;
-    /// A request that the entry which saw the crash had seen answered shortly before.
+    /// A request that an entry had seen answered shortly before.
     bool wasAnswered = false;
+    /// A request on probation that was sent as a trial.
+    bool wasTrial = false;
 
     // clang-tidy 14 mistakes the zero of a rewritten comparison for a null pointer.
     // NOLINTNEXTLINE(modernize-use-nullptr)
@@ -35,10 +42,11 @@
 /// shared part of prompts that was lost with four different requests, with all requests that have it. What
 /// has counted twice is no longer repeated by the entry itself, but sent if its caller sends it again. A
 /// complete answer clears a request that is suspect, and a part of prompts whatever it is: servers that
-/// answer it do not crash of it. A request that was answered of late, and has lost all or all but one of its
-/// crashes beside one that was not, is not quarantined for them. Parts that this entry has seen answered of
-/// late are not recorded, and others' records of them are withdrawn, so that the parts that most requests
-/// share need no records. Not thread safe.
+/// answer it do not crash of it. A request that was answered of late is not quarantined for its crashes
+/// alone: it is not held if another one, not answered of late, shares them, and else it is on probation,
+/// where it is sent as a trial only. Parts that this entry has seen answered of late are not recorded, and
+/// others' records of them are withdrawn, so that the parts that most requests share need no records. Not
+/// thread safe.
 class CrashRegistry {
 public:
     static constexpr QuarantineLimits Limits { 4096, 3, 4 };
@@ -48,6 +56,11 @@
     static constexpr std::chrono::hours RequestLifetime { 1 };
     /// Shorter, since a part that is held wrongly rejects the requests of many callers.
     static constexpr std::chrono::minutes PartLifetime { 10 };
+    /// From the last crash to a trial, and from one that could not begin to the next: other runs that were
+    /// under way have mostly ended by then.
+    static constexpr std::chrono::seconds TrialDelay { 1 };
+    /// From the begin of one trial to that of the next.
+    static constexpr std::chrono::seconds TrialInterval { 2 };
     /// Bounds the memory at some megabytes. The oldest records are dropped first.
     static constexpr std::size_t MaxRecords = 8192;
 
@@ -58,6 +71,8 @@
         std::function<void(const CrashRecord&)> onWithdrawn;
         /// A suspect is quarantined from now on.
         std::function<void(const Suspect&)> onQuarantined;
+        /// A request is on probation from now on.
+        std::function<void(const Suspect&)> onProbation;
     };
 
     void setCallbacks(Callbacks newCallbacks) { this->callbacks = std::move(newCallbacks); }
@@ -68,6 +83,17 @@
     }
     /// The suspect of a request for which it may not be sent, if there is one.
     std::optional<Suspect> quarantinedAmong(const std::vector<Suspect>& suspects) const;
+    bool isOnProbation(const Suspect& suspect) const
+    {
+        return this->quarantine.stateOf(suspect) == QuarantineState::Probation;
+    }
+    /// All that is on probation.
+    std::vector<Suspect> onProbation() const { return { this->probation.begin(), this->probation.end() }; }
+    /// Begins a trial of a request on probation. Null if one is running, or the last one or the last crash
+    /// was too short a time ago.
+    std::shared_ptr<Trial> beginTrial(const Suspect& suspect, TimePoint now);
+    /// Another entry has begun a trial, or this one may.
+    void noteTrial(const Suspect& suspect, TimePoint now);
     /// False if the entry may not send a request with these suspects once more by itself.
     bool mayRepeat(const std::vector<Suspect>& suspects) const;
     std::uint32_t crashesOf(const Suspect& suspect) const { return this->quarantine.crashesOf(suspect); }
@@ -78,8 +104,9 @@
     std::vector<ServerCrash> crashesOnRecord(const Suspect& suspect) const;
 
     /// The connection of a request to a server was lost while it may have been running there. The first of
-    /// its suspects is the request itself.
-    void recordLoss(const ServerCrash& incarnation, const std::vector<Suspect>& suspects, TimePoint now);
+    /// its suspects is the request itself, which `wasTrial` is about.
+    void recordLoss(const ServerCrash& incarnation, const std::vector<Suspect>& suspects, TimePoint now,
+        bool wasTrial = false);
     /// That incarnation of a server has ended. Returns the requests that were lost there.
     std::vector<Fingerprint> recordEnd(const ServerCrash& incarnation, TimePoint now);
     /// The incarnations of a server with lost requests, of which it is not known whether they have ended.
@@ -107,6 +134,10 @@
 private:
     /// Records what was lost in a crash that this entry has seen, and publishes it.
     void recordCrash(const ServerCrash& incarnation, std::vector<LostSuspect> lost, TimePoint now);
+    /// Publishes that this entry has seen a request answered before a crash which another one has recorded.
+    void publishAnswer(const CrashRecord& record);
+    /// Looks which of the suspects are on probation.
+    void updateProbation(const std::vector<CrashReport>& reports);
     bool isAnsweredRequest(const Suspect& suspect, TimePoint now) const;
     bool isAnsweredPart(const Suspect& suspect, TimePoint now) const;
     void add(const std::vector<CrashReport>& reports, TimePoint now);
@@ -120,13 +151,22 @@
     AnsweredParts answeredParts;
     AnsweredParts answeredRequests;
     struct Entry {
-        TimePoint expiry;
+        TimePoint recordedAt;
         Fingerprint request;
         bool wasAnswered = false;
+        bool wasTrial = false;
+    };
+    struct LastTrial {
+        TimePoint nextAt;
+        std::weak_ptr<Trial> running;
     };
 
     /// The records. Invariant: at most `MaxRecords`.
     std::map<std::pair<Suspect, ServerCrash>, Entry> entries;
+    /// Invariant: of suspects with records only.
+    std::set<Suspect> probation;
+    /// Invariant: of suspects with records only.
+    std::map<Suspect, LastTrial> trials;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/core/quarantine/suspect.h
+++ b/src/include/peridotgrade/core/quarantine/suspect.h
@@ -56,6 +56,8 @@
     Fingerprint request;
     /// A request of which some server gave a complete answer shortly before.
     bool wasAnswered = false;
+    /// A request on probation that was sent as a trial.
+    bool wasTrial = false;
 };
 
 /// As logs and records have it: sixteen hexadecimal digits, after `part-` for a part of prompts.
--- a/src/include/peridotgrade/gateway/crash_log.h
+++ b/src/include/peridotgrade/gateway/crash_log.h
@@ -14,8 +14,10 @@
 
 /// Publishes the crashes that this entry has seen, at once, and applies those of the others. The topic is
 /// keyed, with one record for each suspect and crash, so that entries never overwrite each other's records
-/// and repeating one has no effect. A record without a value withdraws it. While the store is away, each
-/// entry counts what it knows, and publishes the rest when the store is back. Runs on the gateway's thread.
+/// and repeating one has no effect. A record without a value withdraws it. The right to a trial of a request
+/// on probation is claimed by a record too, which is appended only if the topic ends where this entry has
+/// read to. While the store is away, each entry counts what it knows, and publishes the rest when the store
+/// is back. Runs on the gateway's thread.
 class CrashLog {
 public:
     CrashLog(GatewayState& state, StoreClient& store);
@@ -32,7 +34,12 @@
     void publishSoon(StoreRecord record);
     boost::asio::awaitable<void> publish();
     void expireLater();
+    /// Gets the right to a trial if nothing has been published that this entry has not read, other claims
+    /// included.
+    boost::asio::awaitable<bool> claimTrial(Suspect suspect);
     void logQuarantined(const Suspect& suspect);
+    void logProbation(const Suspect& suspect);
+    std::string serversOf(const Suspect& suspect) const;
 
     GatewayState& state;
     StoreClient& store;
--- a/src/include/peridotgrade/gateway/final_answer.h
+++ b/src/include/peridotgrade/gateway/final_answer.h
@@ -47,7 +47,7 @@
 boost::asio::awaitable<void> answerNotRun(GatewayState& state, RequestContext& context,
     std::string_view reason, std::optional<std::chrono::milliseconds> retryAfter,
     std::string_view server = {});
-/// Answers that the request is quarantined and has not been sent to any server.
+/// Answers that the request is quarantined, or on probation and no trial, and has not run.
 boost::asio::awaitable<void> answerQuarantined(GatewayState& state, RequestContext& context);
 /// Answers that the request is over the quota of its tenant and has not run.
 boost::asio::awaitable<void> answerOverQuota(
--- a/src/include/peridotgrade/gateway/gateway_request.h
+++ b/src/include/peridotgrade/gateway/gateway_request.h
@@ -3,6 +3,7 @@
 
 #include "peridotgrade/core/base/ids.h"
 #include "peridotgrade/core/base/time.h"
+#include "peridotgrade/core/quarantine/crash_registry.h"
 #include "peridotgrade/core/quarantine/request_content.h"
 #include "peridotgrade/core/quarantine/suspect.h"
 #include "peridotgrade/core/serving/prompt_cache_map.h"
@@ -10,6 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -39,6 +41,8 @@
     std::string tenant;
     /// Equal for every attempt with the same `content`.
     Fingerprint fingerprint;
+    /// While it is sent as a trial of a request on probation.
+    std::shared_ptr<Trial> trial;
     /// Parts of the prompt that other requests share, by their identity.
     std::vector<Fingerprint> promptParts;
     /// The same with their sizes.
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -18,6 +18,7 @@
 #include "peridotgrade/core/serving/server_pace.h"
 #include "peridotgrade/core/serving/version_history.h"
 #include "peridotgrade/gateway/gateway_metrics.h"
+#include "peridotgrade/gateway/gateway_request.h"
 #include "peridotgrade/gateway/gateway_settings.h"
 #include "peridotgrade/gateway/memory_budgets.h"
 #include "peridotgrade/gateway/server_clients.h"
@@ -97,12 +98,17 @@
     void noteServerNotice(const ServerRecord& server, const ServerNotice& notice);
     /// Records a failed call in the health of its server.
     void noteFailure(const ServerId& server, const CallFailure& failure);
+    /// Begins a trial if the request is on probation and no other entry has a trial of it, which lasts as
+    /// long as `request`.
+    boost::asio::awaitable<void> tryProbation(GatewayRequest& request);
+    /// True if the request may not be sent to a server, or only as a trial and is none.
+    bool isHeld(const GatewayRequest& request) const;
     /// The connection of a request to a server was lost while it may have been running there. Returns once
     /// it is known whether the server has ended, as far as that can be known at once.
-    boost::asio::awaitable<void> noteLostRun(ServerId server, std::vector<Suspect> suspects);
+    boost::asio::awaitable<void> noteLostRun(ServerId server, const GatewayRequest& request);
     /// The server did not answer a request in time. If it turns out to have ended, that counts like a lost
     /// connection: some servers end without a word.
-    void noteSilentRun(const ServerId& server, const std::vector<Suspect>& suspects);
+    void noteSilentRun(const ServerId& server, const GatewayRequest& request);
     /// A server has answered a request with these suspects. An answer whose end only the end of its
     /// connection marks may have been broken off between two events, so it shows something new only if the
     /// server is still there.
@@ -137,6 +143,8 @@
     std::function<void()> onMixedVersions;
     /// Called when the address of a server refuses connections, also if no request was lost there.
     std::function<void(const ServerCrash&)> onServerEnded;
+    /// Asks for the right to a trial of a request, which one entry gets at a time.
+    std::function<boost::asio::awaitable<bool>(Suspect)> claimTrial;
     /// Called when a report shows that an engine is taking another role; the time is that of a role switch.
     std::function<void(const ServerRecord&, ServerRole, std::chrono::milliseconds)> onRoleChangeSeen;
     ServerHealth health;
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -82,7 +82,6 @@
     /// Takes the KV cache of a failed hand-over, if its engine still keeps it.
     std::optional<KvLocation> takeUnusedCache();
 
-    bool isQuarantined() const;
     /// A prefill or run of this attempt has been sent.
     bool hasReachedServer() const { return this->runs > 0 || this->retryAccounting.prefillsReached() > 0; }
     bool isFirstAttempt() const;
--- a/src/include/peridotgrade/gateway/plain_call.h
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -43,7 +43,6 @@
     bool takeResendBudget();
     void noteNoSend(std::string_view limit);
     bool canRunAgain() const;
-    bool isQuarantined() const;
     Duration attemptTime() const;
 
     GatewayState& state;
--- a/src/include/peridotgrade/gateway/store_watch.h
+++ b/src/include/peridotgrade/gateway/store_watch.h
@@ -47,6 +47,8 @@
     StoreWatch(GatewayState& state, StoreClient& store, WatchedTopic topic, Callbacks callbacks);
     /// Runs until the process ends.
     boost::asio::awaitable<void> run();
+    /// Up to where the topic has been read; nothing while the store cannot be read.
+    std::optional<LogOffset> position() const { return this->next; }
 
 private:
     boost::asio::awaitable<bool> relist();
--- a/src/libperidotgrade/core/quarantine/crash_registry.cpp
+++ b/src/libperidotgrade/core/quarantine/crash_registry.cpp
@@ -8,10 +8,12 @@
 
 namespace {
 
-    Duration lifetimeOf(const Suspect& suspect)
+    /// When a record that became known at `recordedAt` no longer counts.
+    TimePoint expiryOf(const Suspect& suspect, TimePoint recordedAt)
     {
-        return suspect.kind == SuspectKind::PromptPart ? Duration { CrashRegistry::PartLifetime }
-                                                       : Duration { CrashRegistry::RequestLifetime };
+        return recordedAt
+            + (suspect.kind == SuspectKind::PromptPart ? Duration { CrashRegistry::PartLifetime }
+                                                       : Duration { CrashRegistry::RequestLifetime });
     }
 
 } // namespace
@@ -37,7 +39,7 @@
     TimePoint last = now;
     auto record = this->entries.lower_bound({ suspect, {} });
     for (; record != this->entries.end() && record->first.first == suspect; ++record)
-        last = std::max(last, record->second.expiry);
+        last = std::max(last, expiryOf(suspect, record->second.recordedAt));
     return last - now;
 }
 
@@ -50,12 +52,36 @@
     return result;
 }
 
+std::shared_ptr<Trial> CrashRegistry::beginTrial(const Suspect& suspect, TimePoint now)
+{
+    if (!this->isOnProbation(suspect))
+        return nullptr;
+    auto record = this->entries.lower_bound({ suspect, {} });
+    for (; record != this->entries.end() && record->first.first == suspect; ++record) {
+        if (now - record->second.recordedAt < TrialDelay)
+            return nullptr;
+    }
+    auto last = this->trials.find(suspect);
+    if (last != this->trials.end() && (!last->second.running.expired() || now < last->second.nextAt))
+        return nullptr;
+    auto trial = std::make_shared<Trial>();
+    this->trials[suspect] = { now + TrialDelay, trial };
+    return trial;
+}
+
+void CrashRegistry::noteTrial(const Suspect& suspect, TimePoint now)
+{
+    if (this->isOnProbation(suspect))
+        this->trials[suspect].nextAt = now + TrialInterval;
+}
+
 void CrashRegistry::recordLoss(
-    const ServerCrash& incarnation, const std::vector<Suspect>& suspects, TimePoint now)
+    const ServerCrash& incarnation, const std::vector<Suspect>& suspects, TimePoint now, bool wasTrial)
 {
     std::vector<LostSuspect> lost;
     for (const Suspect& suspect : suspects)
         lost.emplace_back(suspect, suspects.front().content);
+    lost.front().wasTrial = wasTrial;
     if (this->lostRuns.recordLoss(incarnation, lost, now))
         this->recordCrash(incarnation, std::move(lost), now);
 }
@@ -80,7 +106,8 @@
     this->add({ { incarnation, lost } }, now);
     for (const LostSuspect& each : lost) {
         if (this->callbacks.onRecorded)
-            this->callbacks.onRecorded({ each.suspect, incarnation, each.request, each.wasAnswered });
+            this->callbacks.onRecorded(
+                { each.suspect, incarnation, each.request, each.wasAnswered, each.wasTrial });
     }
 }
 
@@ -90,7 +117,7 @@
         bool isPart = suspect.kind == SuspectKind::PromptPart;
         (isPart ? this->answeredParts : this->answeredRequests).record(suspect.content, now);
         QuarantineState state = this->quarantine.stateOf(suspect);
-        if (state == QuarantineState::Suspect || (isPart && state == QuarantineState::Quarantined))
+        if (state != QuarantineState::Clean && (isPart || state != QuarantineState::Quarantined))
             this->withdraw(suspect);
     }
 }
@@ -121,11 +148,21 @@
         if (this->isAnsweredPart(record.suspect, now)) {
             if (this->callbacks.onWithdrawn)
                 this->callbacks.onWithdrawn(record);
-        } else if (!this->entries.contains({ record.suspect, record.crash })) {
-            LostSuspect lost { record.suspect, record.request };
-            lost.wasAnswered = record.wasAnswered || this->isAnsweredRequest(record.suspect, now);
-            running[record.crash].push_back(lost);
+            continue;
         }
+        auto known = this->entries.find({ record.suspect, record.crash });
+        bool isNews = known == this->entries.end() || (record.wasAnswered && !known->second.wasAnswered)
+            || (record.wasTrial && !known->second.wasTrial);
+        if (!isNews)
+            continue;
+        LostSuspect lost { record.suspect, record.request };
+        lost.wasAnswered = record.wasAnswered;
+        lost.wasTrial = record.wasTrial;
+        if (!record.wasAnswered && this->isAnsweredRequest(record.suspect, now)) {
+            lost.wasAnswered = true;
+            this->publishAnswer(record);
+        }
+        running[record.crash].push_back(lost);
     }
     std::vector<CrashReport> reports;
     for (auto& [crash, lost] : running)
@@ -133,6 +170,14 @@
     this->add(reports, now);
 }
 
+void CrashRegistry::publishAnswer(const CrashRecord& record)
+{
+    CrashRecord answered = record;
+    answered.wasAnswered = true;
+    if (this->callbacks.onRecorded)
+        this->callbacks.onRecorded(answered);
+}
+
 void CrashRegistry::applyWithdrawal(const Suspect& suspect) { this->erase(suspect); }
 
 bool CrashRegistry::release(const Suspect& suspect) { return this->withdraw(suspect); }
@@ -142,7 +187,7 @@
     std::set<Suspect> live;
     std::set<Suspect> ended;
     for (const auto& [record, entry] : this->entries)
-        (entry.expiry > now ? live : ended).insert(record.first);
+        (expiryOf(record.first, entry.recordedAt) > now ? live : ended).insert(record.first);
     for (const Suspect& suspect : ended) {
         if (!live.contains(suspect))
             this->withdraw(suspect);
@@ -153,25 +198,43 @@
 {
     std::vector<CrashRecord> result;
     for (const auto& [record, entry] : this->entries)
-        result.push_back({ record.first, record.second, entry.request, entry.wasAnswered });
+        result.push_back({ record.first, record.second, entry.request, entry.wasAnswered, entry.wasTrial });
     return result;
 }
 
 void CrashRegistry::add(const std::vector<CrashReport>& reports, TimePoint now)
 {
     for (const CrashReport& report : reports) {
-        for (const LostSuspect& lost : report.running)
-            this->entries.try_emplace({ lost.suspect, report.crash },
-                Entry { now + lifetimeOf(lost.suspect), lost.request, lost.wasAnswered });
+        for (const LostSuspect& lost : report.running) {
+            Entry& entry
+                = this->entries.try_emplace({ lost.suspect, report.crash }, Entry { now, lost.request })
+                      .first->second;
+            entry.wasAnswered = entry.wasAnswered || lost.wasAnswered;
+            entry.wasTrial = entry.wasTrial || lost.wasTrial;
+        }
     }
     auto quarantinedNow = this->quarantine.recordCrashes(reports);
     this->dropOldest();
+    this->updateProbation(reports);
     for (const Suspect& suspect : quarantinedNow) {
         if (this->callbacks.onQuarantined)
             this->callbacks.onQuarantined(suspect);
     }
 }
 
+void CrashRegistry::updateProbation(const std::vector<CrashReport>& reports)
+{
+    std::erase_if(this->probation, [this](const Suspect& each) { return !this->isOnProbation(each); });
+    for (const CrashReport& report : reports) {
+        for (const LostSuspect& lost : report.running) {
+            if (!this->isOnProbation(lost.suspect) || !this->probation.insert(lost.suspect).second)
+                continue;
+            if (this->callbacks.onProbation)
+                this->callbacks.onProbation(lost.suspect);
+        }
+    }
+}
+
 bool CrashRegistry::withdraw(const Suspect& suspect)
 {
     std::vector<ServerCrash> crashes = this->crashesOnRecord(suspect);
@@ -190,6 +253,8 @@
     while (last != this->entries.end() && last->first.first == suspect)
         ++last;
     this->entries.erase(first, last);
+    this->probation.erase(suspect);
+    this->trials.erase(suspect);
     this->quarantine.release(suspect);
 }
 
@@ -198,7 +263,8 @@
     while (this->entries.size() > MaxRecords) {
         // What is quarantined is dropped last.
         auto rank = [this](const auto& each) {
-            return std::pair { this->isQuarantined(each.first.first), each.second.expiry };
+            const Suspect& suspect = each.first.first;
+            return std::pair { this->isQuarantined(suspect), expiryOf(suspect, each.second.recordedAt) };
         };
         auto oldest = std::min_element(this->entries.begin(), this->entries.end(),
             [&](const auto& one, const auto& other) { return rank(one) < rank(other); });
--- a/src/libperidotgrade/core/quarantine/lost_runs.cpp
+++ b/src/libperidotgrade/core/quarantine/lost_runs.cpp
@@ -23,20 +23,22 @@
 std::vector<LostSuspect> LostRuns::recordEnd(const ServerCrash& incarnation, TimePoint now)
 {
     this->removeExpired(now);
-    std::map<Suspect, Fingerprint> requests;
+    std::map<Suspect, LostSuspect> found;
     std::erase_if(this->losses, [&](const Loss& loss) {
         if (loss.incarnation != incarnation)
             return false;
-        for (const LostSuspect& lost : loss.lost)
-            requests.try_emplace(lost.suspect, lost.request);
+        for (const LostSuspect& lost : loss.lost) {
+            LostSuspect& known = found.try_emplace(lost.suspect, lost).first->second;
+            known.wasTrial = known.wasTrial || lost.wasTrial;
+        }
         return true;
     });
     this->ends.push_back({ now, incarnation });
     if (this->ends.size() > MaxLosses)
         this->ends.pop_front();
     std::vector<LostSuspect> result;
-    for (const auto& [suspect, request] : requests)
-        result.emplace_back(suspect, request);
+    for (const auto& [suspect, lost] : found)
+        result.push_back(lost);
     return result;
 }
 
--- a/src/libperidotgrade/core/quarantine/quarantine.cpp
+++ b/src/libperidotgrade/core/quarantine/quarantine.cpp
@@ -11,20 +11,31 @@
 
 namespace {
 
-    // Further crashes of one suspect are not remembered.
+    // Further crashes of one suspect are not remembered, but for those of trials.
     constexpr std::size_t MaxCrashes = 16;
 
     using SuspectList = std::list<Suspect>;
 
+    struct Loss {
+        /// A request that had the suspect.
+        Fingerprint request;
+        bool wasAnswered = false;
+        bool wasTrial = false;
+    };
+
     struct Record {
+        /// Invariant: `Suspect` or `Quarantined`; whether a suspect is on probation depends on all others.
         QuarantineState state = QuarantineState::Suspect;
-        /// The crashes while the suspect was running, and a request that had it. Invariant: at most
-        /// `MaxCrashes`.
-        std::map<ServerCrash, Fingerprint> crashes;
-        /// It had been answered shortly before its last crash.
-        bool wasAnswered = false;
+        /// The crashes while the suspect was running. Invariant: at most `MaxCrashes` that were no trials.
+        std::map<ServerCrash, Loss> crashes;
         /// Invariant: points into the list that matches the state.
         SuspectList::iterator position;
+
+        bool wasAnswered() const
+        {
+            return std::any_of(this->crashes.begin(), this->crashes.end(),
+                [](const auto& each) { return each.second.wasAnswered; });
+        }
     };
 
 } // namespace
@@ -39,7 +50,10 @@
     QuarantineState stateOf(const Suspect& suspect) const
     {
         auto found = this->records.find(suspect);
-        return found == this->records.end() ? QuarantineState::Clean : found->second.state;
+        if (found == this->records.end())
+            return QuarantineState::Clean;
+        bool isSuspect = found->second.state == QuarantineState::Suspect;
+        return isSuspect && this->isOnProbation(suspect) ? QuarantineState::Probation : found->second.state;
     }
 
     std::uint32_t crashesOf(const Suspect& suspect) const
@@ -75,7 +89,8 @@
 
     void clearSuspect(const Suspect& suspect)
     {
-        if (this->stateOf(suspect) == QuarantineState::Suspect)
+        auto found = this->records.find(suspect);
+        if (found != this->records.end() && found->second.state == QuarantineState::Suspect)
             this->release(suspect);
     }
 
@@ -86,7 +101,7 @@
             return;
         record.state = QuarantineState::Quarantined;
         this->quarantineOrder.splice(this->quarantineOrder.end(), this->suspectOrder, record.position);
-        for (const auto& [crash, request] : record.crashes)
+        for (const auto& [crash, loss] : record.crashes)
             this->explained[crash].insert(suspect);
         if (suspect.kind == SuspectKind::PromptPart)
             this->reconsiderRequests();
@@ -118,7 +133,7 @@
         if (found != this->records.end())
             return found->second;
         auto position = this->suspectOrder.insert(this->suspectOrder.end(), suspect);
-        return this->records.emplace(suspect, Record { QuarantineState::Suspect, {}, false, position })
+        return this->records.emplace(suspect, Record { QuarantineState::Suspect, {}, position })
             .first->second;
     }
 
@@ -133,30 +148,69 @@
         bool isPart = suspect.kind == SuspectKind::PromptPart;
         std::uint32_t crashes = 0;
         std::set<Fingerprint> requests;
-        for (const auto& [crash, request] : record.crashes) {
+        for (const auto& [crash, loss] : record.crashes) {
             if (isPart ? this->isExplainedByPart(crash) : this->explained.contains(crash))
                 continue;
             ++crashes;
-            requests.insert(request);
+            requests.insert(loss.request);
         }
         return isPart ? static_cast<std::uint32_t>(requests.size()) : crashes;
     }
 
+    /// Trials that were lost in crashes which nothing else explains.
+    std::uint32_t countFailedTrials(const Record& record) const
+    {
+        return static_cast<std::uint32_t>(
+            std::count_if(record.crashes.begin(), record.crashes.end(), [this](const auto& each) {
+                return each.second.wasTrial && !this->explained.contains(each.first);
+            }));
+    }
+
+    /// True if crashes alone do not show that the suspect causes them.
+    bool needsTrials(const Suspect& suspect, const Record& record) const
+    {
+        return suspect.kind == SuspectKind::Request && record.wasAnswered()
+            && this->countFailedTrials(record) < this->limits.failedTrials;
+    }
+
+    bool isOnProbation(const Suspect& suspect) const
+    {
+        const Record& record = this->records.at(suspect);
+        std::uint32_t crashes = this->countCrashes(suspect, record);
+        return crashes >= this->limits.crashes && this->needsTrials(suspect, record)
+            && !this->wasProbablyBeside(suspect, crashes);
+    }
+
     void addCrash(const LostSuspect& lost, const ServerCrash& crash)
     {
         Record& record = this->recordOf(lost.suspect);
-        if (record.crashes.size() >= MaxCrashes)
+        bool wasAnswered = record.wasAnswered();
+        bool isNew = !record.crashes.contains(crash);
+        if (isNew && record.crashes.size() >= MaxCrashes && !lost.wasTrial)
             return;
-        bool isNew = record.crashes.try_emplace(crash, lost.request).second;
-        if (isNew)
-            record.wasAnswered = lost.wasAnswered;
-        if (isNew && record.state == QuarantineState::Quarantined)
+        Loss& loss = record.crashes.try_emplace(crash, Loss { lost.request }).first->second;
+        // Another process may know more of a crash on record.
+        loss.wasAnswered = loss.wasAnswered || lost.wasAnswered;
+        loss.wasTrial = loss.wasTrial || lost.wasTrial;
+        if (record.state != QuarantineState::Quarantined)
+            return;
+        if (!wasAnswered && lost.wasAnswered)
+            this->makeSuspect(lost.suspect, record);
+        else if (isNew)
             this->explained[crash].insert(lost.suspect);
     }
 
+    /// Takes a quarantine back.
+    void makeSuspect(const Suspect& suspect, Record& record)
+    {
+        record.state = QuarantineState::Suspect;
+        this->suspectOrder.splice(this->suspectOrder.end(), this->quarantineOrder, record.position);
+        this->unexplain(suspect, record);
+    }
+
     void unexplain(const Suspect& suspect, const Record& record)
     {
-        for (const auto& [crash, request] : record.crashes) {
+        for (const auto& [crash, loss] : record.crashes) {
             auto found = this->explained.find(crash);
             if (found == this->explained.end())
                 continue;
@@ -185,9 +239,7 @@
             bool isExplained = !record.crashes.empty() && others < this->limits.crashes;
             if (suspect.kind == SuspectKind::PromptPart || !isExplained)
                 continue;
-            record.state = QuarantineState::Suspect;
-            this->suspectOrder.splice(this->suspectOrder.end(), this->quarantineOrder, record.position);
-            this->unexplain(suspect, record);
+            this->makeSuspect(suspect, record);
         }
     }
 
@@ -201,13 +253,13 @@
                 auto found = other.crashes.find(each.first);
                 // A part of prompts that only the suspect itself had there is no other cause.
                 return !this->explained.contains(each.first) && found != other.crashes.end()
-                    && found->second != suspect.content;
+                    && found->second.request != suspect.content;
             });
             return shared + 1 >= crashes;
         };
-        return own.wasAnswered
+        return own.wasAnswered()
             && std::any_of(this->records.begin(), this->records.end(), [&](const auto& each) {
-                   return each.first != suspect && !each.second.wasAnswered && isShared(each.second);
+                   return each.first != suspect && !each.second.wasAnswered() && isShared(each.second);
                });
     }
 
@@ -217,10 +269,11 @@
         std::vector<Suspect> result;
         std::uint32_t most = 0;
         for (const Suspect& suspect : running) {
-            std::uint32_t crashes = this->crashesOf(suspect);
+            const Record& record = this->records.at(suspect);
+            std::uint32_t crashes = this->countCrashes(suspect, record);
             bool isEnough = crashes >= this->limitOf(suspect);
-            if (this->stateOf(suspect) != QuarantineState::Suspect || !isEnough || crashes < most
-                || this->wasProbablyBeside(suspect, crashes))
+            if (record.state != QuarantineState::Suspect || !isEnough || crashes < most
+                || this->needsTrials(suspect, record) || this->wasProbablyBeside(suspect, crashes))
                 continue;
             if (crashes > most)
                 result.clear();
--- a/src/libperidotgrade/gateway/crash_log.cpp
+++ b/src/libperidotgrade/gateway/crash_log.cpp
@@ -41,6 +41,9 @@
             + record.crash.server;
     }
 
+    // Earlier versions skip such keys.
+    constexpr std::string_view ClaimPrefix = "trial-";
+
     std::optional<std::uint64_t> numberFrom(std::string_view text)
     {
         std::uint64_t value = 0;
@@ -51,10 +54,13 @@
 
     // In place of the request, which the record of a request need not name. Earlier versions skip it.
     constexpr const char* AnsweredValue = "answered";
+    constexpr const char* TrialValue = "trial";
 
     /// The request that had the suspect, so that no value is empty.
     std::string valueOf(const CrashRecord& record)
     {
+        if (record.wasTrial)
+            return TrialValue;
         return record.wasAnswered ? AnsweredValue : textOf(record.request);
     }
 
@@ -72,8 +78,10 @@
         if (!suspect || !incarnation)
             return std::nullopt;
         auto request = suspectFrom(published.value.value_or(""));
+        bool wasTrial = published.value == TrialValue;
         return CrashRecord { *suspect, ServerCrash { std::string { key.substr(second + 1) }, *incarnation },
-            request ? request->content : Fingerprint {}, published.value == AnsweredValue };
+            request ? request->content : Fingerprint {}, wasTrial || published.value == AnsweredValue,
+            wasTrial };
     }
 
 } // namespace
@@ -93,7 +101,9 @@
         [this](const CrashRecord& record) {
             this->publishSoon({ {}, keyOf(record), std::nullopt });
         },
-        [this](const Suspect& suspect) { this->logQuarantined(suspect); } });
+        [this](const Suspect& suspect) { this->logQuarantined(suspect); },
+        [this](const Suspect& suspect) { this->logProbation(suspect); } });
+    this->state.claimTrial = [this](Suspect suspect) { return this->claimTrial(suspect); };
 }
 
 void CrashLog::start()
@@ -107,6 +117,12 @@
     // Records between two withdrawals are applied together.
     std::vector<CrashRecord> crashes;
     for (const StoreRecord& each : records) {
+        if (each.key.starts_with(ClaimPrefix)) {
+            auto claimed = suspectFrom(std::string_view { each.key }.substr(ClaimPrefix.size()));
+            if (claimed && each.value)
+                this->state.crashes.noteTrial(*claimed, this->state.now());
+            continue;
+        }
         auto record = recordFrom(each);
         if (!record)
             continue;
@@ -120,6 +136,20 @@
     this->state.crashes.apply(crashes, this->state.now());
 }
 
+asio::awaitable<bool> CrashLog::claimTrial(Suspect suspect)
+{
+    // Without the store each entry goes by the crashes that it has seen itself.
+    auto end = this->watch.position();
+    if (!end)
+        co_return true;
+    // The claim is deleted in the same call: others read both records, and nothing remains.
+    std::string key = std::string { ClaimPrefix } + textOf(suspect);
+    std::vector<StoreRecord> claim { { {}, key, this->state.settings.nodeName }, { {}, key, std::nullopt } };
+    auto appended = co_await this->store.appendAt(*end, Topic, claim, PublishTimeout);
+    const auto* error = std::get_if<StoreError>(&appended);
+    co_return error == nullptr || error->kind == StoreError::Kind::Unreachable;
+}
+
 void CrashLog::republish()
 {
     for (const CrashRecord& record : this->state.crashes.records())
@@ -162,15 +192,26 @@
     });
 }
 
-void CrashLog::logQuarantined(const Suspect& suspect)
+std::string CrashLog::serversOf(const Suspect& suspect) const
 {
     std::string servers;
     for (const ServerCrash& crash : this->state.crashes.crashesOnRecord(suspect))
         servers += (servers.empty() ? "" : ",") + crash.server;
+    return servers;
+}
+
+void CrashLog::logProbation(const Suspect& suspect)
+{
+    this->state.log.write(LogLevel::Warn, "request_on_probation",
+        { { "content", textOf(suspect) }, { "servers", this->serversOf(suspect) } });
+}
+
+void CrashLog::logQuarantined(const Suspect& suspect)
+{
     this->state.metrics.countQuarantined();
     bool isPart = suspect.kind == SuspectKind::PromptPart;
     this->state.log.write(LogLevel::Warn, isPart ? "prompt_part_quarantined" : "request_quarantined",
-        { { "content", textOf(suspect) }, { "servers", servers } });
+        { { "content", textOf(suspect) }, { "servers", this->serversOf(suspect) } });
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -2,6 +2,7 @@
 #include "peridotgrade/gateway/final_answer.h"
 
 #include "peridotgrade/core/quarantine/request_content.h"
+#include "peridotgrade/core/serving/retry_after.h"
 #include "platform/caller_protocol.h"
 
 #include <algorithm>
@@ -62,12 +63,16 @@
 
 boost::asio::awaitable<void> answerQuarantined(GatewayState& state, RequestContext& context)
 {
-    Duration held {};
-    if (auto suspect = state.crashes.quarantinedAmong(context.request.suspects())) {
-        held = state.crashes.heldFor(*suspect, state.now()).value_or(Duration::zero());
-        context.trace.addFailure(
-            state.now(), "rejected_early", { { "reason", "quarantined" }, { "content", textOf(*suspect) } });
+    auto suspect = state.crashes.quarantinedAmong(context.request.suspects());
+    if (!suspect) {
+        // The next trial decides within seconds.
+        co_await answerNotRun(
+            state, context, "probation", chooseRetryAfter(timeLeft(state, context), state.random));
+        co_return;
     }
+    Duration held = state.crashes.heldFor(*suspect, state.now()).value_or(Duration::zero());
+    context.trace.addFailure(
+        state.now(), "rejected_early", { { "reason", "quarantined" }, { "content", textOf(*suspect) } });
     co_await answerNotRun(state, context, "quarantined", std::chrono::ceil<std::chrono::milliseconds>(held));
 }
 
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -238,23 +238,41 @@
         this->noteEnd(incarnationOf(*record), RefusedEvidence);
 }
 
-boost::asio::awaitable<void> GatewayState::noteLostRun(ServerId server, std::vector<Suspect> suspects)
+boost::asio::awaitable<void> GatewayState::tryProbation(GatewayRequest& request)
+{
+    auto trial = this->crashes.beginTrial(request.fingerprint, this->now());
+    if (!trial || !this->claimTrial || !co_await this->claimTrial(request.fingerprint))
+        co_return;
+    request.trial = std::move(trial);
+    this->log.write(LogLevel::Info, "trial_begun",
+        { { "request", request.attempt }, { "content", textOf(request.fingerprint) },
+            { "crashes", std::to_string(this->crashes.crashesOf(request.fingerprint)) } });
+}
+
+bool GatewayState::isHeld(const GatewayRequest& request) const
+{
+    bool isUntried = !request.trial && this->crashes.isOnProbation(request.fingerprint);
+    return isUntried || this->crashes.quarantinedAmong(request.suspects()).has_value();
+}
+
+boost::asio::awaitable<void> GatewayState::noteLostRun(ServerId server, const GatewayRequest& request)
 {
     // A server that leaves is expected to end.
     const ServerRecord* record = this->directory.find(server);
     if (record == nullptr)
         co_return;
     ServerCrash incarnation = incarnationOf(*record);
-    this->crashes.recordLoss(incarnation, suspects, this->now());
+    this->crashes.recordLoss(incarnation, request.suspects(), this->now(), request.trial != nullptr);
     bool hasEnded = co_await this->endProbe.hasEnded(this->clients.clientFor(*record));
     if (hasEnded)
         this->noteEnd(incarnation, RefusedEvidence);
 }
 
-void GatewayState::noteSilentRun(const ServerId& server, const std::vector<Suspect>& suspects)
+void GatewayState::noteSilentRun(const ServerId& server, const GatewayRequest& request)
 {
     if (const ServerRecord* record = this->directory.find(server))
-        this->crashes.recordLoss(incarnationOf(*record), suspects, this->now());
+        this->crashes.recordLoss(
+            incarnationOf(*record), request.suspects(), this->now(), request.trial != nullptr);
 }
 
 void GatewayState::noteAnsweredRun(const ServerId& server, std::vector<Suspect> suspects, BodyFraming framing)
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -35,15 +35,11 @@
         && (this->framer.lastId().has_value() || !this->hasBegun);
 }
 
-bool GenerationCall::isQuarantined() const
-{
-    return this->state.crashes.quarantinedAmong(this->context.request.suspects()).has_value();
-}
-
 asio::awaitable<void> GenerationCall::serve()
 {
     this->state.retryBudgetOf(this->context.service).recordRequest(this->state.now(), this->urgency());
-    if (this->isQuarantined()) {
+    co_await this->state.tryProbation(this->context.request);
+    if (this->state.isHeld(this->context.request)) {
         co_await answerQuarantined(this->state, this->context);
         co_return;
     }
@@ -67,7 +63,7 @@
         limit = this->context.route.isResumable ? "attempts" : "not_resumable";
     else if (this->state.now() + TimeToFirstEvent >= this->firstEventDue())
         limit = "time";
-    else if (this->isQuarantined())
+    else if (this->state.isHeld(this->context.request))
         limit = "quarantined";
     else if (this->hasReachedServer() && !this->state.crashes.mayRepeat(this->context.request.suspects()))
         limit = "suspect";
@@ -106,7 +102,7 @@
         abortStream(this->state, this->context, this->failure, this->lastServer, this->lastDetail);
         co_return;
     }
-    if (this->runs == 0 && this->isQuarantined()) {
+    if (this->runs == 0 && this->state.isHeld(this->context.request)) {
         co_await answerQuarantined(this->state, this->context);
         co_return;
     }
@@ -232,7 +228,7 @@
         this->unusedCache = std::move(kvCache);
         co_return Next::Retry;
     }
-    if (this->isQuarantined()) {
+    if (this->state.isHeld(this->context.request)) {
         // Another attempt of the caller crashed a server while this one waited.
         this->failure = "quarantined";
         this->broker->cancel(reservation);
@@ -275,9 +271,9 @@
                 { "took_ms", millisecondsText(this->state.now() - began) }, { "detail", failed->detail } });
         bool isCancelled = this->context.cancellation.isCancelled();
         if (failed->isConnectionLost && !isCancelled)
-            co_await this->state.noteLostRun(server, this->context.request.suspects());
+            co_await this->state.noteLostRun(server, this->context.request);
         else if (failed->mayHaveRun && !isCancelled)
-            this->state.noteSilentRun(server, this->context.request.suspects());
+            this->state.noteSilentRun(server, this->context.request);
         co_return Next::Retry;
     }
     this->retryAccounting.noteRunReached();
--- a/src/libperidotgrade/gateway/generation_prefill.cpp
+++ b/src/libperidotgrade/gateway/generation_prefill.cpp
@@ -60,8 +60,9 @@
         }
         bool isRepeat = this->retryAccounting.prefillsReached() > 0;
         bool isSuspect = isRepeat && !this->state.crashes.mayRepeat(this->context.request.suspects());
-        if (this->isQuarantined() || isSuspect) {
-            this->noteNoRetry(this->isQuarantined() ? "quarantined" : "suspect");
+        bool isHeld = this->state.isHeld(this->context.request);
+        if (isHeld || isSuspect) {
+            this->noteNoRetry(isHeld ? "quarantined" : "suspect");
             co_return std::nullopt;
         }
         bool isLimitReached = this->retryAccounting.prefillsReached() >= MaxPrefills;
@@ -122,9 +123,9 @@
         this->notePrefillFailure(server, *failed, this->state.now() - began);
         bool isCancelled = this->context.cancellation.isCancelled();
         if (failed->isConnectionLost && !isCancelled)
-            co_await this->state.noteLostRun(server, this->context.request.suspects());
+            co_await this->state.noteLostRun(server, this->context.request);
         else if (failed->mayHaveRun && !failed->isRefusal && !isCancelled)
-            this->state.noteSilentRun(server, this->context.request.suspects());
+            this->state.noteSilentRun(server, this->context.request);
         co_return std::nullopt;
     }
     this->context.trace.add(this->state.now(), "prefill_done",
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -36,7 +36,7 @@
         // Bytes that complete no event, such as comments, are no progress.
         if (this->isStallWatched() && this->stallTimeLeft() <= Duration::zero()) {
             this->noteBrokenStream(answer, server, "no event in time");
-            this->state.noteSilentRun(server, this->context.request.suspects());
+            this->state.noteSilentRun(server, this->context.request);
             co_return Next::Retry;
         }
         // A server that never pauses is never late by the time-out of a single read.
@@ -54,9 +54,9 @@
             bool isConnectionLost = error->kind == NetErrorKind::Closed;
             this->noteBrokenStream(answer, server, std::move(error->detail));
             if (isConnectionLost)
-                co_await this->state.noteLostRun(server, this->context.request.suspects());
+                co_await this->state.noteLostRun(server, this->context.request);
             else
-                this->state.noteSilentRun(server, this->context.request.suspects());
+                this->state.noteSilentRun(server, this->context.request);
             co_return Next::Retry;
         }
         std::string& bytes = std::get<std::string>(piece);
@@ -93,7 +93,7 @@
         broken = "the server ended with its answer";
     if (!broken.empty()) {
         this->noteBrokenStream(answer, server, std::string { broken });
-        co_await this->state.noteLostRun(server, this->context.request.suspects());
+        co_await this->state.noteLostRun(server, this->context.request);
         co_return Next::Retry;
     }
     if (!this->hasBegun)
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -42,6 +42,7 @@
 {
     this->state.retryBudgetOf(this->context.service)
         .recordRequest(this->state.now(), this->context.request.urgency.value_or(0));
+    co_await this->state.tryProbation(this->context.request);
     while (true) {
         if (this->context.cancellation.isCancelled()) {
             if (this->runs == 0)
@@ -63,7 +64,7 @@
 
 std::string_view PlainCall::limitReached(const ServerRecord* next)
 {
-    if (this->isQuarantined())
+    if (this->state.isHeld(this->context.request))
         return "quarantined";
     if (next == nullptr)
         return "servers";
@@ -83,11 +84,6 @@
     return {};
 }
 
-bool PlainCall::isQuarantined() const
-{
-    return this->state.crashes.quarantinedAmong(this->context.request.suspects()).has_value();
-}
-
 bool PlainCall::takeResendBudget()
 {
     this->retryAccounting.noteRunReached();
@@ -195,9 +191,9 @@
             { { "server", server.raw() }, { "may_have_run", failure->mayHaveRun ? "true" : "false" },
                 { "lost", failure->isConnectionLost ? "true" : "false" }, { "detail", failure->detail } });
         if (failure->isConnectionLost)
-            co_await this->state.noteLostRun(server, this->context.request.suspects());
+            co_await this->state.noteLostRun(server, this->context.request);
         else if (failure->mayHaveRun)
-            this->state.noteSilentRun(server, this->context.request.suspects());
+            this->state.noteSilentRun(server, this->context.request);
         co_return Next::TryOther;
     }
     this->retryAccounting.noteRunReached();
@@ -233,7 +229,7 @@
                 { "detail", error->detail } });
         this->state.health.record(server, ServerCallResult::Unreachable, this->state.now());
         if (error->kind == NetErrorKind::Closed && !this->context.cancellation.isCancelled())
-            co_await this->state.noteLostRun(server, this->context.request.suspects());
+            co_await this->state.noteLostRun(server, this->context.request);
         co_return Next::TryOther;
     }
     if (answer.head().isNotRun) {
@@ -324,7 +320,7 @@
         co_return;
     }
     auto left = timeLeft(this->state, this->context);
-    if (this->runs == 0 && this->isQuarantined()) {
+    if (this->runs == 0 && this->state.isHeld(this->context.request)) {
         co_await answerQuarantined(this->state, this->context);
         co_return;
     }
--- a/src/libperidotgrade/gateway/quarantine_page.cpp
+++ b/src/libperidotgrade/gateway/quarantine_page.cpp
@@ -25,19 +25,30 @@
         return result;
     }
 
+    json::array serversOf(const CrashRegistry& crashes, const Suspect& suspect)
+    {
+        json::array servers;
+        for (const ServerCrash& crash : crashes.crashesOnRecord(suspect))
+            servers.emplace_back(crash.server);
+        return servers;
+    }
+
     HttpResponse listing(const CrashRegistry& crashes, TimePoint now)
     {
-        json::array suspects;
+        json::array quarantined;
         for (const Suspect& suspect : crashes.quarantined()) {
-            json::array servers;
-            for (const ServerCrash& crash : crashes.crashesOnRecord(suspect))
-                servers.emplace_back(crash.server);
             auto held = std::chrono::ceil<std::chrono::seconds>(
                 crashes.heldFor(suspect, now).value_or(Duration::zero()));
-            suspects.push_back(json::object { { "content", textOf(suspect) },
-                { "servers", std::move(servers) }, { "held_s", held.count() } });
+            quarantined.push_back(json::object { { "content", textOf(suspect) },
+                { "servers", serversOf(crashes, suspect) }, { "held_s", held.count() } });
         }
-        return response(200, json::object { { "quarantined", std::move(suspects) } });
+        json::array probation;
+        for (const Suspect& suspect : crashes.onProbation())
+            probation.push_back(
+                json::object { { "content", textOf(suspect) }, { "servers", serversOf(crashes, suspect) } });
+        return response(200,
+            json::object {
+                { "quarantined", std::move(quarantined) }, { "probation", std::move(probation) } });
     }
 
 } // namespace
@@ -52,10 +63,12 @@
     if (request.method != "DELETE")
         return response(MethodNotAllowed, json::object { { "error", "use GET, or DELETE with a content" } });
     auto held = crashes.quarantined();
+    auto probation = crashes.onProbation();
+    held.insert(held.end(), probation.begin(), probation.end());
     auto found = std::find_if(
         held.begin(), held.end(), [&](const Suspect& each) { return textOf(each) == content; });
     if (found == held.end())
-        return response(NotFound, json::object { { "error", "no such content is quarantined" } });
+        return response(NotFound, json::object { { "error", "no such content is held" } });
     crashes.release(*found);
     return response(200, json::object { { "released", std::string { content } } });
 }
--- a/testsuite/support/crashing_requests.py
+++ b/testsuite/support/crashing_requests.py
@@ -35,6 +35,34 @@
         thread.join()
 
 
+class PopularRead:
+    """Callers at all entries that send one read, each time from another address."""
+
+    def __init__(self, platform, gateways, path):
+        self.answers = []
+        self.is_over = threading.Event()
+        self.threads = [threading.Thread(target=self._send, args=(platform, gateway, path), daemon=True)
+                        for gateway in gateways for _ in range(2)]
+        for thread in self.threads:
+            thread.start()
+
+    def _send(self, platform, gateway, path):
+        while not self.is_over.is_set():
+            caller = Caller(platform, gateway)
+            sent_at = time.monotonic()
+            self.answers.append((sent_at, caller.send(path, "GET", b"", deadline_s=2.0)))
+            caller.close()
+            time.sleep(0.05)
+
+    def since(self, begin):
+        return [answer for sent_at, answer in self.answers if sent_at >= begin]
+
+    def stop(self):
+        self.is_over.set()
+        for thread in self.threads:
+            thread.join()
+
+
 def runs_after(platform, path, begin):
     return [run for run in platform.crash_runs[path] if run[0] > begin]
 
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -248,6 +248,9 @@
             records.append(request.body[at + 4:at + 4 + size])
             at += 4 + size
         offset = len(self.topics[request.query["topic"]])
+        if int(request.query.get("as_of", offset)) != offset:
+            writer.write(response(412, b'{"end": %d}' % offset, {"Store-Era": str(self.era)}))
+            return
         await self.append(request.query["topic"], records)
         writer.write(self.answer_json({"offset": offset, "end": offset + len(records)}))
 
