Remove guards against crashing requests and name the case that notices

Mutations of this part are noticed by cases, not by the soak, so removed_guards.py takes the case of a guard.

--- a/testsuite/gateway_soak/removed_guards.py
+++ b/testsuite/gateway_soak/removed_guards.py
@@ -1,9 +1,10 @@
 #!/usr/bin/env python3
-"""Takes one guard at a time out of a copy of the gateway's sources and tells which seed of the soak notices.
+"""Takes one guard at a time out of a copy of the gateway's sources and tells which seed of the soak notices, or whether the
+case does that is named for the guard.
 
     removed_guards.py --seeds 1-8 --jobs 4 [--only NAME]
 
-The sources here are never touched. Ends with 1 if a guard is missed by all seeds.
+The sources here are never touched. Ends with 1 if a guard is missed by all seeds, or by its case.
 """
 import argparse
 import concurrent.futures
@@ -47,6 +48,21 @@
      "exchange.onClientDisconnect([&cancellation] { cancellation.cancel(); });", ""),
 ]
 
+# The same, with the case that has to notice.
+CASE_GUARDS = [
+    ("a request is the same from wherever it comes", GATEWAY + "gateway_node.cpp",
+     "request.clientAddress = exchange.clientAddress();",
+     "request.clientAddress = exchange.clientAddress();\n        request.fingerprint = Fingerprint {"
+     " request.fingerprint.raw() ^ std::hash<std::string> {}(request.clientAddress) };",
+     "gateway_crashing_requests_of_several_addresses"),
+    ("a popular request is tried before it is held", "src/libperidotgrade/core/quarantine/quarantine.cpp",
+     "&& this->countFailedTrials(record) < this->limits.failedTrials;", "&& false;",
+     "gateway_popular_read_beside_crashes"),
+    ("trials that are lost in crashes end the probation", "src/libperidotgrade/core/quarantine/quarantine.cpp",
+     "&& this->countFailedTrials(record) < this->limits.failedTrials;", "&& true;",
+     "gateway_popular_read_beside_crashes"),
+]
+
 
 def copied_sources(folder):
     files = subprocess.run(["git", "ls-files", "-co", "--exclude-standard"], cwd=ROOT, check=True,
@@ -80,10 +96,20 @@
         for seed, result in pool.map(play, seeds):
             if result.returncode != 0:
                 lines = (result.stdout + result.stderr).splitlines()
-                return seed, next((line for line in lines if line.startswith("seed ")), lines[-1] if lines else "")
+                return f"seed {seed}", next((line for line in lines if line.startswith("seed ")), lines[-1] if lines else "")
     return None
 
 
+def case_finding(copy, case):
+    """The case and the first line of what it says; nothing if it passes."""
+    result = subprocess.run([sys.executable, copy / "testsuite" / "run.py", "--build", copy / "build", case],
+                            capture_output=True, text=True, timeout=300)
+    if result.returncode == 0:
+        return None
+    lines = (result.stdout + result.stderr).splitlines()
+    return case, next((line for line in lines if line.startswith("AssertionError")), lines[-1])
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1-8", help="first-last")
@@ -95,7 +121,7 @@
     missed = 0
     with tempfile.TemporaryDirectory() as folder:
         copy = copied_sources(pathlib.Path(folder))
-        for name, file, guarded, bare in GUARDS:
+        for name, file, guarded, bare, *case in [*GUARDS, *CASE_GUARDS]:
             if arguments.only not in name:
                 continue
             path = copy / file
@@ -104,11 +130,11 @@
             path.write_text(text.replace(guarded, bare))
             try:
                 build(copy, arguments.jobs)
-                found = first_finding(copy, seeds, arguments.jobs)
+                found = case_finding(copy, *case) if case else first_finding(copy, seeds, arguments.jobs)
             finally:
                 path.write_text(text)
             missed += found is None
-            print(f"| {name} | " + (f"seed {found[0]} | {found[1][:120]} |" if found else "missed | |"), flush=True)
+            print(f"| {name} | " + (f"{found[0]} | {found[1][:160]} |" if found else "missed | |"), flush=True)
     return 1 if missed else 0
 
 
