--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -32,6 +32,8 @@
     "zone": "north",
 }
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# All processes of the case.
+CHILDREN = []
 
 
 def render(template, fields):
@@ -81,6 +83,7 @@
         with open(self.log_path, "ab") as log:
             self.child = subprocess.Popen(self.command, cwd=ROOT, stdout=log, stderr=log,
                                           env=environment | {"PERIDOTGRADE_CONFIG": self.settings})
+        CHILDREN.append(self.child)
         return self
 
     def is_ready(self):
@@ -183,9 +186,16 @@
     there are none, and 2 if the case could not run."""
     record = Record(folder)
 
+    def end(status):
+        for child in CHILDREN:
+            if child.poll() is None:
+                child.kill()
+        sys.stdout.flush()
+        os._exit(status)
+
     def give_up():
         record.write("could not run: out of time")
-        os._exit(2)
+        end(2)
     timer = threading.Timer(limit_s, give_up)
     timer.daemon = True
     timer.start()
@@ -195,10 +205,8 @@
     except BaseException as problem:  # noqa: B902
         record.write(f"could not run: {problem!r}")
         print(f"could not run: {problem!r}")
-        sys.stdout.flush()
-        os._exit(2)
+        end(2)
     for breach in breaches:
         record.write("BREACH " + breach)
     print(f"{'trouble' if TROUBLE else 'no trouble'}: {len(breaches)} breaches" + "".join("\n  " + each for each in breaches[:5]))
-    sys.stdout.flush()
-    os._exit(1 if breaches else 0)
+    end(1 if breaches else 0)
