--- a/review/common/harness.py
+++ b/review/harness.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -17,7 +18,7 @@
 import tomllib
 import uuid
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 sys.path.insert(0, os.path.join(ROOT, "testsuite"))
 
 from support import fake_platform  # noqa: E402
@@ -158,6 +159,32 @@
             self.connection = None
 
 
+class Arrivals:
+    """Requests that arrive on their own, whatever became of those before: `rate()` a second, each on a new channel."""
+
+    def __init__(self, send, rate, seed=3):
+        self.send, self.rate, self.chance = send, rate, random.Random(seed)
+        self.answers, self.stopping, self.threads = [], threading.Event(), []
+        self.driver = threading.Thread(target=self._run, daemon=True)
+        self.driver.start()
+
+    def _run(self):
+        due, number = time.monotonic(), 0
+        while not self.stopping.is_set():
+            due += self.chance.expovariate(self.rate())
+            time.sleep(max(0, due - time.monotonic()))
+            number += 1
+            thread = threading.Thread(target=lambda each=number: self.answers.append(self.send(each)), daemon=True)
+            thread.start()
+            self.threads.append(thread)
+
+    def stop(self):
+        self.stopping.set()
+        self.driver.join()
+        for thread in self.threads:
+            thread.join(20)
+
+
 class Platform(fake_platform.FakePlatform):
     """The project's stand-in; what its own checks report is kept for the record only."""
 
