--- a/src/include/peridotgrade/gateway/gateway_metrics.h
+++ b/src/include/peridotgrade/gateway/gateway_metrics.h
@@ -27,6 +27,8 @@
     void countResumption(const std::string& origin);
     void countPublishedOrigins(const std::string& result, std::size_t streams);
     void countServerCrash(const std::string& evidence);
+    /// `purpose` is why it was asked whether a server has ended, and `result` what was found.
+    void countServerCheck(const std::string& purpose, const std::string& result);
     void countQuarantined();
     void countQuotaDecision(const std::string& result);
     void countQuotaGrant(const std::string& result);
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -112,11 +112,13 @@
     /// A server has answered a request with these suspects. An answer whose end only the end of its
     /// connection marks may have been broken off between two events, so it shows something new only if the
     /// server is still there.
-    void noteAnsweredRun(const ServerId& server, std::vector<Suspect> suspects, BodyFraming framing);
+    void noteAnsweredRun(const ServerId& server, const GatewayRequest& request, std::vector<Suspect> suspects,
+        BodyFraming framing);
     /// True if an answer whose end only the end of its connection marks came from a server that has ended
     /// since: its process may have ended inside the answer, and its system closes connections in an orderly
     /// way.
-    boost::asio::awaitable<bool> isBrokenOff(ServerRecord server, BodyFraming framing);
+    boost::asio::awaitable<bool> isBrokenOff(
+        ServerRecord server, const GatewayRequest& request, BodyFraming framing);
     void onDirectoryChanges(const std::vector<DirectoryChange>& changes);
 
     boost::asio::any_io_executor executor;
@@ -172,7 +174,13 @@
     void updateVersions(const ServiceId& service);
     void noteLimit(const ServerRecord& server, const ServerNotice& notice);
     void noteEnd(const ServerCrash& incarnation, std::string_view evidence);
-    boost::asio::awaitable<void> checkAnsweredRun(ServerRecord server, std::vector<Suspect> suspects);
+    boost::asio::awaitable<void> checkAnsweredRun(
+        ServerRecord server, std::string attempt, std::vector<Suspect> suspects);
+    /// True if the server's address refuses connections. `purpose` and `attempt` are for the log.
+    boost::asio::awaitable<bool> refusesConnections(
+        ServerRecord server, std::string_view purpose, std::string attempt);
+    void noteUncheckedServer(const ServerId& server, std::string_view purpose, const std::string& attempt,
+        std::string_view reason);
     void noteEndsInList(const DirectoryChange& change);
 
     ServerEndProbe endProbe;
--- a/src/include/peridotgrade/gateway/server_end_probe.h
+++ b/src/include/peridotgrade/gateway/server_end_probe.h
@@ -1,6 +1,7 @@
 // Finds out whether a server whose connection was lost has ended.
 #pragma once
 
+#include "peridotgrade/core/base/time.h"
 #include "peridotgrade/core/serving/server_record.h"
 #include "platform/server_client.h"
 
@@ -12,6 +13,14 @@
 
 namespace peridotgrade {
 
+struct ServerProbeResult {
+    /// The server's address refuses connections.
+    bool isRefused = false;
+    /// The result is that of a probe that another call had begun.
+    bool isShared = false;
+    TimePoint beganAt {};
+};
+
 /// Connects to the server's address: nothing listens there once its process has ended. Calls at the same time
 /// share one connection. Not thread safe.
 class ServerEndProbe {
@@ -21,8 +30,7 @@
     {
     }
 
-    /// True if the server's address refuses connections.
-    boost::asio::awaitable<bool> hasEnded(std::shared_ptr<ServerClient> server);
+    boost::asio::awaitable<ServerProbeResult> run(std::shared_ptr<ServerClient> server);
 
 private:
     struct Probe;
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -105,7 +105,7 @@
     writeTrace(state, context, false);
     // An error says nothing about the parts of the prompt.
     bool isSuccess = answer.status < FirstFailure;
-    state.noteAnsweredRun(ServerId { answer.server },
+    state.noteAnsweredRun(ServerId { answer.server }, context.request,
         isSuccess ? context.request.suspects() : std::vector<Suspect> { context.request.fingerprint },
         answer.framing);
     state.metrics.countOutcome("answered");
--- a/src/libperidotgrade/gateway/gateway_metrics.cpp
+++ b/src/libperidotgrade/gateway/gateway_metrics.cpp
@@ -105,6 +105,14 @@
         .add();
 }
 
+void GatewayMetrics::countServerCheck(const std::string& purpose, const std::string& result)
+{
+    this->registry
+        .counter({ "peridot_gateway_server_checks_total", "Checks whether a server has ended", "check",
+            purpose + "/" + result })
+        .add();
+}
+
 void GatewayMetrics::countQuarantined()
 {
     this->registry.counter({ "peridot_gateway_quarantined_total", "Requests that were quarantined", "", "" })
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -27,6 +27,16 @@
     // Evidence that a server has ended: its address refuses connections.
     constexpr std::string_view RefusedEvidence = "refused";
 
+    // Purposes of the checks whether a server has ended.
+    constexpr std::string_view LostRun = "lost_run";
+    constexpr std::string_view AnsweredRun = "answered_run";
+    constexpr std::string_view EndOfAnswer = "end_of_answer";
+
+    std::string textOfTime(Duration time)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(time).count());
+    }
+
     ServerCrash incarnationOf(const ServerRecord& server)
     {
         return { server.id.raw(), static_cast<std::uint64_t>(server.startedAt.time_since_epoch().count()) };
@@ -259,11 +269,13 @@
 {
     // A server that leaves is expected to end.
     const ServerRecord* record = this->directory.find(server);
-    if (record == nullptr)
+    if (record == nullptr) {
+        this->noteUncheckedServer(server, LostRun, request.attempt, "not_listed");
         co_return;
+    }
     ServerCrash incarnation = incarnationOf(*record);
     this->crashes.recordLoss(incarnation, request.suspects(), this->now(), request.trial != nullptr);
-    bool hasEnded = co_await this->endProbe.hasEnded(this->clients.clientFor(*record));
+    bool hasEnded = co_await this->refusesConnections(*record, LostRun, request.attempt);
     if (hasEnded)
         this->noteEnd(incarnation, RefusedEvidence);
 }
@@ -275,22 +287,23 @@
             incarnationOf(*record), request.suspects(), this->now(), request.trial != nullptr);
 }
 
-void GatewayState::noteAnsweredRun(const ServerId& server, std::vector<Suspect> suspects, BodyFraming framing)
+void GatewayState::noteAnsweredRun(
+    const ServerId& server, const GatewayRequest& request, std::vector<Suspect> suspects, BodyFraming framing)
 {
     const ServerRecord* record = this->directory.find(server);
     bool isDoubtful = framing == BodyFraming::ConnectionEnd && record != nullptr
         && !this->crashes.isCleared(suspects, this->now());
     if (isDoubtful)
-        boost::asio::co_spawn(
-            this->executor, this->checkAnsweredRun(*record, std::move(suspects)), boost::asio::detached);
+        boost::asio::co_spawn(this->executor,
+            this->checkAnsweredRun(*record, request.attempt, std::move(suspects)), boost::asio::detached);
     else
         this->crashes.recordAnswered(suspects, this->now());
 }
 
 boost::asio::awaitable<void> GatewayState::checkAnsweredRun(
-    ServerRecord server, std::vector<Suspect> suspects)
+    ServerRecord server, std::string attempt, std::vector<Suspect> suspects)
 {
-    bool hasEnded = co_await this->endProbe.hasEnded(this->clients.clientFor(server));
+    bool hasEnded = co_await this->refusesConnections(server, AnsweredRun, std::move(attempt));
     if (!hasEnded) {
         this->crashes.recordAnswered(suspects, this->now());
         co_return;
@@ -299,14 +312,50 @@
     this->noteEnd(incarnationOf(server), RefusedEvidence);
 }
 
-boost::asio::awaitable<bool> GatewayState::isBrokenOff(ServerRecord server, BodyFraming framing)
+boost::asio::awaitable<bool> GatewayState::isBrokenOff(
+    ServerRecord server, const GatewayRequest& request, BodyFraming framing)
 {
+    if (framing != BodyFraming::ConnectionEnd)
+        co_return false;
     const ServerRecord* current = this->directory.find(server.id);
-    bool isCurrent = current != nullptr && current->startedAt == server.startedAt;
-    // A server that leaves ends after its last answer.
-    if (framing != BodyFraming::ConnectionEnd || !isCurrent || current->isDraining)
+    std::string_view reason;
+    if (current == nullptr)
+        reason = "not_listed";
+    else if (current->startedAt != server.startedAt)
+        reason = "replaced";
+    else if (current->isDraining)
+        reason = "draining";
+    if (!reason.empty()) {
+        // A server that leaves ends after its last answer.
+        this->noteUncheckedServer(server.id, EndOfAnswer, request.attempt, reason);
         co_return false;
-    co_return co_await this->endProbe.hasEnded(this->clients.clientFor(server));
+    }
+    bool hasEnded = co_await this->refusesConnections(server, EndOfAnswer, request.attempt);
+    co_return hasEnded;
+}
+
+boost::asio::awaitable<bool> GatewayState::refusesConnections(
+    ServerRecord server, std::string_view purpose, std::string attempt)
+{
+    TimePoint asked = this->now();
+    auto result = co_await this->endProbe.run(this->clients.clientFor(server));
+    std::string_view text = result.isRefused ? "refused" : "not_refused";
+    this->metrics.countServerCheck(std::string { purpose }, std::string { text });
+    this->log.write(LogLevel::Info, "server_checked",
+        { { "request", attempt }, { "server", server.id.raw() }, { "purpose", std::string { purpose } },
+            { "result", std::string { text } }, { "shared", result.isShared ? "true" : "false" },
+            { "began_before_us", textOfTime(asked - result.beganAt) },
+            { "took_us", textOfTime(this->now() - asked) } });
+    co_return result.isRefused;
+}
+
+void GatewayState::noteUncheckedServer(
+    const ServerId& server, std::string_view purpose, const std::string& attempt, std::string_view reason)
+{
+    this->metrics.countServerCheck(std::string { purpose }, "not_asked");
+    this->log.write(LogLevel::Info, "server_checked",
+        { { "request", attempt }, { "server", server.raw() }, { "purpose", std::string { purpose } },
+            { "result", "not_asked" }, { "reason", std::string { reason } } });
 }
 
 void GatewayState::noteEnd(const ServerCrash& incarnation, std::string_view evidence)
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -89,7 +89,7 @@
         broken = "end without an event";
     else if (this->framer.hasPartialEvent())
         broken = "end inside an event";
-    else if (co_await this->state.isBrokenOff(record, answer.framing()))
+    else if (co_await this->state.isBrokenOff(record, this->context.request, answer.framing()))
         broken = "the server ended with its answer";
     if (!broken.empty()) {
         this->noteBrokenStream(answer, server, std::string { broken });
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -218,7 +218,8 @@
         co_await this->passOn(answer, record, std::move(response), std::move(share));
         co_return Next::Done;
     }
-    if (!error && !answer.head().isNotRun && co_await this->state.isBrokenOff(record, answer.framing()))
+    if (!error && !answer.head().isNotRun
+        && co_await this->state.isBrokenOff(record, this->context.request, answer.framing()))
         error = NetError { NetErrorKind::Closed, true, std::string { EndedWithAnswer } };
     if (error) {
         this->lastDetail = error->detail;
@@ -297,7 +298,7 @@
             break;
         isOk = co_await this->context.exchange.writeChunk(std::move(bytes));
     }
-    if (isOk && co_await this->state.isBrokenOff(record, answer.framing())) {
+    if (isOk && co_await this->state.isBrokenOff(record, this->context.request, answer.framing())) {
         abortStream(this->state, this->context, "server_lost", server.raw(), std::string { EndedWithAnswer });
         co_return;
     }
--- a/src/libperidotgrade/gateway/server_end_probe.cpp
+++ b/src/libperidotgrade/gateway/server_end_probe.cpp
@@ -1,6 +1,8 @@
 // Shared probes of servers that may have ended.
 #include "peridotgrade/gateway/server_end_probe.h"
 
+#include "peridotgrade/net/timer_driver.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -25,10 +27,10 @@
     /// Never expires; it is cancelled to resume the waiting coroutines.
     asio::steady_timer done;
     bool isDone = false;
-    bool isRefused = false;
+    ServerProbeResult result { false, false, TimerDriver::now() };
 };
 
-asio::awaitable<bool> ServerEndProbe::hasEnded(std::shared_ptr<ServerClient> server)
+asio::awaitable<ServerProbeResult> ServerEndProbe::run(std::shared_ptr<ServerClient> server)
 {
     const ServerId id = server->record().id;
     auto found = this->running.find(id);
@@ -37,15 +39,17 @@
         boost::system::error_code ignored;
         if (!probe->isDone)
             co_await probe->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        co_return probe->isRefused;
+        ServerProbeResult result = probe->result;
+        result.isShared = true;
+        co_return result;
     }
     auto probe = std::make_shared<Probe>(this->executor);
     this->running[id] = probe;
-    probe->isRefused = co_await server->refusesConnections(ProbeTimeout);
+    probe->result.isRefused = co_await server->refusesConnections(ProbeTimeout);
     probe->isDone = true;
     this->running.erase(id);
     probe->done.cancel();
-    co_return probe->isRefused;
+    co_return probe->result;
 }
 
 } // namespace peridotgrade
