--- a/testsuite/support/gateway.py
+++ b/testsuite/support/gateway.py
@@ -194,7 +194,12 @@
             if re.sub(rb"(?m)^:[^\n]*\n\n", b"", answer.body) != expected:
                 report(f"{attempt} got a stream that is incomplete or of another request: {answer.events} events")
         if answer.status == 200 and answer.is_whole and path.startswith(("/act/", "/read/")):
-            if json.loads(answer.body).get("attempt") != attempt:
+            try:
+                answered = json.loads(answer.body).get("attempt")
+            except ValueError:
+                report(f"{attempt} got a plain answer that is incomplete: {len(answer.body)} bytes")
+                return
+            if answered != attempt:
                 report(f"{attempt} got the answer to another request")
 
 
--- /dev/null
+++ b/testsuite/support/server_process.py
@@ -0,0 +1,231 @@
+"""Backend servers that are a process each, so that the kernel ends their connections and not the code of the stand-in.
+
+Run as a program it is one decode engine or plain server, which registers itself in the store and obeys lines of JSON on
+standard input. Imported it has `ServerProcess`, the handle of such a program.
+
+A line of input sets what it names: `framing` (length, chunked or connection), `events` and `event_s` of a stream,
+`status_delay_s` before any answer other than a run's, `fails` (its runs are answered 500). `leave`: it reports that it
+drains, serves for that many seconds and exits. `end_connections`: it closes all its connections at once, and exits that
+many seconds later. `unlist`: its record is deleted from the store, and it writes no other one.
+Lines of output: `address`, `run`, `end`, `status`.
+"""
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import struct
+import subprocess
+import sys
+import threading
+import time
+
+if __name__ == "__main__":
+    sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+from support import fake_platform  # noqa: E402
+from support.run_address import run_address  # noqa: E402
+
+# Parts in which a plain server writes its answer.
+PLAIN_PARTS = 10
+
+
+def event_of(attempt, index):
+    return b"id: %d\ndata: %s %d\n\n" % (index, attempt.encode(), index)
+
+
+def plain_body(attempt):
+    return json.dumps({"attempt": attempt, "text": "x" * 600}).encode()
+
+
+class Server:
+    def __init__(self, options):
+        self.store, self.name, self.zone = options["store"], options["name"], options["zone"]
+        self.service, self.stage = options["service"], options["stage"]
+        self.wanted_address = options.get("address")
+        self.born, self.sequence, self.state, self.is_listed = int(time.time() * 1000), 0, "ready", True
+        self.framing, self.events, self.event_s = "chunked", 60, 0.05
+        self.status_delay_s, self.fails = 0, False
+        self.writers = set()
+
+    def say(self, *words):
+        print(*words, flush=True)
+
+    async def write_record(self, value):
+        content = bytes([len(self.name)]) + self.name.encode() + value
+        body = struct.pack(">I", len(content)) + content
+        host, _, port = self.store.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST /api/log-append?topic=keyed.servers&part=0 HTTP/1.1\r\nHost: store\r\nContent-Length: %d\r\n\r\n"
+                     % len(body) + body)
+        await reader.readline()
+        writer.close()
+
+    async def report(self):
+        self.sequence += 1
+        record = {"service": self.service, "addr": self.address, "zone": self.zone, "version": "v1", "slots": 64,
+                  "state": self.state, "cold_left_ms": 0, "seq": self.sequence, "born": self.born}
+        if self.stage:
+            record["stage"] = self.stage
+        await self.write_record(json.dumps(record).encode())
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await fake_platform.read_request(reader)
+                if not await self.answer(request, writer):
+                    return
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def answer(self, request, writer):
+        """Returns whether the connection goes on."""
+        expected, attempt = request.headers.get("x-expect-instance"), request.headers.get("x-attempt-id")
+        identity = {"X-Instance-Id": self.name}
+        if request.path.startswith("/api/hold-take"):
+            writer.write(fake_platform.json_response({"hold": os.urandom(6).hex()}))
+        elif expected and expected != self.name:
+            writer.write(fake_platform.response(421, headers=identity))
+        elif attempt is None:
+            self.say("status", request.path)
+            await asyncio.sleep(self.status_delay_s)
+            status = 503 if request.path == "/healthz" and self.state != "ready" else 200
+            report = {"stage": self.stage, "models": [], "busy": False, "seq": 0, "queued": 0, "active": 0, "kv_used": 0,
+                      "kv_total": 33279, "kv_handles": 0, "born": self.born}
+            writer.write(fake_platform.response(status, json.dumps(report).encode(),
+                                                {"Content-Type": "application/json", **identity}))
+        else:
+            return await self.run(request, attempt, writer, identity)
+        return True
+
+    async def run(self, request, attempt, writer, identity):
+        if self.stage:
+            first = int(request.headers.get("last-event-id", 0)) + 1
+            parts = [event_of(attempt, index) for index in range(first, self.events + 1)]
+            kind, gap = "text/event-stream", self.event_s
+        else:
+            body = plain_body(attempt)
+            size = -(-len(body) // PLAIN_PARTS)
+            parts = [body[at:at + size] for at in range(0, len(body), size)]
+            kind, gap = "application/json", self.event_s
+        framing = self.framing
+        self.say("run", attempt, framing, request.headers.get("last-event-id", "-"))
+        headers = {"Content-Type": kind, "X-Attempt-Id": attempt, "X-Server-Seal": f"seal-{attempt}", **identity}
+        if framing == "length":
+            headers["Content-Length"] = sum(map(len, parts))
+        writer.write(fake_platform.response(500 if self.fails else 200, headers=headers,
+                                            framing="connection" if framing == "length" else framing))
+        await writer.drain()
+        for part in parts:
+            await asyncio.sleep(gap)
+            writer.write(b"%x\r\n%s\r\n" % (len(part), part) if framing == "chunked" else part)
+            await writer.drain()
+        if framing == "chunked":
+            writer.write(b"0\r\n\r\n")
+        self.say("end", attempt)
+        return framing != "connection"
+
+    async def obey(self, lines):
+        while line := await lines.readline():
+            for name, value in json.loads(line).items():
+                if name == "leave":
+                    self.state = "draining"
+                    await self.report()
+                    asyncio.get_event_loop().call_later(value, os._exit, 0)
+                elif name == "end_connections":
+                    for writer in list(self.writers):
+                        writer.close()
+                    asyncio.get_event_loop().call_later(value, os._exit, 0)
+                elif name == "unlist":
+                    self.is_listed = False
+                    await self.write_record(b"")
+                    self.say("unlisted")
+                else:
+                    setattr(self, name, value)
+        os._exit(0)
+
+    async def main(self):
+        host, _, port = (self.wanted_address or f"{run_address()}:0").rpartition(":")
+        server = await asyncio.start_server(self.serve, host, int(port), backlog=512)
+        self.address = "%s:%d" % server.sockets[0].getsockname()
+        lines = asyncio.StreamReader()
+        await asyncio.get_event_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
+        asyncio.ensure_future(self.obey(lines))
+        await self.report()
+        self.say("address", self.address)
+        while True:
+            await asyncio.sleep(0.5)
+            if self.is_listed:
+                await self.report()
+
+
+class ServerProcess:
+    """Handle of one server process. Runs are recorded in `platform` as those of its own servers are."""
+
+    def __init__(self, platform, name, stage="decode", zone="north", address=None, **settings):
+        self.platform, self.name, self.stage = platform, name, stage
+        service = fake_platform.MODEL_SERVICE if stage else fake_platform.PLAIN_SERVICE
+        options = {"store": platform.store.address, "name": name, "zone": zone, "service": service, "stage": stage}
+        if address:
+            options["address"] = address
+        self.child = subprocess.Popen([sys.executable, __file__, json.dumps(options)], stdin=subprocess.PIPE,
+                                      stdout=subprocess.PIPE, text=True)
+        # Attempts whose answer has begun and has not ended, and all lines with their times.
+        self.running, self.lines = {}, []
+        self.is_listening = threading.Event()
+        self.is_unlisted = threading.Event()
+        self.order(**settings)
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self):
+        for line in self.child.stdout:
+            self.lines.append((time.monotonic(), line.strip()))
+            word, *rest = line.split()
+            if word == "address":
+                self.address = rest[0]
+                self.is_listening.set()
+            elif word == "unlisted":
+                self.is_unlisted.set()
+            elif word == "run":
+                self.running[rest[0]] = rest[1]
+                self._note_run(rest[0])
+            elif word == "end":
+                self.running.pop(rest[0], None)
+
+    def _note_run(self, attempt):
+        sent = self.platform.sent.get(attempt)
+        self.platform.runs[attempt] += 1
+        self.platform.run_history[attempt].append((time.monotonic(), self.name))
+        if sent is None or (self.platform.runs[attempt] > 1 and not sent.is_repeatable):
+            self.platform.report_violation(f"{self.name} ran {attempt} for the {self.platform.runs[attempt]}. time")
+
+    def wait_listening(self):
+        assert self.is_listening.wait(20), f"{self.name} does not listen"
+        return self
+
+    def order(self, **values):
+        if values:
+            self.child.stdin.write(json.dumps(values) + "\n")
+            self.child.stdin.flush()
+
+    def send_signal(self, number):
+        self.child.send_signal(number)
+
+    def kill(self):
+        self.child.send_signal(signal.SIGKILL)
+        self.child.wait()
+
+    def end(self):
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGCONT)
+            self.kill()
+        self.child.stdin.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(Server(json.loads(sys.argv[1])).main())
