Complete answers without a length only if their server still runs

Callers saw parts of streams and plain answers as complete ones (200, seal, last chunk) when the server ended inside an answer without length and chunks: killed, stopped, leaving by plan, or closing its connections before its listener.

Cause: when a process ends, its system closes its connections in an orderly way, one after the other, and its listener at any place among them. The probe after the end of an answer was a connection attempt, which a dying process still accepts; calls used the result of a probe that began before their own answer ended; servers that leave, are not listed or have another incarnation were not probed at all, and an answer was taken for complete where nothing was known. A lower layer's sign (the socket accepts) stood for a fact of a layer above (the process runs, so its answer is whole).

Change: such an answer is complete only if its server shows afterwards that it runs. ServerLiveness keeps a further connection to the server open while the answer is received, waits 20 ms, and makes a status call; an answer of the same incarnation, or the kept connection still open 0.5 s after the end, shows that the end of the answer was not that of the process. If the kept connection closes beside the answer, or the address refuses or belongs to another process, or nothing is shown within 3 s, the answer is broken off: a resumable stream is resumed, a read repeated within the budget, anything else ends visibly incomplete, since a caller cannot tell a part from the whole. Results are shared only by answers that ended before the call was sent. Error answers are checked as well. A resumed stream without further events is complete if the run before it ended in this way only.

The stand-ins end like processes that are killed: connections are closed newest first and the listener last, nothing is answered then, and streams without a length are no longer reset. Plain servers of the stand-in have a health page.

--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -23,6 +23,7 @@
 #include "peridotgrade/gateway/memory_budgets.h"
 #include "peridotgrade/gateway/server_clients.h"
 #include "peridotgrade/gateway/server_end_probe.h"
+#include "peridotgrade/gateway/server_liveness.h"
 #include "peridotgrade/net/body_framing.h"
 #include "peridotgrade/net/body_memory.h"
 #include "peridotgrade/net/timer_driver.h"
@@ -43,6 +44,13 @@
     /// Longest answer in one piece; as long as the longest request that operators allow by default.
     static constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
 
+    /// Longest wait for a server to show that it still runs after the end of its answer. Callers abandon a
+    /// stream after four seconds without an event.
+    static constexpr std::chrono::milliseconds MaxEndCheckTime { 3000 };
+    /// Why an answer is incomplete that only the end of its connection marks.
+    static constexpr std::string_view EndedWithAnswer
+        = "the server has not shown that it runs after its answer";
+
     GatewayState(boost::asio::any_io_executor executor, GatewaySettings settings, MetricsRegistry& registry,
         std::uint64_t seed);
     ~GatewayState();
@@ -109,16 +117,13 @@
     /// The server did not answer a request in time. If it turns out to have ended, that counts like a lost
     /// connection: some servers end without a word.
     void noteSilentRun(const ServerId& server, const GatewayRequest& request);
-    /// A server has answered a request with these suspects. An answer whose end only the end of its
-    /// connection marks may have been broken off between two events, so it shows something new only if the
-    /// server is still there.
-    void noteAnsweredRun(const ServerId& server, const GatewayRequest& request, std::vector<Suspect> suspects,
-        BodyFraming framing);
-    /// True if an answer whose end only the end of its connection marks came from a server that has ended
-    /// since: its process may have ended inside the answer, and its system closes connections in an orderly
-    /// way.
+    /// To be held while the body of an answer is received. Null if the body marks its own end.
+    std::shared_ptr<ServerLiveness> watchServer(std::shared_ptr<ServerClient> server, BodyFraming framing);
+    /// Called when an answer has ended that was received with `watch`. True if only the end of its connection
+    /// marks its end, and the server has not shown in time that it still runs: its process may have ended
+    /// inside the answer.
     boost::asio::awaitable<bool> isBrokenOff(
-        ServerRecord server, const GatewayRequest& request, BodyFraming framing);
+        std::shared_ptr<ServerLiveness> watch, const GatewayRequest& request, Duration timeout);
     void onDirectoryChanges(const std::vector<DirectoryChange>& changes);
 
     boost::asio::any_io_executor executor;
@@ -174,8 +179,6 @@
     void updateVersions(const ServiceId& service);
     void noteLimit(const ServerRecord& server, const ServerNotice& notice);
     void noteEnd(const ServerCrash& incarnation, std::string_view evidence);
-    boost::asio::awaitable<void> checkAnsweredRun(
-        ServerRecord server, std::string attempt, std::vector<Suspect> suspects);
     /// True if the server's address refuses connections. `purpose` and `attempt` are for the log.
     boost::asio::awaitable<bool> refusesConnections(
         ServerRecord server, std::string_view purpose, std::string attempt);
@@ -184,6 +187,8 @@
     void noteEndsInList(const DirectoryChange& change);
 
     ServerEndProbe endProbe;
+    /// Of each incarnation of a server, while answers are received that need it.
+    std::map<std::pair<ServerId, WallTime>, std::weak_ptr<ServerLiveness>> watches;
     std::string_view loadAwareReason;
 
     void setRetryShare(double share);
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -55,7 +55,7 @@
     boost::asio::awaitable<Next> stream(const EngineReservation& reservation, KvLocation kvCache);
     /// Passes a stream on. A resumable one goes on elsewhere if the server breaks it off; a stream that ends
     /// inside an event has been broken off, however its end is marked.
-    boost::asio::awaitable<Next> forward(ServerAnswer& answer, const ServerRecord& record);
+    boost::asio::awaitable<Next> forward(ServerAnswer& answer, std::shared_ptr<ServerClient> server);
     /// Compares the output of a complete stream with the estimate; returns its tokens.
     std::uint32_t recordOutput(std::uint32_t expected);
     /// Records the time for the events that have arrived since the last call.
@@ -65,7 +65,10 @@
     /// A stream ended before it was complete.
     void noteBrokenStream(ServerAnswer& answer, const ServerId& server, std::string detail);
     boost::asio::awaitable<bool> deliver(ServerAnswer& answer, std::string bytes);
-    boost::asio::awaitable<Next> forwardErrorAnswer(ServerAnswer& answer, const ServerId& server);
+    boost::asio::awaitable<Next> forwardErrorAnswer(
+        ServerAnswer& answer, std::shared_ptr<ServerClient> server);
+    /// For the check whether the server still runs after the end of its answer.
+    Duration endCheckTimeout() const;
     boost::asio::awaitable<void> reject(std::string_view reason);
     boost::asio::awaitable<void> giveUp();
     void freeInBackground(const KvLocation& kvCache);
@@ -133,6 +136,8 @@
     Duration reservationWait {};
     /// The answer to the caller has begun.
     bool hasBegun = false;
+    /// The last run ended as a complete one may, and its server has not shown that it still runs.
+    bool mayBeComplete = false;
     std::optional<Duration> firstEvent;
     TimePoint lastPieceAt {};
     /// Events of the stream and their time, up to which the pace of its server has been recorded.
--- a/src/include/peridotgrade/gateway/plain_call.h
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -27,14 +27,16 @@
     /// Expected time of a call there, in requests of an average server.
     double expectedTime(const ServerRecord& server) const;
     boost::asio::awaitable<Next> attempt(const ServerRecord& record);
-    boost::asio::awaitable<Next> forwardAnswer(ServerAnswer& answer, const ServerRecord& record);
+    boost::asio::awaitable<Next> forwardAnswer(ServerAnswer& answer, std::shared_ptr<ServerClient> client);
+    /// For the check whether the server still runs after the end of its answer.
+    Duration endCheckTimeout() const;
     /// True if nothing else than this answer can come of the request.
     bool isFinal(const ServerAnswerHead& head) const;
     /// Passes an answer on as it arrives, no faster than the caller reads, since no memory is left to hold
     /// it. `begun` has its head and what has been read of it, and `share` the memory of that. From here on no
     /// other server can be tried.
-    boost::asio::awaitable<void> passOn(
-        ServerAnswer& answer, const ServerRecord& record, HttpResponse begun, BodyMemory::Share share);
+    boost::asio::awaitable<void> passOn(ServerAnswer& answer, std::shared_ptr<ServerLiveness> watch,
+        HttpResponse begun, BodyMemory::Share share);
     boost::asio::awaitable<void> giveUp();
     /// The limit that forbids another send, to `next` if it is not null; empty if there is none. Takes a
     /// retry from the budget if the send is one.
--- a/src/include/peridotgrade/net/http_channel.h
+++ b/src/include/peridotgrade/net/http_channel.h
@@ -20,6 +20,15 @@
 
 namespace peridotgrade {
 
+/// What is known of a connection that carries no exchange, or of one that has ended.
+enum class ConnectionState : std::uint8_t {
+    Open,
+    /// The peer has closed it in an orderly way.
+    PeerClosed,
+    /// It was reset or closed here, or carries bytes that belong to no response.
+    Lost,
+};
+
 /// A connection on which a request is written while its response is read, since servers may respond before
 /// they have read all of it. Not thread safe: all calls must run on the executor it was created with.
 class HttpChannel {
@@ -44,6 +53,8 @@
     virtual boost::asio::awaitable<std::variant<std::string, NetError>> readBody(Duration timeout) = 0;
     /// Closes the connection; operations in progress fail.
     virtual void close() = 0;
+    /// Looks at the socket without waiting. Valid while no exchange is in progress.
+    virtual ConnectionState state() const = 0;
     /// The connection is closed when it is released to its pool.
     virtual void forbidReuse() = 0;
 
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -105,9 +105,9 @@
     writeTrace(state, context, false);
     // An error says nothing about the parts of the prompt.
     bool isSuccess = answer.status < FirstFailure;
-    state.noteAnsweredRun(ServerId { answer.server }, context.request,
+    state.crashes.recordAnswered(
         isSuccess ? context.request.suspects() : std::vector<Suspect> { context.request.fingerprint },
-        answer.framing);
+        state.now());
     state.metrics.countOutcome("answered");
     state.metrics.addAnswer(took);
     const auto& stream = answer.stream;
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -29,7 +29,6 @@
 
     // Purposes of the checks whether a server has ended.
     constexpr std::string_view LostRun = "lost_run";
-    constexpr std::string_view AnsweredRun = "answered_run";
     constexpr std::string_view EndOfAnswer = "end_of_answer";
 
     std::string textOfTime(Duration time)
@@ -287,51 +286,47 @@
             incarnationOf(*record), request.suspects(), this->now(), request.trial != nullptr);
 }
 
-void GatewayState::noteAnsweredRun(
-    const ServerId& server, const GatewayRequest& request, std::vector<Suspect> suspects, BodyFraming framing)
+std::shared_ptr<ServerLiveness> GatewayState::watchServer(
+    std::shared_ptr<ServerClient> server, BodyFraming framing)
 {
-    const ServerRecord* record = this->directory.find(server);
-    bool isDoubtful = framing == BodyFraming::ConnectionEnd && record != nullptr
-        && !this->crashes.isCleared(suspects, this->now());
-    if (isDoubtful)
-        boost::asio::co_spawn(this->executor,
-            this->checkAnsweredRun(*record, request.attempt, std::move(suspects)), boost::asio::detached);
-    else
-        this->crashes.recordAnswered(suspects, this->now());
-}
-
-boost::asio::awaitable<void> GatewayState::checkAnsweredRun(
-    ServerRecord server, std::string attempt, std::vector<Suspect> suspects)
-{
-    bool hasEnded = co_await this->refusesConnections(server, AnsweredRun, std::move(attempt));
-    if (!hasEnded) {
-        this->crashes.recordAnswered(suspects, this->now());
-        co_return;
+    if (framing != BodyFraming::ConnectionEnd)
+        return nullptr;
+    std::erase_if(this->watches, [](const auto& each) { return each.second.expired(); });
+    const ServerRecord& record = server->record();
+    std::weak_ptr<ServerLiveness>& watch = this->watches[{ record.id, record.startedAt }];
+    if (auto running = watch.lock())
+        return running;
+    std::string healthPath;
+    for (const ServiceSpec& service : this->configuration->services) {
+        if (service.name == record.service)
+            healthPath = service.healthPath;
     }
-    this->crashes.recordLoss(incarnationOf(server), suspects, this->now());
-    this->noteEnd(incarnationOf(server), RefusedEvidence);
+    auto started = std::make_shared<ServerLiveness>(this->executor, server, std::move(healthPath),
+        [this, server] { return this->closedUntil(server->record()); });
+    started->start();
+    watch = started;
+    return started;
 }
 
 boost::asio::awaitable<bool> GatewayState::isBrokenOff(
-    ServerRecord server, const GatewayRequest& request, BodyFraming framing)
+    std::shared_ptr<ServerLiveness> watch, const GatewayRequest& request, Duration timeout)
 {
-    if (framing != BodyFraming::ConnectionEnd)
-        co_return false;
-    const ServerRecord* current = this->directory.find(server.id);
-    std::string_view reason;
-    if (current == nullptr)
-        reason = "not_listed";
-    else if (current->startedAt != server.startedAt)
-        reason = "replaced";
-    else if (current->isDraining)
-        reason = "draining";
-    if (!reason.empty()) {
-        // A server that leaves ends after its last answer.
-        this->noteUncheckedServer(server.id, EndOfAnswer, request.attempt, reason);
+    if (!watch)
         co_return false;
-    }
-    bool hasEnded = co_await this->refusesConnections(server, EndOfAnswer, request.attempt);
-    co_return hasEnded;
+    TimePoint endedAt = this->now();
+    LivenessCheck check = co_await watch->check(timeout);
+    std::string result { nameOf(check.liveness) };
+    this->metrics.countServerCheck(std::string { EndOfAnswer }, result);
+    const ServerRecord* current = this->directory.find(watch->record().id);
+    bool isListed = current != nullptr && current->startedAt == watch->record().startedAt;
+    std::string_view state = !isListed ? "not_listed" : current->isDraining ? "draining" : "ready";
+    this->log.write(LogLevel::Info, "server_checked",
+        { { "request", request.attempt }, { "server", watch->record().id.raw() },
+            { "purpose", std::string { EndOfAnswer } }, { "result", result },
+            { "shared", check.isShared ? "true" : "false" },
+            { "watched", check.wasWatched ? "true" : "false" }, { "state", std::string { state } },
+            { "took_us", textOfTime(this->now() - endedAt) } });
+    co_return check.liveness != Liveness::Alive;
 }
 
 boost::asio::awaitable<bool> GatewayState::refusesConnections(
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -298,7 +298,7 @@
     this->state.reservedLoad.noteServed(server);
     ++this->runs;
     this->runVersion = reservation.engine->record().softwareVersion;
-    Next next = co_await this->forward(*answer, reservation.engine->record());
+    Next next = co_await this->forward(*answer, reservation.engine);
     answer->abort();
     if (next == Next::Done)
         this->state.demandOf(this->context.service)
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -20,16 +20,18 @@
 } // namespace
 
 asio::awaitable<GenerationCall::Next> GenerationCall::forward(
-    ServerAnswer& answer, const ServerRecord& record)
+    ServerAnswer& answer, std::shared_ptr<ServerClient> client)
 {
+    const ServerRecord& record = client->record();
     const ServerId server = record.id;
     this->recordedAt = {};
     if (answer.head().response.status != Success && !this->hasBegun)
-        co_return co_await this->forwardErrorAnswer(answer, server);
+        co_return co_await this->forwardErrorAnswer(answer, client);
     if (answer.head().response.status != Success) {
         this->lastDetail = "status " + std::to_string(answer.head().response.status) + " on resuming";
         co_return Next::Retry;
     }
+    auto watch = this->state.watchServer(client, answer.framing());
     bool isEmpty = true;
     this->progressAt = this->state.now();
     while (true) {
@@ -83,16 +85,22 @@
     }
     // Every stream has an event, unless its caller has them all and resumes it.
     bool isResumed = this->hasBegun || this->context.request.isResumption();
-    bool isLost = isEmpty && (!isResumed || answer.framing() == BodyFraming::ConnectionEnd);
+    bool isEndDoubtful = answer.framing() == BodyFraming::ConnectionEnd && !this->mayBeComplete;
+    bool isLost = isEmpty && (!isResumed || isEndDoubtful);
     std::string_view broken;
     if (isLost)
         broken = "end without an event";
     else if (this->framer.hasPartialEvent())
         broken = "end inside an event";
-    else if (co_await this->state.isBrokenOff(record, this->context.request, answer.framing()))
-        broken = "the server ended with its answer";
+    if (broken.empty()) {
+        bool isBrokenOff
+            = co_await this->state.isBrokenOff(watch, this->context.request, this->endCheckTimeout());
+        if (isBrokenOff)
+            broken = GatewayState::EndedWithAnswer;
+    }
     if (!broken.empty()) {
         this->noteBrokenStream(answer, server, std::string { broken });
+        this->mayBeComplete = broken == GatewayState::EndedWithAnswer;
         co_await this->state.noteLostRun(server, this->context.request);
         co_return Next::Retry;
     }
@@ -175,6 +183,7 @@
 void GenerationCall::noteBrokenStream(ServerAnswer& answer, const ServerId& server, std::string detail)
 {
     TimePoint now = this->state.now();
+    this->mayBeComplete = false;
     this->lastDetail = std::move(detail);
     this->failure = timeLeft(this->state, this->context).count() == 0 ? "deadline_passed" : "server_lost";
     this->state.health.record(server, ServerCallResult::Unreachable, now);
@@ -188,14 +197,22 @@
 }
 
 asio::awaitable<GenerationCall::Next> GenerationCall::forwardErrorAnswer(
-    ServerAnswer& answer, const ServerId& server)
+    ServerAnswer& answer, std::shared_ptr<ServerClient> client)
 {
+    const ServerId server = client->record().id;
+    auto watch = this->state.watchServer(client, answer.framing());
     HttpResponse response = answer.head().response;
     this->context.cancellation.setHandler([&answer] { answer.abort(); });
     BodyMemory::Share share(&this->state.answerMemory);
     auto body
         = co_await readWholeBody(answer, this->context.deadline, { GatewayState::MaxAnswerBytes, &share });
     this->context.cancellation.clearHandler();
+    if (std::holds_alternative<std::string>(body)) {
+        bool isBrokenOff
+            = co_await this->state.isBrokenOff(watch, this->context.request, this->endCheckTimeout());
+        if (isBrokenOff)
+            body = NetError { NetErrorKind::Closed, true, std::string { GatewayState::EndedWithAnswer } };
+    }
     if (auto* error = std::get_if<NetError>(&body)) {
         this->lastDetail = error->detail;
         this->state.health.record(server, ServerCallResult::Unreachable, this->state.now());
@@ -212,6 +229,11 @@
     co_return Next::Done;
 }
 
+Duration GenerationCall::endCheckTimeout() const
+{
+    return std::min<Duration>(this->readTimeout(), GatewayState::MaxEndCheckTime);
+}
+
 Duration GenerationCall::readTimeout() const
 {
     Duration left
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -28,7 +28,6 @@
     constexpr std::uint16_t FirstServerError = 500;
     // Bytes of an answer that are written to its caller at once.
     constexpr std::size_t PassedPart = 64 * 1024;
-    constexpr std::string_view EndedWithAnswer = "the server ended with its answer";
 } // namespace
 
 PlainCall::PlainCall(GatewayState& state, RequestContext& context)
@@ -202,12 +201,20 @@
     if (!answer->head().isNotRun && answer->head().response.status < FirstServerError)
         this->state.pace.record(
             client->record(), PaceSample::PlainCall, seconds / shareOfSlot, this->state.now());
-    co_return co_await this->forwardAnswer(*answer, client->record());
+    co_return co_await this->forwardAnswer(*answer, client);
 }
 
-asio::awaitable<PlainCall::Next> PlainCall::forwardAnswer(ServerAnswer& answer, const ServerRecord& record)
+Duration PlainCall::endCheckTimeout() const
 {
-    const ServerId& server = record.id;
+    auto left = std::max(timeLeft(this->state, this->context), std::chrono::milliseconds { 1 });
+    return std::min<Duration>(left, GatewayState::MaxEndCheckTime);
+}
+
+asio::awaitable<PlainCall::Next> PlainCall::forwardAnswer(
+    ServerAnswer& answer, std::shared_ptr<ServerClient> client)
+{
+    const ServerId server = client->record().id;
+    auto watch = this->state.watchServer(client, answer.framing());
     HttpResponse response = answer.head().response;
     this->context.cancellation.setHandler([&answer] { answer.abort(); });
     BodyMemory::Share share(&this->state.answerMemory);
@@ -215,12 +222,15 @@
         answer, this->context.deadline, { GatewayState::MaxAnswerBytes, &share }, response.body);
     this->context.cancellation.clearHandler();
     if (error && error->kind == NetErrorKind::NoMemory && this->isFinal(answer.head())) {
-        co_await this->passOn(answer, record, std::move(response), std::move(share));
+        co_await this->passOn(answer, watch, std::move(response), std::move(share));
         co_return Next::Done;
     }
-    if (!error && !answer.head().isNotRun
-        && co_await this->state.isBrokenOff(record, this->context.request, answer.framing()))
-        error = NetError { NetErrorKind::Closed, true, std::string { EndedWithAnswer } };
+    if (!error && !answer.head().isNotRun) {
+        bool isBrokenOff
+            = co_await this->state.isBrokenOff(watch, this->context.request, this->endCheckTimeout());
+        if (isBrokenOff)
+            error = NetError { NetErrorKind::Closed, true, std::string { GatewayState::EndedWithAnswer } };
+    }
     if (error) {
         this->lastDetail = error->detail;
         this->runs += answer.head().isNotRun ? 0 : 1;
@@ -269,9 +279,9 @@
 }
 
 asio::awaitable<void> PlainCall::passOn(
-    ServerAnswer& answer, const ServerRecord& record, HttpResponse begun, BodyMemory::Share share)
+    ServerAnswer& answer, std::shared_ptr<ServerLiveness> watch, HttpResponse begun, BodyMemory::Share share)
 {
-    const ServerId& server = record.id;
+    const ServerId server { this->lastServer };
     ++this->runs;
     std::uint16_t status = begun.status;
     this->context.trace.add(this->state.now(), "answer_passed_on",
@@ -298,8 +308,13 @@
             break;
         isOk = co_await this->context.exchange.writeChunk(std::move(bytes));
     }
-    if (isOk && co_await this->state.isBrokenOff(record, this->context.request, answer.framing())) {
-        abortStream(this->state, this->context, "server_lost", server.raw(), std::string { EndedWithAnswer });
+    bool isBrokenOff = false;
+    if (isOk)
+        isBrokenOff = co_await this->state.isBrokenOff(
+            std::move(watch), this->context.request, this->endCheckTimeout());
+    if (isBrokenOff) {
+        abortStream(this->state, this->context, "server_lost", server.raw(),
+            std::string { GatewayState::EndedWithAnswer });
         co_return;
     }
     if (!isOk || !co_await this->context.exchange.endStream()) {
--- a/src/libperidotgrade/net/http_channel.cpp
+++ b/src/libperidotgrade/net/http_channel.cpp
@@ -158,6 +158,18 @@
             this->stream.socket().close(ignored);
         }
 
+        ConnectionState state() const override
+        {
+            if (this->isClosed)
+                return ConnectionState::Lost;
+            if (this->buffer.size() > 0)
+                return ConnectionState::Lost;
+            boost::system::error_code error = this->peek();
+            if (error == asio::error::would_block)
+                return ConnectionState::Open;
+            return error == asio::error::eof ? ConnectionState::PeerClosed : ConnectionState::Lost;
+        }
+
         void forbidReuse() override { this->isLast = true; }
 
         bool isReused() const override { return this->isConnectionReused; }
@@ -186,14 +198,20 @@
             if (this->isClosed || now - this->idleSince > limit)
                 return false;
             // Anything readable now is the end of the connection, or bytes that belong to no request.
+            return this->peek() == asio::error::would_block;
+        }
+
+    private:
+        /// The error of a read that does not wait; none if there are bytes to read.
+        boost::system::error_code peek() const
+        {
             char next = 0;
             boost::system::error_code error;
             this->stream.socket().non_blocking(true, error);
             this->stream.socket().receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
-            return error == asio::error::would_block;
+            return error;
         }
 
-    private:
         /// A time that has passed expires at once; zero would mean no time-out.
         void expireAt(TimePoint deadline)
         {
@@ -207,7 +225,8 @@
             return netErrorFrom(error, true);
         }
 
-        beast::tcp_stream stream;
+        /// Mutable, since a look at the socket sets its mode.
+        mutable beast::tcp_stream stream;
         Endpoint server;
         beast::flat_buffer buffer { MaxBufferBytes };
         /// Present while it is being written; refers to a body that the write operation holds.
--- a/testsuite/gateway_partial_answers_of_ended_servers/case.py
+++ b/testsuite/gateway_partial_answers_of_ended_servers/case.py
@@ -11,7 +11,7 @@
 from support.server_process import ServerProcess
 
 EVENTS, EVENT_S = 60, 0.04
-PLAIN_PART_S = 0.14
+PLAIN_PART_S = 0.11
 ENGINES, PLAIN_SERVERS = 6, 4
 CALLS_PER_SERVER = 4
 # Servers that end in each scenario, and the time between their ends.
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -93,9 +93,12 @@
         self.host = run_address()
         self.port = 0
         self.tasks = set()
-        self.writers = set()
+        # Writers of the open connections, oldest first.
+        self.writers = {}
+        self.is_ending = False
 
     async def listen(self):
+        self.is_ending = False
         if self.holder is None:
             # Keeps the port for this server while it is away.
             self.holder = socket.socket()
@@ -109,18 +112,24 @@
         return f"{self.host}:{self.port}"
 
     async def stop(self):
-        """Closes the listener and aborts every connection at once, as a crash does."""
-        if self.server:
-            self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+        """Ends as a process that is killed: nothing is sent any more, and the connections and the listener are closed one
+        after the other, the newest first."""
+        self.is_ending = True
         for task in list(self.tasks):
             task.cancel()
+        for writer in reversed(list(self.writers)):
+            writer.transport.abort()
+            await asyncio.sleep(0)
+        if self.server:
+            self.server.close()
 
     async def _connection(self, reader, writer):
+        if self.is_ending:
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         self.tasks.add(task)
-        self.writers.add(writer)
+        self.writers[writer] = None
         try:
             while True:
                 request = await read_request(reader)
@@ -132,7 +141,7 @@
             pass
         finally:
             self.tasks.discard(task)
-            self.writers.discard(writer)
+            self.writers.pop(writer, None)
             with contextlib.suppress(Exception):
                 writer.close()
 
@@ -312,7 +321,7 @@
         self.limited_since = None
         self.limited_requests = []
         self.heartbeat = None
-        # Ends inside its next answer, and its connections in an orderly way, as those of a process that exits.
+        # Ends inside its next answer as a process that exits.
         self.exits_inside_answer = False
         self.is_crashing = False
 
@@ -336,13 +345,17 @@
             seconds, lambda: setattr(self, "heartbeat", asyncio.ensure_future(self._send_heartbeats())))
 
     async def exit_inside_answer(self, writer):
-        """The listener is closed before the connection of the answer ends; the server is back a second later."""
+        """The server is back a second later."""
         self.exits_inside_answer = False
-        self.heartbeat.cancel()
-        self.server.close()
         await writer.drain()
-        asyncio.get_event_loop().call_later(1, lambda: asyncio.ensure_future(self.start()))
-        raise ConnectionEnds
+        asyncio.ensure_future(self.exit(1))
+        await asyncio.sleep(3600)
+
+    async def exit(self, back_after_s):
+        self.heartbeat.cancel()
+        await self.stop()
+        await asyncio.sleep(back_after_s)
+        await self.start()
 
     async def crash(self):
         self.heartbeat.cancel()
@@ -423,6 +436,9 @@
             self.platform.leaving_since.setdefault(self.name, time.monotonic())
         if await self._turn_away(request, writer, identity):
             return
+        if request.path == "/healthz":
+            writer.write(response(200 if self.state == "ready" else 503, headers=identity))
+            return
         await self.handle_request(request, writer, reader, identity)
 
     async def _turn_away(self, request, writer, identity):
@@ -525,8 +541,6 @@
         # After this many events a run sends bytes every 50 ms for ever that complete no event with an id.
         self.drip_after = None
         self.drip = b": still here\n"
-        # Connections of runs whose body ends with the connection.
-        self.unframed = set()
         # A command takes this long. Meanwhile the engine still grants reservations, and rejects prefills and runs.
         self.switch_s = 0
         self.switching_since = None
@@ -627,8 +641,6 @@
         try:
             seal = f"seal-{attempt}"
             framing = self.framing
-            if framing == "connection":
-                self.unframed.add(writer)
             writer.write(response(200, headers={"Content-Type": "text/event-stream", "X-Attempt-Id": attempt,
                                                 "X-Server-Seal": seal, **identity}, framing=framing))
             await writer.drain()
@@ -661,16 +673,9 @@
                 raise ConnectionEnds
             writer.write(b"0\r\n\r\n")
         finally:
-            self.unframed.discard(writer)
             self.used_tokens -= prompt
             self.platform.running[attempt] -= 1
 
-    async def stop(self):
-        # Only a reset tells that a stream without a length that stopped between two events is incomplete.
-        for writer in list(self.unframed):
-            reset(writer)
-        await super().stop()
-
     @staticmethod
     def _write_part(writer, part, framing):
         if framing == "chunked":
