--- a/src/include/peridotgrade/gateway/server_end_probe.h
+++ b/src/include/peridotgrade/gateway/server_end_probe.h
@@ -22,7 +22,8 @@
 };
 
 /// Connects to the server's address: nothing listens there once its process has ended. Calls at the same time
-/// share one connection. Not thread safe.
+/// share one connection, but for the result that the address accepted a connection before a call. Not thread
+/// safe.
 class ServerEndProbe {
 public:
     explicit ServerEndProbe(boost::asio::any_io_executor executor)
--- a/src/libperidotgrade/gateway/server_end_probe.cpp
+++ b/src/libperidotgrade/gateway/server_end_probe.cpp
@@ -33,15 +33,17 @@
 asio::awaitable<ServerProbeResult> ServerEndProbe::run(std::shared_ptr<ServerClient> server)
 {
     const ServerId id = server->record().id;
-    auto found = this->running.find(id);
-    if (found != this->running.end()) {
+    const TimePoint asked = TimerDriver::now();
+    for (auto found = this->running.find(id); found != this->running.end(); found = this->running.find(id)) {
         auto probe = found->second;
         boost::system::error_code ignored;
         if (!probe->isDone)
             co_await probe->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         ServerProbeResult result = probe->result;
         result.isShared = true;
-        co_return result;
+        // A server that has ended does not come back, but one that ran before may have ended since.
+        if (result.isRefused || result.beganAt >= asked)
+            co_return result;
     }
     auto probe = std::make_shared<Probe>(this->executor);
     this->running[id] = probe;
