--- a/testsuite/support/server_process.py
+++ b/testsuite/support/server_process.py
@@ -216,13 +216,19 @@
     def send_signal(self, number):
         self.child.send_signal(number)
 
+    def freeze(self):
+        self.send_signal(signal.SIGSTOP)
+
+    def thaw(self):
+        self.send_signal(signal.SIGCONT)
+
     def kill(self):
         self.child.send_signal(signal.SIGKILL)
         self.child.wait()
 
     def end(self):
         if self.child.poll() is None:
-            self.child.send_signal(signal.SIGCONT)
+            self.thaw()
             self.kill()
         self.child.stdin.close()
 
