Soak: kill servers inside answers without a length

server_exited lets an engine or plain server answer without a length for a while and ends it as a kernel does. The list has a generator of its own, so a seed plans the other faults as before. A gateway that serves nothing after the last fault is reported with the attempts and reasons.

--- a/testsuite/gateway_soak/soak.py
+++ b/testsuite/gateway_soak/soak.py
@@ -157,15 +157,30 @@
         for engine in engines:
             engine.framing = "chunked"
 
+    def server_exited(self, _):
+        """A server answers without a length for a while and is then killed inside its answers."""
+        server = self.random.choice(self.platform.decodes() + self.platform.plain_servers)
+        if getattr(server, "is_away", False):
+            return
+        server.is_away = True
+        server.framing, framing = "connection", server.framing
+        time.sleep(self.random.uniform(0.2, 1.0))
+        self.platform.call(server.exit(self.random.uniform(0, 1)))
+        server.framing = framing
+        server.is_away = False
+
     FAULTS = [gateway_killed, gateway_frozen, gateway_stopped, settings_reloaded, store_link_cut, store_link_stalled,
               store_down, server_crashed, server_unresponsive, answers_lost, extra_answers, runs_rejected,
               configuration_changed]
-    # Drawn by a generator of their own, so that a seed still plans the faults of `FAULTS` that it had.
+    # Each list is drawn by a generator of its own, so that a seed still plans the faults of the others that it had.
     FURTHER_FAULTS = [streams_broken_off]
+    EXITS = [server_exited]
 
     def plan(self):
         further = random.Random(self.random.getstate()[1][0])
+        exits = random.Random(self.random.getstate()[1][1])
         steps = self._draw(self.random, self.FAULTS, 1.5) + self._draw(further, self.FURTHER_FAULTS, 3.0)
+        steps += self._draw(exits, self.EXITS, 1.5)
         return sorted(steps, key=lambda step: step[0])
 
     def _draw(self, generator, faults, longest_gap):
@@ -219,10 +234,10 @@
         time.sleep(4)
         for gateway in self.gateways:
             fields = {"Authorization": "Bearer key-mills"}
-            statuses = [Caller(self.platform, gateway).send("/text/after", deadline_s=4.0, fields=fields).status
-                        for _ in range(3)]
-            if 200 not in statuses:
-                self.platform.report_violation(f"{gateway.name} serves nothing after the last fault: {statuses}")
+            answers = [Caller(self.platform, gateway).send("/text/after", deadline_s=4.0, fields=fields) for _ in range(3)]
+            if all(answer.status != 200 for answer in answers):
+                reasons = [(answer.attempt, answer.status, answer.body[:80]) for answer in answers]
+                self.platform.report_violation(f"{gateway.name} serves nothing after the last fault: {reasons}")
         self.is_over.set()
         for thread in callers:
             thread.join()
