Confirm the end of an answer later, on a connection that is kept in use

Cause: an answer to a status call 20 ms after the end shows that the process runs, not that it goes on; a process that is being stopped still answers. A closed connection was replaced and forgotten after 50 ms, an idle one was taken for one that the server had no reason to close, and silence on a connection that had carried nothing counted as life.

Change: one connection carries all calls, from the head of the answer on and every 0.5 s, so it is known to reach that process and is not closed as idle. The call that decides is sent 1 s after the end of a stream, whose caller has all events, and 0.5 s after that of a plain answer. If the server closes that connection without having announced it, from 2 s before the end on, the answer is broken off. Silence counts as life only if the process was as slow before, or must not be called. An empty answer to a caller that resumes is judged by the same check. A caller that leaves meanwhile is no loss of the server, and the check does not count as time of the run.

A plain answer without a length now takes 0.5 s longer, a stream's end 1 s.

--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -38,13 +38,19 @@
 
 namespace peridotgrade {
 
+/// Parameters of `ServerLiveness::check`.
+struct EndCheckTimes {
+    Duration settleTime;
+    Duration timeout;
+};
+
 /// The state of the gateway's single thread; it has no locks.
 class GatewayState {
 public:
     /// Longest answer in one piece; as long as the longest request that operators allow by default.
     static constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
 
-    /// Longest wait for a server to show that it still runs after the end of its answer. Callers abandon a
+    /// Longest wait for a server to show that it goes on after the end of its answer. Callers abandon a
     /// stream after four seconds without an event.
     static constexpr std::chrono::milliseconds MaxEndCheckTime { 3000 };
     /// Why an answer is incomplete that only the end of its connection marks.
@@ -120,10 +126,10 @@
     /// To be held while the body of an answer is received. Null if the body marks its own end.
     std::shared_ptr<ServerLiveness> watchServer(std::shared_ptr<ServerClient> server, BodyFraming framing);
     /// Called when an answer has ended that was received with `watch`. True if only the end of its connection
-    /// marks its end, and the server has not shown in time that it still runs: its process may have ended
-    /// inside the answer.
+    /// marks its end, and the server has not shown in time that it goes on: its process may have ended inside
+    /// the answer.
     boost::asio::awaitable<bool> isBrokenOff(
-        std::shared_ptr<ServerLiveness> watch, const GatewayRequest& request, Duration timeout);
+        std::shared_ptr<ServerLiveness> watch, const GatewayRequest& request, const EndCheckTimes& times);
     void onDirectoryChanges(const std::vector<DirectoryChange>& changes);
 
     boost::asio::any_io_executor executor;
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -68,7 +68,7 @@
     boost::asio::awaitable<Next> forwardErrorAnswer(
         ServerAnswer& answer, std::shared_ptr<ServerClient> server);
     /// For the check whether the server still runs after the end of its answer.
-    Duration endCheckTimeout() const;
+    EndCheckTimes endCheckTimes() const;
     boost::asio::awaitable<void> reject(std::string_view reason);
     boost::asio::awaitable<void> giveUp();
     void freeInBackground(const KvLocation& kvCache);
@@ -138,6 +138,8 @@
     bool hasBegun = false;
     /// The last run ended as a complete one may, and its server has not shown that it still runs.
     bool mayBeComplete = false;
+    /// When the body of the last run ended, before any check of its end.
+    TimePoint bodyEndedAt {};
     std::optional<Duration> firstEvent;
     TimePoint lastPieceAt {};
     /// Events of the stream and their time, up to which the pace of its server has been recorded.
--- a/src/include/peridotgrade/gateway/plain_call.h
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -29,7 +29,7 @@
     boost::asio::awaitable<Next> attempt(const ServerRecord& record);
     boost::asio::awaitable<Next> forwardAnswer(ServerAnswer& answer, std::shared_ptr<ServerClient> client);
     /// For the check whether the server still runs after the end of its answer.
-    Duration endCheckTimeout() const;
+    EndCheckTimes endCheckTimes() const;
     /// True if nothing else than this answer can come of the request.
     bool isFinal(const ServerAnswerHead& head) const;
     /// Passes an answer on as it arrives, no faster than the caller reads, since no memory is left to hold
--- a/src/include/peridotgrade/gateway/server_liveness.h
+++ b/src/include/peridotgrade/gateway/server_liveness.h
@@ -1,4 +1,4 @@
-// Finds out whether the process that sent an answer still runs after the answer's end.
+// Finds out whether the process that sent an answer goes on serving after the answer's end.
 #pragma once
 
 #include "peridotgrade/core/base/time.h"
@@ -6,7 +6,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -18,14 +17,13 @@
 
 namespace peridotgrade {
 
-/// What is known of a process at a moment after the end of an answer.
+/// What is known of a process some time after the end of an answer.
 enum class Liveness : std::uint8_t {
-    /// It has answered a call that was sent after the end of the answer, or kept a connection open that its
-    /// end would have closed.
+    /// It has answered a call that was sent then, or is as slow to answer it as it was before.
     Alive,
     /// Nothing listens at its address any more, or another process does.
     Ended,
-    /// It has closed, beside the connection of the answer, one that it had no reason to close.
+    /// It has closed a connection that it had no reason to close.
     Closing,
     /// It has not answered in time.
     Unknown,
@@ -35,19 +33,18 @@
 
 struct LivenessCheck {
     Liveness liveness = Liveness::Unknown;
-    /// Other answers that ended shortly before share the result.
-    bool isShared = false;
-    /// A connection was kept open from before the end of the answer.
+    /// A connection to the process had been kept from before the end of the answer.
     bool wasWatched = false;
 };
 
 /// Watches one incarnation of a server while answers of it are received whose end only the end of their
 /// connection marks. When a process ends, its system closes its connections in an orderly way, one after the
 /// other and its listening socket at any place among them, so neither that end nor an accepted connection
-/// shows that an answer is complete. What shows it is an answer of that process to a call that was sent
-/// afterwards. A process may also close its connections while it still runs and listens; to notice that, a
-/// further connection to it is kept open meanwhile, which also serves if the process is slow to answer. Not
-/// thread safe.
+/// shows that an answer is complete. A process that is being stopped may close its connections one by one
+/// while it still answers others. What shows that it goes on is its answer to a call that was sent some time
+/// after the end of the answer, and that it has not closed meanwhile the connection of these calls. That
+/// connection is kept while answers are received, and used often enough not to be closed as idle. Not thread
+/// safe.
 class ServerLiveness : public std::enable_shared_from_this<ServerLiveness> {
 public:
     /// When the server may be called; nothing if it may be called now.
@@ -57,37 +54,45 @@
         std::string healthPath, ClosedUntil closedUntil);
 
     const ServerRecord& record() const { return this->client->record(); }
-    /// Keeps a connection open as long as this object lives.
+    /// Calls the server from now on, as long as this object lives.
     void start();
-    /// To be called at the end of an answer. Waits for the server's answer for at most `timeout`.
-    boost::asio::awaitable<LivenessCheck> check(Duration timeout);
+    /// To be called at the end of an answer. The call that decides is sent `settleTime` later; the result is
+    /// there after at most `timeout`.
+    boost::asio::awaitable<LivenessCheck> check(Duration settleTime, Duration timeout);
 
 private:
-    struct Round;
-
-    static boost::asio::awaitable<void> keepConnection(std::weak_ptr<ServerLiveness> watched);
-    boost::asio::awaitable<void> openConnection();
-    static boost::asio::awaitable<void> runRound(
-        std::shared_ptr<ServerLiveness> self, std::shared_ptr<Round> round);
-    boost::asio::awaitable<Liveness> ask(const Round& round);
-    void lookAtConnection();
-    /// The server has closed the kept connection since about the time at which the answers of a round ended.
-    bool hasClosedSince(const Round& round);
-    /// The kept connection is open and was so before the answers of a round ended.
-    bool isWatched(const Round& round) const;
+    static boost::asio::awaitable<void> keepCalling(std::weak_ptr<ServerLiveness> watched);
+    bool isCallDue(TimePoint now) const;
+    boost::asio::awaitable<void> callServer();
+    boost::asio::awaitable<bool> openConnection();
+    void dropConnection(bool isPeerClosed);
+    /// Nothing while the server may still answer a call that was sent at `due` or later.
+    std::optional<Liveness> result(TimePoint endedAt, TimePoint due) const;
+    /// The server must not be called now, and its connection is open.
+    bool isOpenWithoutCalls() const;
+    /// A call is in progress that takes no longer than the one before has taken twice.
+    bool isSlowAsBefore(TimePoint now) const;
 
     const boost::asio::any_io_executor executor;
     const std::shared_ptr<ServerClient> client;
     const std::string healthPath;
     const ClosedUntil closedUntil;
-    /// Open when it was last looked at. Carries no call.
     std::shared_ptr<StatusConnection> connection;
-    TimePoint openedAt {};
+    /// The connection has carried a call that the process answered.
+    bool hasConnectionAnswered = false;
     TimePoint nextOpenAt {};
-    /// When the server was last found to have closed the kept connection.
+    /// When the call in progress was sent.
+    std::optional<TimePoint> callSentAt;
+    TimePoint lastCallAt {};
+    /// When the latest call was sent that the process has answered, and how long that took.
+    std::optional<TimePoint> answeredCallAt;
+    Duration responseTime {};
+    /// When the server last closed the kept connection without having announced it.
     std::optional<TimePoint> closedAt;
-    /// The latest call and those that wait for it.
-    std::shared_ptr<Round> latest;
+    /// Invariant: once true, it remains so.
+    bool hasEnded = false;
+    /// When calls have to be sent for answers that have ended.
+    std::vector<TimePoint> wantedCalls;
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/net/http_channel.h
+++ b/src/include/peridotgrade/net/http_channel.h
@@ -23,7 +23,7 @@
 /// What is known of a connection that carries no exchange, or of one that has ended.
 enum class ConnectionState : std::uint8_t {
     Open,
-    /// The peer has closed it in an orderly way.
+    /// The peer has closed it in an orderly way, and not after the bytes of a response.
     PeerClosed,
     /// It was reset or closed here, or carries bytes that belong to no response.
     Lost,
@@ -55,6 +55,8 @@
     virtual void close() = 0;
     /// Looks at the socket without waiting. Valid while no exchange is in progress.
     virtual ConnectionState state() const = 0;
+    /// True if both directions are at a message boundary and the server keeps the connection open.
+    virtual bool isReusable() const = 0;
     /// The connection is closed when it is released to its pool.
     virtual void forbidReuse() = 0;
 
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -309,12 +309,12 @@
 }
 
 boost::asio::awaitable<bool> GatewayState::isBrokenOff(
-    std::shared_ptr<ServerLiveness> watch, const GatewayRequest& request, Duration timeout)
+    std::shared_ptr<ServerLiveness> watch, const GatewayRequest& request, const EndCheckTimes& times)
 {
     if (!watch)
         co_return false;
     TimePoint endedAt = this->now();
-    LivenessCheck check = co_await watch->check(timeout);
+    LivenessCheck check = co_await watch->check(times.settleTime, times.timeout);
     std::string result { nameOf(check.liveness) };
     this->metrics.countServerCheck(std::string { EndOfAnswer }, result);
     const ServerRecord* current = this->directory.find(watch->record().id);
@@ -323,7 +323,6 @@
     this->log.write(LogLevel::Info, "server_checked",
         { { "request", request.attempt }, { "server", watch->record().id.raw() },
             { "purpose", std::string { EndOfAnswer } }, { "result", result },
-            { "shared", check.isShared ? "true" : "false" },
             { "watched", check.wasWatched ? "true" : "false" }, { "state", std::string { state } },
             { "took_us", textOfTime(this->now() - endedAt) } });
     co_return check.liveness != Liveness::Alive;
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -303,7 +303,7 @@
     if (next == Next::Done)
         this->state.demandOf(this->context.service)
             .recordRun(this->engine,
-                { reservation.tokens, this->framer.events(), this->state.now() - began,
+                { reservation.tokens, this->framer.events(), this->bodyEndedAt - began,
                     this->reservationWait });
     this->broker->release(reservation);
     co_return next;
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -16,6 +16,9 @@
     // A stream is resumed at another engine after a silence of this many times its route's longest pause.
     constexpr int StallGapCount = 5;
     constexpr std::uint16_t Success = 200;
+    // The caller has all events, so the check whether the stream is complete may take longer than that of a
+    // plain answer.
+    constexpr std::chrono::milliseconds SettleTime { 1000 };
 
 } // namespace
 
@@ -85,16 +88,20 @@
     }
     // Every stream has an event, unless its caller has them all and resumes it.
     bool isResumed = this->hasBegun || this->context.request.isResumption();
-    bool isEndDoubtful = answer.framing() == BodyFraming::ConnectionEnd && !this->mayBeComplete;
+    bool isEndDoubtful
+        = answer.framing() == BodyFraming::ConnectionEnd && this->hasBegun && !this->mayBeComplete;
     bool isLost = isEmpty && (!isResumed || isEndDoubtful);
     std::string_view broken;
     if (isLost)
         broken = "end without an event";
     else if (this->framer.hasPartialEvent())
         broken = "end inside an event";
+    this->bodyEndedAt = this->state.now();
     if (broken.empty()) {
         bool isBrokenOff
-            = co_await this->state.isBrokenOff(watch, this->context.request, this->endCheckTimeout());
+            = co_await this->state.isBrokenOff(watch, this->context.request, this->endCheckTimes());
+        if (this->context.cancellation.isCancelled())
+            co_return Next::Retry;
         if (isBrokenOff)
             broken = GatewayState::EndedWithAnswer;
     }
@@ -207,9 +214,10 @@
     auto body
         = co_await readWholeBody(answer, this->context.deadline, { GatewayState::MaxAnswerBytes, &share });
     this->context.cancellation.clearHandler();
+    this->bodyEndedAt = this->state.now();
     if (std::holds_alternative<std::string>(body)) {
         bool isBrokenOff
-            = co_await this->state.isBrokenOff(watch, this->context.request, this->endCheckTimeout());
+            = co_await this->state.isBrokenOff(watch, this->context.request, this->endCheckTimes());
         if (isBrokenOff)
             body = NetError { NetErrorKind::Closed, true, std::string { GatewayState::EndedWithAnswer } };
     }
@@ -229,9 +237,13 @@
     co_return Next::Done;
 }
 
-Duration GenerationCall::endCheckTimeout() const
+EndCheckTimes GenerationCall::endCheckTimes() const
 {
-    return std::min<Duration>(this->readTimeout(), GatewayState::MaxEndCheckTime);
+    Duration timeout
+        = std::min<Duration>(timeLeft(this->state, this->context), GatewayState::MaxEndCheckTime);
+    if (this->isStallWatched())
+        timeout = std::min<Duration>(timeout, this->context.route.gapTarget * StallGapCount);
+    return { std::min<Duration>(SettleTime, timeout / 2), timeout };
 }
 
 Duration GenerationCall::readTimeout() const
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -26,6 +26,8 @@
     // this.
     constexpr int AttemptTimeDivisor = 2;
     constexpr std::uint16_t FirstServerError = 500;
+    // Of an answer without length and chunks. A process that is being stopped closes its connections in less.
+    constexpr std::chrono::milliseconds SettleTime { 500 };
     // Bytes of an answer that are written to its caller at once.
     constexpr std::size_t PassedPart = 64 * 1024;
 } // namespace
@@ -204,10 +206,11 @@
     co_return co_await this->forwardAnswer(*answer, client);
 }
 
-Duration PlainCall::endCheckTimeout() const
+EndCheckTimes PlainCall::endCheckTimes() const
 {
-    auto left = std::max(timeLeft(this->state, this->context), std::chrono::milliseconds { 1 });
-    return std::min<Duration>(left, GatewayState::MaxEndCheckTime);
+    Duration timeout
+        = std::min<Duration>(timeLeft(this->state, this->context), GatewayState::MaxEndCheckTime);
+    return { std::min<Duration>(SettleTime, timeout / 2), timeout };
 }
 
 asio::awaitable<PlainCall::Next> PlainCall::forwardAnswer(
@@ -227,7 +230,11 @@
     }
     if (!error && !answer.head().isNotRun) {
         bool isBrokenOff
-            = co_await this->state.isBrokenOff(watch, this->context.request, this->endCheckTimeout());
+            = co_await this->state.isBrokenOff(watch, this->context.request, this->endCheckTimes());
+        if (this->context.cancellation.isCancelled()) {
+            ++this->runs;
+            co_return Next::TryOther;
+        }
         if (isBrokenOff)
             error = NetError { NetErrorKind::Closed, true, std::string { GatewayState::EndedWithAnswer } };
     }
@@ -311,7 +318,7 @@
     bool isBrokenOff = false;
     if (isOk)
         isBrokenOff = co_await this->state.isBrokenOff(
-            std::move(watch), this->context.request, this->endCheckTimeout());
+            std::move(watch), this->context.request, this->endCheckTimes());
     if (isBrokenOff) {
         abortStream(this->state, this->context, "server_lost", server.raw(),
             std::string { GatewayState::EndedWithAnswer });
--- a/src/libperidotgrade/gateway/server_liveness.cpp
+++ b/src/libperidotgrade/gateway/server_liveness.cpp
@@ -1,4 +1,4 @@
-// Calls after the end of answers, shared by the answers that end together.
+// Status calls while answers are received, and what they show once an answer has ended.
 #include "peridotgrade/gateway/server_liveness.h"
 
 #include "peridotgrade/core/base/name_table.h"
@@ -7,8 +7,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -21,42 +19,19 @@
 
     constexpr auto Names = std::to_array<std::string_view>({ "alive", "ended", "closing", "unknown" });
 
-    // A process that ends closes all its connections within a few milliseconds.
-    constexpr std::chrono::milliseconds SettleTime { 20 };
-    constexpr std::chrono::milliseconds LookInterval { 25 };
-    // The kept connection counts as closed together with an answer if it was found closed so shortly before
-    // it.
-    constexpr std::chrono::milliseconds CloseWindow { 2 * LookInterval };
-    constexpr std::chrono::milliseconds ReopenInterval { 250 };
-    constexpr std::chrono::milliseconds RetryInterval { 50 };
-    // A server that does not answer has not ended if the kept connection is open so long after the answer.
-    // The end of a connection may be delayed by the loss of a packet.
-    constexpr std::chrono::milliseconds OpenTime { 500 };
-
-    /// At least a millisecond.
-    Duration timeUntil(TimePoint deadline)
-    {
-        return std::max<Duration>(deadline - TimerDriver::now(), std::chrono::milliseconds { 1 });
-    }
+    constexpr std::chrono::milliseconds LookInterval { 10 };
+    // Servers state their idle time-outs in whole seconds.
+    constexpr std::chrono::milliseconds RenewalInterval { 500 };
+    constexpr std::chrono::milliseconds ReopenInterval { 50 };
+    constexpr std::chrono::seconds CallTimeout { 3 };
+    // A process that is being stopped closes idle connections first and gives running answers some time.
+    constexpr std::chrono::seconds ClosingTime { 2 };
+    constexpr int SlownessTolerance = 2;
 
 } // namespace
 
 std::string_view nameOf(Liveness liveness) { return nameAt(Names, liveness); }
 
-struct ServerLiveness::Round {
-    /// When the first of its answers ended.
-    TimePoint endedAt;
-    TimePoint deadline;
-    Liveness liveness = Liveness::Unknown;
-    bool isDone = false;
-    /// Cancelled when the round is done; each expires at the deadline of its answer.
-    std::vector<std::shared_ptr<asio::steady_timer>> waiting;
-
-    TimePoint due() const { return this->endedAt + SettleTime; }
-    /// Time enough is left for the server to close the connections that it closes beside that of the answer.
-    bool takes(TimePoint now) const { return now + SettleTime / 2 <= this->due(); }
-};
-
 ServerLiveness::ServerLiveness(asio::any_io_executor executor, std::shared_ptr<ServerClient> client,
     std::string healthPath, ClosedUntil closedUntil)
     : executor(std::move(executor))
@@ -68,116 +43,117 @@
 
 void ServerLiveness::start()
 {
-    asio::co_spawn(this->executor, keepConnection(this->weak_from_this()), asio::detached);
+    asio::co_spawn(this->executor, keepCalling(this->weak_from_this()), asio::detached);
 }
 
-asio::awaitable<void> ServerLiveness::keepConnection(std::weak_ptr<ServerLiveness> watched)
+asio::awaitable<void> ServerLiveness::keepCalling(std::weak_ptr<ServerLiveness> watched)
 {
     auto executor = co_await asio::this_coro::executor;
     while (auto self = watched.lock()) {
-        self->lookAtConnection();
-        if (!self->connection && TimerDriver::now() >= self->nextOpenAt)
-            co_await self->openConnection();
+        if (self->connection && self->connection->state() != ConnectionState::Open)
+            self->dropConnection(self->connection->state() == ConnectionState::PeerClosed);
+        if (self->isCallDue(TimerDriver::now()))
+            co_await self->callServer();
         self.reset();
         co_await sleepFor(executor, LookInterval);
     }
 }
 
-asio::awaitable<void> ServerLiveness::openConnection()
+bool ServerLiveness::isCallDue(TimePoint now) const
 {
-    this->nextOpenAt = TimerDriver::now() + ReopenInterval;
-    auto opened = co_await this->client->openStatusConnection(this->healthPath, ReopenInterval);
-    if (auto* open = std::get_if<std::shared_ptr<StatusConnection>>(&opened)) {
-        this->connection = std::move(*open);
-        this->openedAt = TimerDriver::now();
-    }
+    bool isWanted = std::any_of(
+        this->wantedCalls.begin(), this->wantedCalls.end(), [now](TimePoint due) { return due <= now; });
+    bool isDue = isWanted || now - this->lastCallAt >= RenewalInterval;
+    return isDue && !this->hasEnded && (this->connection || now >= this->nextOpenAt) && !this->closedUntil();
 }
 
-void ServerLiveness::lookAtConnection()
+asio::awaitable<void> ServerLiveness::callServer()
 {
-    if (!this->connection || this->connection->state() == ConnectionState::Open)
-        return;
-    if (this->connection->state() == ConnectionState::PeerClosed)
-        this->closedAt = TimerDriver::now();
-    this->connection.reset();
+    if (!this->connection) {
+        bool isOpen = co_await this->openConnection();
+        if (!isOpen)
+            co_return;
+    }
+    TimePoint sentAt = TimerDriver::now();
+    this->callSentAt = sentAt;
+    this->lastCallAt = sentAt;
+    StatusCallResult result = co_await this->connection->call(CallTimeout);
+    this->callSentAt.reset();
+    if (result == StatusCallResult::Replaced)
+        this->hasEnded = true;
+    if (result == StatusCallResult::Answered) {
+        this->answeredCallAt = sentAt;
+        this->responseTime = TimerDriver::now() - sentAt;
+        std::erase_if(this->wantedCalls, [sentAt](TimePoint due) { return due <= sentAt; });
+    }
+    this->hasConnectionAnswered = this->hasConnectionAnswered || result == StatusCallResult::Answered;
+    if (!this->connection->isReusable())
+        this->dropConnection(result == StatusCallResult::PeerClosed);
 }
 
-bool ServerLiveness::hasClosedSince(const Round& round)
+asio::awaitable<bool> ServerLiveness::openConnection()
 {
-    this->lookAtConnection();
-    return this->closedAt && *this->closedAt >= round.endedAt - CloseWindow;
+    auto opened = co_await this->client->openStatusConnection(this->healthPath, CallTimeout);
+    if (auto* error = std::get_if<NetError>(&opened)) {
+        this->hasEnded = error->kind == NetErrorKind::ConnectRefused;
+        this->nextOpenAt = TimerDriver::now() + ReopenInterval;
+        co_return false;
+    }
+    this->connection = std::get<std::shared_ptr<StatusConnection>>(std::move(opened));
+    this->hasConnectionAnswered = false;
+    co_return true;
 }
 
-bool ServerLiveness::isWatched(const Round& round) const
+void ServerLiveness::dropConnection(bool isPeerClosed)
 {
-    return this->connection && this->openedAt <= round.endedAt;
+    // A connection that was idle before may have been closed as such.
+    if (isPeerClosed && this->hasConnectionAnswered)
+        this->closedAt = TimerDriver::now();
+    this->connection.reset();
+    this->nextOpenAt = TimerDriver::now() + ReopenInterval;
 }
 
-asio::awaitable<LivenessCheck> ServerLiveness::check(Duration timeout)
+asio::awaitable<LivenessCheck> ServerLiveness::check(Duration settleTime, Duration timeout)
 {
     auto self = this->shared_from_this();
-    TimePoint now = TimerDriver::now();
-    auto round = this->latest;
-    bool isShared = round && round->takes(now);
-    if (!isShared) {
-        round = std::make_shared<Round>();
-        round->endedAt = now;
-        this->latest = round;
+    TimePoint endedAt = TimerDriver::now();
+    TimePoint deadline = endedAt + timeout;
+    TimePoint due = std::min(endedAt + settleTime, deadline);
+    this->wantedCalls.push_back(due);
+    LivenessCheck check;
+    check.wasWatched = this->connection && this->answeredCallAt;
+    auto found = this->result(endedAt, due);
+    while (!found && TimerDriver::now() < deadline) {
+        co_await sleepFor(this->executor, std::min<Duration>(LookInterval, deadline - TimerDriver::now()));
+        found = this->result(endedAt, due);
     }
-    LivenessCheck result;
-    result.isShared = isShared;
-    result.wasWatched = this->isWatched(*round);
-    round->deadline = std::max(round->deadline, now + timeout);
-    auto timer = std::make_shared<asio::steady_timer>(this->executor, timeout);
-    round->waiting.push_back(timer);
-    if (!isShared)
-        asio::co_spawn(this->executor, runRound(self, round), asio::detached);
-    boost::system::error_code ignored;
-    co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    result.liveness = round->isDone ? round->liveness : Liveness::Unknown;
-    co_return result;
+    if (!found && (this->isSlowAsBefore(TimerDriver::now()) || this->isOpenWithoutCalls()))
+        found = Liveness::Alive;
+    check.liveness = found.value_or(Liveness::Unknown);
+    co_return check;
 }
 
-asio::awaitable<void> ServerLiveness::runRound(
-    std::shared_ptr<ServerLiveness> self, std::shared_ptr<Round> round)
+std::optional<Liveness> ServerLiveness::result(TimePoint endedAt, TimePoint due) const
 {
-    co_await sleepFor(self->executor, round->due() - TimerDriver::now());
-    round->liveness = co_await self->ask(*round);
-    round->isDone = true;
-    for (const auto& timer : round->waiting)
-        timer->cancel();
+    if (this->closedAt && *this->closedAt >= endedAt - ClosingTime)
+        return Liveness::Closing;
+    if (this->hasEnded)
+        return Liveness::Ended;
+    if (this->answeredCallAt && *this->answeredCallAt >= due)
+        return Liveness::Alive;
+    return std::nullopt;
 }
 
-asio::awaitable<Liveness> ServerLiveness::ask(const Round& round)
+bool ServerLiveness::isOpenWithoutCalls() const
 {
-    bool isProxied = false;
-    while (TimerDriver::now() < round.deadline) {
-        if (this->hasClosedSince(round))
-            co_return Liveness::Closing;
-        bool isWatched = this->isWatched(round) && !isProxied;
-        TimePoint until = isWatched ? std::min(round.deadline, round.endedAt + OpenTime) : round.deadline;
-        if (isWatched && TimerDriver::now() >= until)
-            co_return Liveness::Alive;
-        if (this->closedUntil()) {
-            co_await sleepFor(this->executor, RetryInterval);
-            continue;
-        }
-        auto opened = co_await this->client->openStatusConnection(this->healthPath, timeUntil(until));
-        auto* error = std::get_if<NetError>(&opened);
-        if (error != nullptr && error->kind == NetErrorKind::ConnectRefused)
-            co_return Liveness::Ended;
-        if (error == nullptr) {
-            auto used = std::get<std::shared_ptr<StatusConnection>>(std::move(opened));
-            StatusCallResult result = co_await used->call(timeUntil(until));
-            if (result == StatusCallResult::Answered)
-                co_return this->hasClosedSince(round) ? Liveness::Closing : Liveness::Alive;
-            if (result == StatusCallResult::Replaced)
-                co_return Liveness::Ended;
-            isProxied = isProxied || result == StatusCallResult::Unidentified;
-        }
-        co_await sleepFor(this->executor, std::min<Duration>(RetryInterval, timeUntil(until)));
-    }
-    co_return Liveness::Unknown;
+    return this->hasConnectionAnswered && this->connection && !this->callSentAt && this->closedUntil()
+        && this->connection->state() == ConnectionState::Open;
+}
+
+bool ServerLiveness::isSlowAsBefore(TimePoint now) const
+{
+    return this->connection && this->answeredCallAt && this->callSentAt
+        && now - *this->callSentAt <= this->responseTime * SlownessTolerance;
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/net/http_channel.cpp
+++ b/src/libperidotgrade/net/http_channel.cpp
@@ -161,7 +161,7 @@
         ConnectionState state() const override
         {
             if (this->isClosed)
-                return ConnectionState::Lost;
+                return this->isPeerClosed ? ConnectionState::PeerClosed : ConnectionState::Lost;
             if (this->buffer.size() > 0)
                 return ConnectionState::Lost;
             boost::system::error_code error = this->peek();
@@ -175,8 +175,7 @@
         bool isReused() const override { return this->isConnectionReused; }
         bool hasAnswerBegun() const override { return this->hasBegun; }
 
-        /// True if both directions are at a message boundary and the server keeps the connection open.
-        bool isReusable()
+        bool isReusable() const override
         {
             bool isComplete = !this->isClosed && !this->isLast && this->isWritten && this->parser
                 && this->parser->is_done();
@@ -221,6 +220,7 @@
 
         NetError fail(const boost::system::error_code& error)
         {
+            this->isPeerClosed = error == http::error::end_of_stream;
             this->close();
             return netErrorFrom(error, true);
         }
@@ -240,6 +240,7 @@
         bool hasBegun = false;
         bool isConnectionReused = false;
         bool isClosed = false;
+        bool isPeerClosed = false;
         bool isLast = false;
     };
 
--- a/testsuite/gateway_partial_answers_of_ended_servers/case.py
+++ b/testsuite/gateway_partial_answers_of_ended_servers/case.py
@@ -67,6 +67,16 @@
     server.child.wait()
 
 
+def end_idle_connections_first(site, server):
+    server.order(end_idle_first=0.4)
+    server.child.wait()
+
+
+def end_connections_one_by_one(site, server):
+    server.order(end_one_by_one=0.03)
+    server.child.wait()
+
+
 def unlist(site, server):
     server.order(unlist=True)
     server.is_unlisted.wait(5)
@@ -86,7 +96,8 @@
     site.servers.append(site.start_server(server.stage, server.name, address=server.address, events=EVENTS, event_s=EVENT_S))
 
 
-ENDS = [kill, terminate, leave, end_connections_first, unlist, replace, restart]
+ENDS = [kill, terminate, leave, end_connections_first, end_idle_connections_first, end_connections_one_by_one, unlist,
+        replace, restart]
 
 
 def leave_late(site, server):
@@ -106,7 +117,11 @@
     server.order(status_delay_s=0.8)
 
 
-SOUND = [leave_late, unlist_only, freeze_briefly, answer_slowly]
+def close_idle_connections(site, server):
+    server.order(idle_s=1)
+
+
+SOUND = [leave_late, unlist_only, freeze_briefly, answer_slowly, close_idle_connections]
 
 
 class Scenario:
--- a/testsuite/gateway_soak/removed_guards.py
+++ b/testsuite/gateway_soak/removed_guards.py
@@ -53,9 +53,9 @@
 # The same, with the case that has to notice.
 CASE_GUARDS = [
     ("an accepted connection does not complete an answer", GATEWAY + "gateway_state.cpp",
-     "LivenessCheck check = co_await watch->check(timeout);",
+     "LivenessCheck check = co_await watch->check(times.settleTime, times.timeout);",
      "LivenessCheck check;\n    auto probe = co_await this->endProbe.run(this->clients.clientFor(watch->record()));\n"
-     "    check.liveness = probe.isRefused || timeout <= timeout.zero() ? Liveness::Ended : Liveness::Alive;",
+     "    check.liveness = probe.isRefused || times.timeout <= times.timeout.zero() ? Liveness::Ended : Liveness::Alive;",
      ENDED_SERVERS),
     ("an answer of a server that has shown nothing is incomplete", GATEWAY + "gateway_state.cpp",
      "co_return check.liveness != Liveness::Alive;", "co_return check.liveness == Liveness::Ended;", ENDED_SERVERS),
@@ -64,7 +64,7 @@
      "    const ServerRecord* listed = watch ? this->directory.find(watch->record().id) : nullptr;\n"
      "    if (listed == nullptr || listed->isDraining)\n        co_return false;", ENDED_SERVERS),
     ("a server that closes its connections has not completed its answers", GATEWAY + "server_liveness.cpp",
-     "return this->closedAt && *this->closedAt >= round.endedAt - CloseWindow;", "return round.isDone;", ENDED_SERVERS),
+     "if (this->closedAt && *this->closedAt >= endedAt - ClosingTime)", "if (endedAt > due)", ENDED_SERVERS),
     ("a request is the same from wherever it comes", GATEWAY + "gateway_node.cpp",
      "request.clientAddress = exchange.clientAddress();",
      "request.clientAddress = exchange.clientAddress();\n        request.fingerprint = Fingerprint {"
--- a/testsuite/support/server_process.py
+++ b/testsuite/support/server_process.py
@@ -6,7 +6,9 @@
 A line of input sets what it names: `framing` (length, chunked or connection), `events` and `event_s` of a stream,
 `status_delay_s` before any answer other than a run's, `fails` (its runs are answered 500). `leave`: it reports that it
 drains, serves for that many seconds and exits. `end_connections`: it closes all its connections at once, and exits that
-many seconds later. `unlist`: its record is deleted from the store, and it writes no other one.
+many seconds later. `end_idle_first`: it closes its idle connections, those with a running answer 0.12 s later, and exits that
+many seconds later. `end_one_by_one`: it closes its connections so many seconds apart, the idle ones last, and exits 0.3 s
+later. `idle_s`: it closes connections that were idle for so long. `unlist`: its record is deleted from the store, and it writes no other one.
 Lines of output: `address`, `run`, `end`, `status`.
 """
 import asyncio
@@ -46,7 +48,8 @@
         self.born, self.sequence, self.state, self.is_listed = int(time.time() * 1000), 0, "ready", True
         self.framing, self.events, self.event_s = "chunked", 60, 0.05
         self.status_delay_s, self.fails = 0, False
-        self.writers = set()
+        self.idle_s = 60
+        self.writers, self.busy = set(), set()
 
     def say(self, *words):
         print(*words, flush=True)
@@ -73,14 +76,15 @@
         self.writers.add(writer)
         try:
             while True:
-                request = await fake_platform.read_request(reader)
+                request = await asyncio.wait_for(fake_platform.read_request(reader), self.idle_s)
                 if not await self.answer(request, writer):
                     return
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        except (asyncio.IncompleteReadError, asyncio.TimeoutError, ConnectionError, ValueError):
             pass
         finally:
             self.writers.discard(writer)
+            self.busy.discard(writer)
             writer.close()
 
     async def answer(self, request, writer):
@@ -114,6 +118,7 @@
             parts = [body[at:at + size] for at in range(0, len(body), size)]
             kind, gap = "application/json", self.event_s
         framing = self.framing
+        self.busy.add(writer)
         self.say("run", attempt, framing, request.headers.get("last-event-id", "-"))
         headers = {"Content-Type": kind, "X-Attempt-Id": attempt, "X-Server-Seal": f"seal-{attempt}", **identity}
         if framing == "length":
@@ -128,8 +133,25 @@
         if framing == "chunked":
             writer.write(b"0\r\n\r\n")
         self.say("end", attempt)
+        self.busy.discard(writer)
         return framing != "connection"
 
+    async def end_idle_first(self, exit_after_s):
+        for writer in self.writers - self.busy:
+            writer.close()
+        await asyncio.sleep(0.12)
+        for writer in list(self.busy):
+            writer.close()
+        await asyncio.sleep(exit_after_s)
+        os._exit(0)
+
+    async def end_one_by_one(self, gap_s):
+        for writer in [*self.busy, *(self.writers - self.busy)]:
+            writer.close()
+            await asyncio.sleep(gap_s)
+        await asyncio.sleep(0.3)
+        os._exit(0)
+
     async def obey(self, lines):
         while line := await lines.readline():
             for name, value in json.loads(line).items():
@@ -141,6 +163,8 @@
                     for writer in list(self.writers):
                         writer.close()
                     asyncio.get_event_loop().call_later(value, os._exit, 0)
+                elif name in ("end_idle_first", "end_one_by_one"):
+                    asyncio.ensure_future(getattr(self, name)(value))
                 elif name == "unlist":
                     self.is_listed = False
                     await self.write_record(b"")
