Count answers of application servers without a length as lost

Callers of the product's own interface could see a part of an answer as complete (outcome `answered`), for actions and for reads, when the application server was killed inside an answer without length and chunks. For an action the part was also recorded under its key, so every repeat got it again.

Cause: HttpClient took the orderly end of the connection for the end of the body. The system of a process that is killed ends its connections in the same way.

Change: HttpClient has ResponseEnd. With `Marked`, which ApplicationClient uses, a response whose end only the connection marks is `Closed`. The call is then lost: the outcome of an action is unknown, a read is tried at another server within its budget. There is no call to an application server that could show, as the gateway's status calls do, that its process runs on. The other users of HttpClient read JSON objects, or only the status, and keep `Any`.

--- a/src/include/peridotgrade/net/http_client.h
+++ b/src/include/peridotgrade/net/http_client.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <variant>
@@ -30,12 +31,21 @@
     virtual void close() = 0;
 };
 
+/// Which complete responses `HttpClient::send` returns.
+enum class ResponseEnd : std::uint8_t {
+    /// Those that end with their connection as well, for bodies that show themselves whether they are whole.
+    Any,
+    /// Only those with a length, chunks or no body; any other one may be a part and counts as
+    /// `NetErrorKind::Closed`.
+    Marked,
+};
+
 /// Sends requests to one server. Requests that may be repeated use idle connections, which may prove to be
 /// closed only after sending. A request with `isRepeatable` false always gets a connection of its own and is
 /// sent once. All calls must run on the given executor (a strand, or a context with one thread).
 class HttpClient {
 public:
-    HttpClient(boost::asio::any_io_executor executor, Endpoint server);
+    HttpClient(boost::asio::any_io_executor executor, Endpoint server, ResponseEnd end = ResponseEnd::Any);
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
--- a/src/include/peridotgrade/services/application_client.h
+++ b/src/include/peridotgrade/services/application_client.h
@@ -12,7 +12,8 @@
 namespace peridotgrade {
 
 /// Forwards calls to one application server. An action is sent once, on a connection of its own; without a
-/// complete response it counts as lost. Thread safe.
+/// complete response it counts as lost. A response without length and chunks may be a part of one and is not
+/// complete. Thread safe.
 class ApplicationClient {
 public:
     /// Called exactly once for each call, on the client's strand.
--- a/src/libperidotgrade/net/http_client.cpp
+++ b/src/libperidotgrade/net/http_client.cpp
@@ -106,9 +106,10 @@
 
 class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
 public:
-    Impl(asio::any_io_executor executor, Endpoint server)
+    Impl(asio::any_io_executor executor, Endpoint server, ResponseEnd end)
         : executor(std::move(executor))
         , server(std::move(server))
+        , end(end)
     {
     }
 
@@ -153,6 +154,7 @@
 
     const asio::any_io_executor executor;
     const Endpoint server;
+    const ResponseEnd end;
 
 private:
     asio::awaitable<std::variant<beast::tcp_stream, NetError>> connect(std::chrono::milliseconds timeout)
@@ -188,6 +190,10 @@
             connection, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return netErrorFrom(error, true);
+        // The system of a process that is killed closes its connections in an orderly way.
+        if (this->end == ResponseEnd::Marked && parser.need_eof())
+            co_return NetError { NetErrorKind::Closed, true,
+                "the response has neither length nor chunks and may be truncated" };
         auto response = parser.release();
         HttpResponse result = responseHead(response);
         result.body = std::move(response.body());
@@ -200,8 +206,8 @@
     std::vector<beast::tcp_stream> idle;
 };
 
-HttpClient::HttpClient(asio::any_io_executor executor, Endpoint server)
-    : impl(std::make_shared<Impl>(std::move(executor), std::move(server)))
+HttpClient::HttpClient(asio::any_io_executor executor, Endpoint server, ResponseEnd end)
+    : impl(std::make_shared<Impl>(std::move(executor), std::move(server), end))
 {
 }
 
--- a/src/libperidotgrade/net/http_test.cpp
+++ b/src/libperidotgrade/net/http_test.cpp
@@ -2,6 +2,8 @@
 #include "peridotgrade/net/http_client.h"
 #include "peridotgrade/net/http_server.h"
 
+#include "test_support/scripted_server.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
@@ -222,6 +224,23 @@
     BOOST_TEST(!this->isDisconnected);
 }
 
+BOOST_AUTO_TEST_CASE(responses_that_end_with_their_connection_are_accepted_only_if_the_client_allows_them)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        const std::string bytes = "HTTP/1.1 200 OK\r\n\r\nwhole or part";
+        ScriptedServer scripted(this->context, { bytes });
+        HttpClient any(this->context.get_executor(), scripted.endpoint());
+        auto accepted = co_await any.send(makeRequest("GET", "/"), 5s);
+        BOOST_TEST(std::get<HttpResponse>(accepted).body == "whole or part");
+        ScriptedServer second(this->context, { bytes });
+        HttpClient marked(this->context.get_executor(), second.endpoint(), ResponseEnd::Marked);
+        auto refused = co_await marked.send(makeRequest("GET", "/"), 5s);
+        BOOST_REQUIRE(std::holds_alternative<NetError>(refused));
+        BOOST_TEST((std::get<NetError>(refused).kind == NetErrorKind::Closed));
+        BOOST_TEST(std::get<NetError>(refused).mayHaveArrived);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(refused_connection_is_reported_as_not_arrived)
 {
     this->run([&]() -> asio::awaitable<void> {
--- a/src/libperidotgrade/services/application_client.cpp
+++ b/src/libperidotgrade/services/application_client.cpp
@@ -72,7 +72,7 @@
 public:
     Impl(asio::any_io_executor executor, Endpoint server, EndHandler onEnded)
         : strand(asio::make_strand(std::move(executor)))
-        , http(this->strand, std::move(server))
+        , http(this->strand, std::move(server), ResponseEnd::Marked)
         , onEnded(std::move(onEnded))
     {
     }
