Reset the reconnect delay of an agent link only after a frame of the agent

Entries connected again about every 50 ms to an agent that accepts connections and ends them, such as one that is being killed, crashes while it starts, or whose frames cannot be decoded, for as long as it was in the VM list. Each time the entry recorded an agent connected and lost. Callers saw no wrong answers from this: calls go to an agent only after its SessionOpened.

Cause: an accepted connection stood for a running process; it reset the backoff, which so never grew.

Change: the backoff is reset by the first valid frame of the agent, which sends SessionOpened at once.

Evidence: reconnects_back_off_while_an_agent_accepts_connections_and_sends_nothing: after 20 such connections the delay was below 1 s before, with the reset where it was, and is at least 1 s now. reconnects_are_fast_again_after_a_frame_of_the_agent passes. entry passes; so do link_cut, agent_killed, action_repeat_and_lost_answer and engine_frozen.

--- a/src/libperidotgrade/entry/agent_links.cpp
+++ b/src/libperidotgrade/entry/agent_links.cpp
@@ -82,7 +82,6 @@
         return false;
     }
     link.connection = std::move(*connection);
-    link.backoff.reset();
     FrameHandlers handlers;
     handlers.onFrame = [weak = this->listener, agent, id](std::string_view frame) {
         if (auto target = weak.lock())
@@ -113,6 +112,13 @@
     });
 }
 
+void AgentLinks::noteFrame(const AgentId& agent)
+{
+    auto found = this->links.find(agent);
+    if (found != this->links.end())
+        found->second.backoff.reset();
+}
+
 bool AgentLinks::onClosed(const AgentId& agent, LinkId id)
 {
     if (!this->isCurrent(agent, id))
--- a/src/libperidotgrade/entry/agent_links.h
+++ b/src/libperidotgrade/entry/agent_links.h
@@ -45,6 +45,9 @@
 
     /// Handles the result of a connection attempt. Returns true if the agent is now connected.
     bool onConnectEnded(const AgentId& agent, LinkId link, ConnectResult result);
+    /// A valid frame shows that the agent runs; an accepted connection does not. The next reconnect is fast
+    /// again.
+    void noteFrame(const AgentId& agent);
     /// Handles the end of a connection and schedules a reconnect if the agent is still a target. Returns true
     /// if it was the agent's current connection.
     bool onClosed(const AgentId& agent, LinkId link);
--- a/src/libperidotgrade/entry/entry_shard_impl.cpp
+++ b/src/libperidotgrade/entry/entry_shard_impl.cpp
@@ -90,6 +90,7 @@
             this->links.close(agent);
             return;
         }
+        this->links.noteFrame(agent);
         this->clock.observe(message->clock);
         this->handle(agent, message->message);
     });
