Report a topic up to date only if it was read to its end

Entries could take the list of servers for current although the store's answer brought no or not all records up to the end that it states: an answer without a length that the end of the store's process cut off between two records, or one page of several. The next read followed a whole interval (1.4 s) later, so that a report `draining` in the missing records was known that much later; a resumption that needs a current list (StreamOriginLog) counted one from such a read.

Cause: a response that can be parsed stood for one that is whole. StoreWatch did not compare `next` with the end of the topic that each answer begins with. A read that showed another era counted as up to date as well.

Change: onRead is called only if `next` has reached the end. If it has not, the next read follows at once; if there were no records at all, the read has failed, and the topic is listed again after the backoff for a failure. StreamOriginLog reads on to the end already.

Evidence: both cases of StoreWatchTest failed before (no further call within 0.8 s; up to date without any record read) and pass now. gateway and site_adapter pass; so do gateway_store_restored, gateway_store_outage and gateway_mixed_versions.

--- a/src/include/peridotgrade/gateway/store_watch.h
+++ b/src/include/peridotgrade/gateway/store_watch.h
@@ -70,6 +70,8 @@
     std::optional<std::uint64_t> era;
     /// The last read brought records.
     bool hasReadRecords = false;
+    /// More records follow those of the last read.
+    bool isBehind = false;
     std::uint32_t consecutiveFailures = 0;
 };
 
--- a/src/libperidotgrade/gateway/store_watch.cpp
+++ b/src/libperidotgrade/gateway/store_watch.cpp
@@ -41,7 +41,7 @@
             auto pause
                 = std::min(InitialBackoff * (1 << std::min(this->consecutiveFailures, 4U)), MaxBackoff);
             co_await sleepFor(this->state.executor, pause);
-        } else if (this->next && this->pause().count() > 0) {
+        } else if (this->next && !this->isBehind && this->pause().count() > 0) {
             co_await sleepFor(this->state.executor, this->pause());
         }
     }
@@ -50,12 +50,14 @@
 boost::asio::awaitable<bool> StoreWatch::relist()
 {
     this->hasReadRecords = false;
+    this->isBehind = false;
     auto listing = co_await this->store.list(this->topic.name, CallTimeout);
     if (auto* error = std::get_if<StoreError>(&listing)) {
         this->noteFailure(*error);
         co_return false;
     }
     this->noteSuccess();
+    this->callbacks.onRead();
     this->enterEra(std::get<StoreListing>(listing).era);
     this->next = std::get<StoreListing>(listing).end;
     this->callbacks.onListing(std::get<StoreListing>(listing));
@@ -72,17 +74,27 @@
         this->next.reset();
         co_return false;
     }
+    const auto& read = std::get<StoreBatch>(batch);
+    bool isSameEra = read.era == this->era;
+    this->isBehind = isSameEra && read.next < read.end;
+    if (this->isBehind && read.next == *this->next) {
+        // An answer without a length that the store's end cut off may end between two records.
+        this->noteFailure({ StoreError::Kind::Malformed, "no records before the end of the topic", {} });
+        this->next.reset();
+        co_return false;
+    }
     this->noteSuccess();
-    if (std::get<StoreBatch>(batch).era != this->era) {
+    if (!this->isBehind && isSameEra)
+        this->callbacks.onRead();
+    if (!isSameEra) {
         // The offset that was read from belongs to other records now.
         this->next.reset();
         co_return true;
     }
-    this->next = std::get<StoreBatch>(batch).next;
-    const auto& records = std::get<StoreBatch>(batch).records;
-    this->hasReadRecords = !records.empty();
+    this->next = read.next;
+    this->hasReadRecords = !read.records.empty();
     if (this->hasReadRecords)
-        this->callbacks.onRecords(records);
+        this->callbacks.onRecords(read.records);
     co_return true;
 }
 
@@ -124,7 +136,6 @@
 {
     bool wasLost = this->consecutiveFailures >= FailuresUntilLost;
     this->consecutiveFailures = 0;
-    this->callbacks.onRead();
     if (!wasLost)
         return;
     this->state.log.write(LogLevel::Info, "store_back", { { "topic", this->topic.name } });
