--- a/testsuite/support/site.py
+++ b/testsuite/support/site.py
@@ -4,6 +4,7 @@
 import os
 import shutil
 import subprocess
+from types import SimpleNamespace
 
 from support.caller import Caller
 from support.http_calls import call, wait_for
@@ -102,6 +103,11 @@
         server = self.start("standin-appserver", f"{name}-server", *flags)
         return self._add_backend(name, data_centre, APPLICATION_SERVICE, "application", server)
 
+    def add_application_at(self, name, address, data_centre="kgl-nyar"):
+        """An agent for an application server that the case runs itself."""
+        server = SimpleNamespace(ports={"listen": address})
+        return self._add_backend(name, data_centre, APPLICATION_SERVICE, "application", server)
+
     def _add_backend(self, name, data_centre, service, kind, server):
         settings = {**self.node_settings(name, data_centre), **self.agent_settings, "service": service,
                     "backend": {"kind": kind, "address": server.ports["listen"]}}
