Do not pass on successes without their server's signature

Callers got 2xx answers without X-Server-Seal, complete and with status 200 (rule MIXED): plain answers and streams of a server that spoils the field. A caller that holds the rule has lost its request then, as it may not ask again after a 2xx.

Cause: nothing looked at the field. PlainCall and GenerationCall passed every success on.

The new case gateway_successes_without_seal failed before it: an action of a server that leaves the field out was answered with 200.

Now the client of servers marks a success whose signature is missing or empty in what would be passed on (ServerAnswerHead::isUnsigned), which its head shows. A plain call ends such an answer before it reads the body and counts a run that failed, so a read goes to another server within its attempts and the retry budget, and an action gets 502. A stream counts as broken before its first event; one that may be resumed goes on elsewhere, also if the unsigned answer is one that it was to go on with. Errors, and answers to prefills, reservations and reports, have no signature to miss. The logs have answer_incomplete (kind=malformed) or stream_broken with the detail "a success without the server's signature". The server is not suspected to have crashed.

Stand-ins that answered runs without the field (a dripping plain server, the usual answers of endless_server) send it now.

--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -50,6 +50,8 @@
     /// Why an answer is incomplete that only the end of its connection marks.
     static constexpr std::string_view EndedWithAnswer
         = "the server has not shown that it runs after its answer";
+    /// Why a success is none that carries no signature.
+    static constexpr std::string_view UnsignedAnswer = "a success without the server's signature";
 
     GatewayState(boost::asio::any_io_executor executor, GatewaySettings settings, MetricsRegistry& registry,
         std::uint64_t seed);
--- a/src/include/peridotgrade/gateway/plain_call.h
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -28,6 +28,8 @@
     double expectedTime(const ServerRecord& server) const;
     boost::asio::awaitable<Next> attempt(const ServerRecord& record);
     boost::asio::awaitable<Next> forwardAnswer(ServerAnswer& answer, std::shared_ptr<ServerClient> client);
+    /// The run of this answer counts unless the server states that it has not run the request.
+    void noteIncomplete(ServerAnswer& answer, const ServerId& server, const NetError& error);
     /// For the check whether the server still runs after the end of its answer.
     Duration endCheckTimeout() const;
     /// True if nothing else than this answer can come of the request.
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -25,6 +25,10 @@
     const ServerRecord& record = client->record();
     const ServerId server = record.id;
     this->recordedAt = {};
+    if (answer.head().isUnsigned) {
+        this->noteBrokenStream(answer, server, std::string { GatewayState::UnsignedAnswer });
+        co_return Next::Retry;
+    }
     if (answer.head().response.status != Success && !this->hasBegun)
         co_return co_await this->forwardErrorAnswer(answer, client);
     if (answer.head().response.status != Success) {
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -214,6 +214,11 @@
     ServerAnswer& answer, std::shared_ptr<ServerClient> client)
 {
     const ServerId server = client->record().id;
+    if (answer.head().isUnsigned && !answer.head().isNotRun) {
+        this->noteIncomplete(answer, server,
+            NetError { NetErrorKind::Malformed, true, std::string { GatewayState::UnsignedAnswer } });
+        co_return Next::TryOther;
+    }
     auto watch = this->state.watchServer(client, answer.framing());
     HttpResponse response = answer.head().response;
     this->context.cancellation.setHandler([&answer] { answer.abort(); });
@@ -232,13 +237,7 @@
             error = NetError { NetErrorKind::Closed, true, std::string { GatewayState::EndedWithAnswer } };
     }
     if (error) {
-        this->lastDetail = error->detail;
-        this->runs += answer.head().isNotRun ? 0 : 1;
-        answer.abort();
-        this->context.trace.addFailure(this->state.now(), "answer_incomplete",
-            { { "server", server.raw() }, { "kind", std::string { nameOf(error->kind) } },
-                { "detail", error->detail } });
-        this->state.health.record(server, ServerCallResult::Unreachable, this->state.now());
+        this->noteIncomplete(answer, server, *error);
         if (error->kind == NetErrorKind::Closed && !this->context.cancellation.isCancelled())
             co_await this->state.noteLostRun(server, this->context.request);
         co_return Next::TryOther;
@@ -270,6 +269,17 @@
     co_return Next::Done;
 }
 
+void PlainCall::noteIncomplete(ServerAnswer& answer, const ServerId& server, const NetError& error)
+{
+    this->lastDetail = error.detail;
+    this->runs += answer.head().isNotRun ? 0 : 1;
+    answer.abort();
+    this->context.trace.addFailure(this->state.now(), "answer_incomplete",
+        { { "server", server.raw() }, { "kind", std::string { nameOf(error.kind) } },
+            { "detail", error.detail } });
+    this->state.health.record(server, ServerCallResult::Unreachable, this->state.now());
+}
+
 bool PlainCall::isFinal(const ServerAnswerHead& head) const
 {
     // The run of this answer counts.
--- a/testsuite/gateway_soak/removed_guards.py
+++ b/testsuite/gateway_soak/removed_guards.py
@@ -76,6 +76,10 @@
     ("trials that are lost in crashes end the probation", "src/libperidotgrade/core/quarantine/quarantine.cpp",
      "&& this->countFailedTrials(record) < this->limits.failedTrials;", "&& true;",
      "gateway_popular_read_beside_crashes"),
+    ("a plain success without a signature is incomplete", GATEWAY + "plain_call.cpp",
+     "if (answer.head().isUnsigned && !answer.head().isNotRun) {", "if (false) {", "gateway_successes_without_seal"),
+    ("a stream without a signature is broken", GATEWAY + "generation_stream.cpp",
+     "if (answer.head().isUnsigned) {", "if (false) {", "gateway_successes_without_seal"),
 ]
 
 
--- a/testsuite/support/endless_server.py
+++ b/testsuite/support/endless_server.py
@@ -74,7 +74,8 @@
             if stage == endless_path:
                 flood(connection, kind, fields.get("x-attempt-id", ""))
             body = b'{"hold": "%s", "kv_handle": "k", "tokens": 1, "version": 1}' % uuid.uuid4().hex.encode()
-            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            seal = b"X-Server-Seal: seal-%s\r\n" % fields["x-attempt-id"].encode() if "x-attempt-id" in fields else b""
+            connection.sendall(b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (seal, len(body)) + body)
     except OSError:
         pass
     finally:
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -323,6 +323,8 @@
         self.heartbeat = None
         # Ends inside its next answer as a process that exits.
         self.exits_inside_answer = False
+        # Sends these fields in place of the seal of its answers.
+        self.spoiled_seal = None
         self.is_crashing = False
 
     async def start(self):
@@ -461,6 +463,9 @@
         writer.write(response(503, headers=headers))
         return True
 
+    def seal(self, attempt):
+        return {"X-Server-Seal": f"seal-{attempt}"} if self.spoiled_seal is None else self.spoiled_seal
+
     def record_run(self, request):
         """Records the run and checks it against the request that the caller sent."""
         attempt = request.headers.get("x-attempt-id")
@@ -494,15 +499,15 @@
         self.used_connections.add(writer)
         await asyncio.sleep(self.service_time_s)
         if self.fails:
-            writer.write(response(500, headers={"X-Attempt-Id": attempt, "X-Server-Seal": f"seal-{attempt}"}))
+            writer.write(response(500, headers={"X-Attempt-Id": attempt, **self.seal(attempt)}))
             return
         if self.lose_answers:
             writer.transport.abort()
             return
         body = json.dumps({"attempt": attempt, "by": self.name, "body": request.body.decode()}).encode()
-        headers = {"X-Attempt-Id": attempt, "X-Server-Seal": f"seal-{attempt}", "X-Server-Load": "1,0,6", **identity}
+        headers = {"X-Attempt-Id": attempt, **self.seal(attempt), "X-Server-Load": "1,0,6", **identity}
         if self.drips:
-            writer.write(f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nContent-Length: 100000\r\n\r\n".encode())
+            writer.write(response(200, headers={**headers, "Content-Length": 100000}, framing="connection"))
             while not writer.transport.is_closing():
                 writer.write(b" ")
                 await asyncio.sleep(0.05)
@@ -639,10 +644,9 @@
         self.used_tokens += prompt
         self.platform.running[attempt] += 1
         try:
-            seal = f"seal-{attempt}"
             framing = self.framing
             writer.write(response(200, headers={"Content-Type": "text/event-stream", "X-Attempt-Id": attempt,
-                                                "X-Server-Seal": seal, **identity}, framing=framing))
+                                                **self.seal(attempt), **identity}, framing=framing))
             await writer.drain()
             if self.crashes_at(request, "answer"):
                 await asyncio.sleep(3600)
