--- a/src/libperidotgrade/entry/agent_links_test.cpp
+++ b/src/libperidotgrade/entry/agent_links_test.cpp
@@ -36,7 +36,8 @@
     void connect()
     {
         ConnectResult accepted { std::shared_ptr<FrameConnection> { std::make_shared<IdleConnection>() } };
-        BOOST_REQUIRE(this->links.onConnectEnded(this->agent, this->current, std::move(accepted)));
+        bool isCurrent = this->links.onConnectEnded(this->agent, this->current, std::move(accepted));
+        BOOST_REQUIRE(isCurrent);
     }
 
     /// The current attempt or connection ends. Returns the delay before the next attempt, which is made.
