Stand-in: remove the records of servers that exit

The log has hand_over_failed with status 421 from ten candidates where four decode engines were: the stand-in left the record of each exited server in the list for ever, at the address of its successor, where the platform removes it after three missed reports (as the stand-in's crash does).

--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -354,8 +354,7 @@
         await asyncio.sleep(3600)
 
     async def exit(self, back_after_s):
-        self.heartbeat.cancel()
-        await self.stop()
+        await self.crash()
         await asyncio.sleep(back_after_s)
         await self.start()
 
