--- a/testsuite/gateway_prompt_parts_under_way/case.py
+++ b/testsuite/gateway_prompt_parts_under_way/case.py
@@ -21,7 +21,7 @@
     with platform_site(build, gateways=3, prefills=4, decodes=10, events=20) as (platform, gateways):
         for engine in platform.engines:
             engine.framing, engine.prefill_s = "connection", 0.4
-        sound = PromptCallers(platform, gateways, "text", [SHARED], 0.1, callers=6).start()
+        sound = PromptCallers(platform, gateways, "text", [SHARED], 0.1, callers=16).start()
         time.sleep(2)
         platform.crashing["bad1"] = "answer"
         crashing = PromptCallers(platform, gateways, "text", [SHARED, "bad1"], 0, callers=12).start()
