Test runner: end although a failed case has left threads

Cause: gateway_prompt_parts_store_away failed by an assertion before it stopped its callers, whose threads kept the process of the runner alive.

PromptCallers send while they are entered, so that a failure stops them; the cases check the same as before. The runner names the threads that a failed case has left, and ends by os._exit.

--- a/testsuite/gateway_crashing_prompt_parts/case.py
+++ b/testsuite/gateway_crashing_prompt_parts/case.py
@@ -17,22 +17,19 @@
 
 def check_part(build, platform, gateways, part, parts, route, seconds, frozen=None):
     """Sends requests with the part for some seconds; one entry may be suspended while servers crash."""
-    sound = PromptCallers(platform, gateways if frozen is None else gateways[:-1], route, [SHARED, SECOND], 0.1,
-                          callers=3).start()
-    time.sleep(1.5)
-    platform.crashing[part] = "answer"
-    if frozen:
-        frozen.freeze()
-    crashing = PromptCallers(platform, gateways if frozen is None else gateways[:-1], route, parts, 0.25, callers=2).start()
-    time.sleep(seconds)
-    if frozen:
-        frozen.thaw()
-        time.sleep(CONTACT_S)
-        late = PromptCallers(platform, [frozen], route, parts, 0.25).start()
-        time.sleep(2)
-        late.stop()
-    crashing.stop()
-    sound.stop()
+    running = gateways if frozen is None else gateways[:-1]
+    with PromptCallers(platform, running, route, [SHARED, SECOND], 0.1, callers=3) as sound:
+        time.sleep(1.5)
+        platform.crashing[part] = "answer"
+        if frozen:
+            frozen.freeze()
+        with PromptCallers(platform, running, route, parts, 0.25, callers=2):
+            time.sleep(seconds)
+            if frozen:
+                frozen.thaw()
+                time.sleep(CONTACT_S)
+                with PromptCallers(platform, [frozen], route, parts, 0.25):
+                    time.sleep(2)
     check_late_requests(platform, part)
     check_served_beside(platform, part, sound)
 
--- a/testsuite/gateway_prompt_parts_store_away/case.py
+++ b/testsuite/gateway_prompt_parts_store_away/case.py
@@ -13,23 +13,21 @@
 
 def run(build):
     with platform_site(build, gateways=2, prefills=4, decodes=10, events=20) as (platform, gateways):
-        sound = PromptCallers(platform, gateways, "text", [SHARED], 0.1, callers=4).start()
-        time.sleep(1)
-        platform.store.mode = "silent"
-        time.sleep(1)
-        platform.crashing["bad1"] = "answer"
-        crashing = PromptCallers(platform, gateways, "resume", [SHARED, "bad1"], 0.2, callers=2).start()
-        time.sleep(12)
-        crashes = len(platform.crash_runs["bad1"])
-        assert crashes <= CRASHES * len(gateways), f"{crashes} servers crashed while each entry counted alone"
-        late = [at for at, _ in platform.crash_runs["bad1"] if at > time.monotonic() - 3]
-        assert not late, f"servers still crash: {late}"
-        platform.store.mode = "serving"
-        back_at = time.monotonic()
-        time.sleep(CONTACT_S + 1)
-        crashing.stop()
-        time.sleep(SETTLED_S)
-        sound.stop()
+        with PromptCallers(platform, gateways, "text", [SHARED], 0.1, callers=4) as sound:
+            time.sleep(1)
+            platform.store.mode = "silent"
+            time.sleep(1)
+            platform.crashing["bad1"] = "answer"
+            with PromptCallers(platform, gateways, "resume", [SHARED, "bad1"], 0.2, callers=2):
+                time.sleep(12)
+                crashes = len(platform.crash_runs["bad1"])
+                assert crashes <= CRASHES * len(gateways), f"{crashes} servers crashed while each entry counted alone"
+                late = [at for at, _ in platform.crash_runs["bad1"] if at > time.monotonic() - 3]
+                assert not late, f"servers still crash: {late}"
+                platform.store.mode = "serving"
+                back_at = time.monotonic()
+                time.sleep(CONTACT_S + 1)
+            time.sleep(SETTLED_S)
         served = sound.served_since(back_at + SETTLED_S)
         assert len(served) >= 20 and all(served), f"{served.count(False)} of {len(served)} sound requests were not served"
         folder = gateways[0].settings_path.rsplit("/", 1)[0]
--- a/testsuite/gateway_prompt_parts_under_way/case.py
+++ b/testsuite/gateway_prompt_parts_under_way/case.py
@@ -21,15 +21,13 @@
     with platform_site(build, gateways=3, prefills=4, decodes=10, events=20) as (platform, gateways):
         for engine in platform.engines:
             engine.framing, engine.prefill_s = "connection", 0.4
-        sound = PromptCallers(platform, gateways, "text", [SHARED], 0.1, callers=16).start()
-        time.sleep(2)
-        platform.crashing["bad1"] = "answer"
-        crashing = PromptCallers(platform, gateways, "text", [SHARED, "bad1"], 0, callers=12).start()
-        known_at = wait_for_quarantine(gateways, 10)
-        under_way = [at for at, _ in platform.crashing_arrivals["bad1"] if known_at - 0.4 < at < known_at]
-        time.sleep(9)
-        crashing.stop()
-        sound.stop()
+        with PromptCallers(platform, gateways, "text", [SHARED], 0.1, callers=16) as sound:
+            time.sleep(2)
+            platform.crashing["bad1"] = "answer"
+            with PromptCallers(platform, gateways, "text", [SHARED, "bad1"], 0, callers=12):
+                known_at = wait_for_quarantine(gateways, 10)
+                under_way = [at for at, _ in platform.crashing_arrivals["bad1"] if known_at - 0.4 < at < known_at]
+                time.sleep(9)
         assert under_way, "no request was being prefilled, so this run shows nothing"
         late = [at - known_at for at, _ in platform.crash_runs["bad1"] if at > known_at + 0.1]
         assert not late, f"servers crash after the part was quarantined: {late}"
--- a/testsuite/run.py
+++ b/testsuite/run.py
@@ -2,8 +2,10 @@
 """Runs the test suite: each folder with a case.py is a case, whose `run(build_folder)` raises on failure."""
 import argparse
 import importlib.util
+import os
 import pathlib
 import sys
+import threading
 import time
 import traceback
 
@@ -27,6 +29,12 @@
     return {line.split()[0].removeprefix("testsuite/") for line in lines if line.startswith("testsuite/")}
 
 
+def left_threads():
+    """Names of the threads that would keep this process alive."""
+    return [thread.name for thread in threading.enumerate()
+            if not thread.daemon and thread is not threading.main_thread()]
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="build", help="build folder that contains the programs")
@@ -45,6 +53,8 @@
             traceback.print_exc()
             verdict = "known red" if name in red else "FAILED"
         print(f"{name}: {verdict} ({time.monotonic() - started:.1f} s)", flush=True)
+        if verdict != "passed" and (left := left_threads()):
+            print(f"{name} left threads running: {', '.join(left)}", flush=True)
         passed += verdict == "passed"
         failed += verdict == "FAILED"
     print(f"{passed} passed, {failed} failed")
@@ -52,4 +62,8 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    status = main()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # A thread that a failed case has left does not keep the process alive.
+    os._exit(status)
--- a/testsuite/support/crashing_parts.py
+++ b/testsuite/support/crashing_parts.py
@@ -13,7 +13,7 @@
 
 class PromptCallers:
     """Threads that send generations whose prompts begin with the same shared parts. Each request has a body and a last part
-    of its own, and each next one goes to the next gateway."""
+    of its own, and each next one goes to the next gateway. They send while they are entered."""
 
     def __init__(self, platform, gateways, route, parts, interval_s, callers=1, deadline_s=4.0):
         self.platform, self.gateways, self.route, self.parts = platform, gateways, route, parts
@@ -22,12 +22,12 @@
         self.is_over = threading.Event()
         self.threads = [threading.Thread(target=self._send, args=(number,)) for number in range(callers)]
 
-    def start(self):
+    def __enter__(self):
         for thread in self.threads:
             thread.start()
         return self
 
-    def stop(self):
+    def __exit__(self, *_):
         self.is_over.set()
         for thread in self.threads:
             thread.join()
