Test: servers that close status connections, reach time limits or have short idle time-outs (fails, known red)

The case now plays them: the stand-in closes the connection after each status answer, always or while it drains; it ends its connections and goes on listening for 1.5 s; it ends answers 20 ms before their time limit; its idle time-out is 0.4 s. Its status answers no longer state the start of the process, which those of the platform do not either, so a process that starts again under its name is told by its connections only.

--- a/testsuite/gateway_partial_answers_of_ended_servers/case.py
+++ b/testsuite/gateway_partial_answers_of_ended_servers/case.py
@@ -16,25 +16,29 @@
 CALLS_PER_SERVER = 4
 # Servers that end in each scenario, and the time between their ends.
 ENDING, GAP_S = 3, 0.35
+# Of requests that reach it inside their answers.
+LIMIT_S = 1.0
 
 
 class Site:
     """A platform whose engines and plain servers are processes, and a gateway."""
 
     def __init__(self, build, folder, **settings):
+        self.settings = settings
         self.platform = FakePlatform(prefills=2, decodes=0, plain_servers=0, events=EVENTS)
         self.gateway = Gateway(build, folder, "gateway", self.platform.store.address, memory_mb=110)
         self.names = itertools.count(1)
-        self.servers = [self.start_server("decode", events=EVENTS, event_s=EVENT_S, **settings) for _ in range(ENGINES)]
-        self.servers += [self.start_server(None, event_s=PLAIN_PART_S, **settings) for _ in range(PLAIN_SERVERS)]
+        self.servers = [self.start_server("decode") for _ in range(ENGINES)]
+        self.servers += [self.start_server(None) for _ in range(PLAIN_SERVERS)]
         for server in self.servers:
             server.wait_listening()
         self.gateway.start().wait_ready()
         time.sleep(0.3)
 
-    def start_server(self, stage, name=None, **options):
+    def start_server(self, stage, name=None, address=None):
         number = next(self.names)
-        return ServerProcess(self.platform, name or f"i-{number:010x}", stage, zone=("north", "south")[number % 2], **options)
+        return ServerProcess(self.platform, name or f"i-{number:010x}", stage, ("north", "south")[number % 2], address,
+                             events=EVENTS, event_s=EVENT_S if stage else PLAIN_PART_S, **self.settings)
 
     def forget(self, server):
         """As the store does after three missed reports."""
@@ -87,17 +91,35 @@
 def replace(site, server):
     """Another server has the address at once."""
     server.kill()
-    site.servers.append(site.start_server(server.stage, address=server.address, events=EVENTS, event_s=EVENT_S))
+    site.servers.append(site.start_server(server.stage, address=server.address))
 
 
 def restart(site, server):
     """The server starts again under its name and address at once."""
     server.kill()
-    site.servers.append(site.start_server(server.stage, server.name, address=server.address, events=EVENTS, event_s=EVENT_S))
+    site.servers.append(site.start_server(server.stage, server.name, server.address))
+
+
+def end_connections_of_closing_server(site, server):
+    end_connections_first(site, server)
+
+
+def drain_and_end_connections(site, server):
+    server.order(drain_and_end=0.5)
+    server.child.wait()
+
+
+def restart_closing_server(site, server):
+    restart(site, server)
+
+
+def reach_time_limit(site, server):
+    time.sleep(LIMIT_S)
 
 
 ENDS = [kill, terminate, leave, end_connections_first, end_idle_connections_first, end_connections_one_by_one, unlist,
-        replace, restart]
+        replace, restart, end_connections_of_closing_server, drain_and_end_connections, restart_closing_server,
+        reach_time_limit]
 
 
 def leave_late(site, server):
@@ -121,7 +143,31 @@
     server.order(idle_s=1)
 
 
-SOUND = [leave_late, unlist_only, freeze_briefly, answer_slowly, close_idle_connections]
+def close_idle_connections_early(site, server):
+    pass
+
+
+def close_status_connections(site, server):
+    pass
+
+
+def leave_late_and_close_status_connections(site, server):
+    leave_late(site, server)
+
+
+SOUND = [leave_late, unlist_only, freeze_briefly, answer_slowly, close_idle_connections, close_idle_connections_early,
+         close_status_connections, leave_late_and_close_status_connections]
+
+# Settings of all servers of a scenario.
+SETTINGS = {
+    end_connections_of_closing_server: {"closes_status": "always"},
+    drain_and_end_connections: {"closes_status": "draining"},
+    restart_closing_server: {"closes_status": "always"},
+    reach_time_limit: {"ends_before_limit_s": 0.02},
+    close_idle_connections_early: {"idle_s": 0.4},
+    close_status_connections: {"closes_status": "always"},
+    leave_late_and_close_status_connections: {"closes_status": "draining"},
+}
 
 
 class Scenario:
@@ -135,7 +181,7 @@
 
     def play(self):
         with tempfile.TemporaryDirectory() as folder:
-            site = Site(self.build, folder, framing=self.framing)
+            site = Site(self.build, folder, framing=self.framing, **SETTINGS.get(self.ending, {}))
             try:
                 self._play(site)
             finally:
@@ -151,7 +197,8 @@
         def send(number, path):
             method, body = ("GET", b"") if path.startswith("/read/") else ("POST", b"{}")
             caller = Caller(site.platform, site.gateway)
-            answer = caller.send(f"{path}/{number}", method, body, parts=f"{number:x}:200,{number:08x}:2800")
+            limit = {"deadline_s": LIMIT_S} if self.ending is reach_time_limit else {}
+            answer = caller.send(f"{path}/{number}", method, body, parts=f"{number:x}:200,{number:08x}:2800", **limit)
             caller.close()
             self.answers[answer.attempt] = answer
             answer.path = path
@@ -169,6 +216,8 @@
             time.sleep(GAP_S)
         for thread in threads + ends:
             thread.join()
+        if self.ending is reach_time_limit:
+            self.cut = {server.name: dict(server.running) for server in site.servers}
         self._check(site)
 
     def _end_server(self, site, server):
--- a/testsuite/support/server_process.py
+++ b/testsuite/support/server_process.py
@@ -8,7 +8,10 @@
 drains, serves for that many seconds and exits. `end_connections`: it closes all its connections at once, and exits that
 many seconds later. `end_idle_first`: it closes its idle connections, those with a running answer 0.12 s later, and exits that
 many seconds later. `end_one_by_one`: it closes its connections so many seconds apart, the idle ones last, and exits 0.3 s
-later. `idle_s`: it closes connections that were idle for so long. `unlist`: its record is deleted from the store, and it writes no other one.
+later. `drain_and_end`: it reports that it drains, closes its connections so many seconds later, and exits 1.5 s after that.
+`idle_s`: it closes connections that were idle for so long. `closes_status`: it closes the connection after each status
+answer, and says so; with "draining" only while it drains. `ends_before_limit_s`: it ends an answer so long before the time
+limit of its request. `unlist`: its record is deleted from the store, and it writes no other one.
 Lines of output: `address`, `run`, `end`, `status`.
 """
 import asyncio
@@ -48,7 +51,7 @@
         self.born, self.sequence, self.state, self.is_listed = int(time.time() * 1000), 0, "ready", True
         self.framing, self.events, self.event_s = "chunked", 60, 0.05
         self.status_delay_s, self.fails = 0, False
-        self.idle_s = 60
+        self.idle_s, self.closes_status, self.ends_before_limit_s = 60, None, None
         self.writers, self.busy = set(), set()
 
     def say(self, *words):
@@ -100,9 +103,12 @@
             await asyncio.sleep(self.status_delay_s)
             status = 503 if request.path == "/healthz" and self.state != "ready" else 200
             report = {"stage": self.stage, "models": [], "busy": False, "seq": 0, "queued": 0, "active": 0, "kv_used": 0,
-                      "kv_total": 33279, "kv_handles": 0, "born": self.born}
-            writer.write(fake_platform.response(status, json.dumps(report).encode(),
-                                                {"Content-Type": "application/json", **identity}))
+                      "kv_total": 33279, "kv_handles": 0}
+            body = b"" if request.path == "/healthz" else json.dumps(report).encode()
+            is_last = self.closes_status in ("always", self.state)
+            closing = {"Connection": "close"} if is_last else {}
+            writer.write(fake_platform.response(status, body, {"Content-Type": "application/json", **closing, **identity}))
+            return not is_last
         else:
             return await self.run(request, attempt, writer, identity)
         return True
@@ -126,7 +132,13 @@
         writer.write(fake_platform.response(500 if self.fails else 200, headers=headers,
                                             framing="connection" if framing == "length" else framing))
         await writer.drain()
+        ends_at = None
+        if self.ends_before_limit_s is not None:
+            ends_at = time.monotonic() + int(request.headers["x-deadline-ms"]) / 1000 - self.ends_before_limit_s
         for part in parts:
+            if ends_at and time.monotonic() + gap >= ends_at:
+                await asyncio.sleep(ends_at - time.monotonic())
+                return False
             await asyncio.sleep(gap)
             writer.write(b"%x\r\n%s\r\n" % (len(part), part) if framing == "chunked" else part)
             await writer.drain()
@@ -152,6 +164,15 @@
         await asyncio.sleep(0.3)
         os._exit(0)
 
+    async def drain_and_end(self, seconds):
+        self.state = "draining"
+        await self.report()
+        await asyncio.sleep(seconds)
+        for writer in list(self.writers):
+            writer.close()
+        await asyncio.sleep(1.5)
+        os._exit(0)
+
     async def obey(self, lines):
         while line := await lines.readline():
             for name, value in json.loads(line).items():
@@ -163,7 +184,7 @@
                     for writer in list(self.writers):
                         writer.close()
                     asyncio.get_event_loop().call_later(value, os._exit, 0)
-                elif name in ("end_idle_first", "end_one_by_one"):
+                elif name in ("end_idle_first", "end_one_by_one", "drain_and_end"):
                     asyncio.ensure_future(getattr(self, name)(value))
                 elif name == "unlist":
                     self.is_listed = False
