Confirm the end of an answer on a connection that is open before it

Callers still got parts of answers without length and chunks as whole ones: of servers that close the connection of each status answer, as leaving ones do ("Connection: close"), and then end their answers while they go on listening; of plain servers that start again under their name; of servers that end an answer at the time limit of its request. Sound answers of servers with idle time-outs under 0.5 s were all broken off.

Without a kept connection, an answer on any new one passed for proof, 0.5 to 1 s after the end, although it shows neither that the process has kept its other connections nor that it is the same process. A reset of the kept connection was taken for an orderly end, since the system reports a reset once and the state was read twice.

A connection for status calls is now open at any time while answers are received: new, not from the pool; where the server closes it after a call, the next one is opened at once. The call that decides has to be answered on a connection that was open before the end of the answer, or on one of an unbroken row of them. Otherwise it is sent 2 s after the end. Calls are sent every 0.25 s, before short idle time-outs. An answer that ends within the last 50 ms of its time is not taken for whole, and one whose server is listed with a later start neither.

--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -53,6 +53,9 @@
     /// Longest wait for a server to show that it goes on after the end of its answer. Callers abandon a
     /// stream after four seconds without an event.
     static constexpr std::chrono::milliseconds MaxEndCheckTime { 3000 };
+    /// Servers stop work at the time limit of a request, which they reckon from its arrival there. An answer
+    /// that ends with less than this left may have been ended so.
+    static constexpr std::chrono::milliseconds MinEndCheckTime { 50 };
     /// Why an answer is incomplete that only the end of its connection marks.
     static constexpr std::string_view EndedWithAnswer
         = "the server has not shown that it runs after its answer";
--- a/src/include/peridotgrade/gateway/server_liveness.h
+++ b/src/include/peridotgrade/gateway/server_liveness.h
@@ -42,9 +42,10 @@
 /// other and its listening socket at any place among them, so neither that end nor an accepted connection
 /// shows that an answer is complete. A process that is being stopped may close its connections one by one
 /// while it still answers others. What shows that it goes on is its answer to a call that was sent some time
-/// after the end of the answer, and that it has not closed meanwhile the connection of these calls. That
-/// connection is kept while answers are received, and used often enough not to be closed as idle. Not thread
-/// safe.
+/// after the end of the answer, on a connection that was open before that end. Such a connection is kept
+/// while answers are received, and used often enough not to be closed as idle; where the server closes it
+/// after each call, the next one is opened at once. If none was kept, the call has to be sent later. Not
+/// thread safe.
 class ServerLiveness : public std::enable_shared_from_this<ServerLiveness> {
 public:
     /// When the server may be called; nothing if it may be called now.
@@ -56,18 +57,23 @@
     const ServerRecord& record() const { return this->client->record(); }
     /// Calls the server from now on, as long as this object lives.
     void start();
-    /// To be called at the end of an answer. The call that decides is sent `settleTime` later; the result is
-    /// there after at most `timeout`.
+    /// To be called at the end of an answer. The call that decides is sent `settleTime` later, or later than
+    /// that if no connection was kept; the result is there after at most `timeout`.
     boost::asio::awaitable<LivenessCheck> check(Duration settleTime, Duration timeout);
 
 private:
     static boost::asio::awaitable<void> keepCalling(std::weak_ptr<ServerLiveness> watched);
+    bool mayCall() const { return !this->hasEnded && !this->closedUntil(); }
     bool isCallDue(TimePoint now) const;
     boost::asio::awaitable<void> callServer();
-    boost::asio::awaitable<bool> openConnection();
+    /// With `isContinued`, the connection before was kept until the server closed it as announced.
+    boost::asio::awaitable<void> openConnection(bool isContinued);
     void dropConnection(bool isPeerClosed);
+    void removeWantedCall(TimePoint due);
     /// Nothing while the server may still answer a call that was sent at `due` or later.
     std::optional<Liveness> result(TimePoint endedAt, TimePoint due) const;
+    /// A connection is open and has been since before the end of the answer, or as soon as one could be.
+    bool isKeptSince(TimePoint endedAt) const;
     /// The server must not be called now, and its connection is open.
     bool isOpenWithoutCalls() const;
     /// A call is in progress that takes no longer than the one before has taken twice.
@@ -77,10 +83,13 @@
     const std::shared_ptr<ServerClient> client;
     const std::string healthPath;
     const ClosedUntil closedUntil;
+    TimePoint startedAt {};
     std::shared_ptr<StatusConnection> connection;
-    /// The connection has carried a call that the process answered.
-    bool hasConnectionAnswered = false;
+    /// Since when a connection has been open without an interruption that the server had not announced. Valid
+    /// with a connection.
+    TimePoint connectedSince {};
     TimePoint nextOpenAt {};
+    TimePoint nextCallAt {};
     /// When the call in progress was sent.
     std::optional<TimePoint> callSentAt;
     TimePoint lastCallAt {};
@@ -91,7 +100,7 @@
     std::optional<TimePoint> closedAt;
     /// Invariant: once true, it remains so.
     bool hasEnded = false;
-    /// When calls have to be sent for answers that have ended.
+    /// When calls have to be sent for the checks in progress.
     std::vector<TimePoint> wantedCalls;
 };
 
--- a/src/include/peridotgrade/net/http_channel.h
+++ b/src/include/peridotgrade/net/http_channel.h
@@ -87,6 +87,8 @@
     const Endpoint& server() const;
     /// Returns an idle connection that was unused for at most `maxIdle`, or a new one.
     boost::asio::awaitable<Opened> open(Duration maxIdle, Duration connectTimeout);
+    /// Returns a new connection.
+    boost::asio::awaitable<Opened> openNew(Duration connectTimeout);
     /// Keeps the connection for later requests if its last exchange is complete in both directions and the
     /// server allows it; closes it otherwise.
     void release(std::shared_ptr<HttpChannel> channel);
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -314,17 +314,22 @@
     if (!watch)
         co_return false;
     TimePoint endedAt = this->now();
-    LivenessCheck check = co_await watch->check(times.settleTime, times.timeout);
+    LivenessCheck check;
+    if (times.timeout >= MinEndCheckTime)
+        check = co_await watch->check(times.settleTime, times.timeout);
+    const ServerRecord* current = this->directory.find(watch->record().id);
+    // Status answers need not state the start of their process.
+    if (current != nullptr && current->startedAt > watch->record().startedAt)
+        check.liveness = Liveness::Ended;
     std::string result { nameOf(check.liveness) };
     this->metrics.countServerCheck(std::string { EndOfAnswer }, result);
-    const ServerRecord* current = this->directory.find(watch->record().id);
     bool isListed = current != nullptr && current->startedAt == watch->record().startedAt;
     std::string_view state = !isListed ? "not_listed" : current->isDraining ? "draining" : "ready";
     this->log.write(LogLevel::Info, "server_checked",
         { { "request", request.attempt }, { "server", watch->record().id.raw() },
             { "purpose", std::string { EndOfAnswer } }, { "result", result },
             { "watched", check.wasWatched ? "true" : "false" }, { "state", std::string { state } },
-            { "took_us", textOfTime(this->now() - endedAt) } });
+            { "limit_us", textOfTime(times.timeout) }, { "took_us", textOfTime(this->now() - endedAt) } });
     co_return check.liveness != Liveness::Alive;
 }
 
--- a/src/libperidotgrade/gateway/server_liveness.cpp
+++ b/src/libperidotgrade/gateway/server_liveness.cpp
@@ -20,12 +20,18 @@
     constexpr auto Names = std::to_array<std::string_view>({ "alive", "ended", "closing", "unknown" });
 
     constexpr std::chrono::milliseconds LookInterval { 10 };
-    // Servers state their idle time-outs in whole seconds.
-    constexpr std::chrono::milliseconds RenewalInterval { 500 };
+    // Servers state their idle time-outs in whole seconds, and may have shorter ones that they do not state.
+    constexpr std::chrono::milliseconds RenewalInterval { 250 };
     constexpr std::chrono::milliseconds ReopenInterval { 50 };
+    // Between calls that have not been answered by the process.
+    constexpr std::chrono::milliseconds RetryInterval { 100 };
     constexpr std::chrono::seconds CallTimeout { 3 };
+    // For the first connection, which is opened when the head of an answer arrives.
+    constexpr std::chrono::milliseconds ConnectAllowance { 100 };
     // A process that is being stopped closes idle connections first and gives running answers some time.
     constexpr std::chrono::seconds ClosingTime { 2 };
+    // In place of the settle time if no connection was kept since before the end of the answer.
+    constexpr std::chrono::seconds UnkeptSettleTime { 2 };
     constexpr int SlownessTolerance = 2;
 
 } // namespace
@@ -43,6 +49,7 @@
 
 void ServerLiveness::start()
 {
+    this->startedAt = TimerDriver::now();
     asio::co_spawn(this->executor, keepCalling(this->weak_from_this()), asio::detached);
 }
 
@@ -50,9 +57,13 @@
 {
     auto executor = co_await asio::this_coro::executor;
     while (auto self = watched.lock()) {
-        if (self->connection && self->connection->state() != ConnectionState::Open)
-            self->dropConnection(self->connection->state() == ConnectionState::PeerClosed);
-        if (self->isCallDue(TimerDriver::now()))
+        // One look: the system reports a reset once, and then the end.
+        auto state = self->connection ? self->connection->state() : ConnectionState::Open;
+        if (state != ConnectionState::Open)
+            self->dropConnection(state == ConnectionState::PeerClosed);
+        if (!self->connection && self->mayCall() && TimerDriver::now() >= self->nextOpenAt)
+            co_await self->openConnection(false);
+        if (self->connection && self->mayCall() && self->isCallDue(TimerDriver::now()))
             co_await self->callServer();
         self.reset();
         co_await sleepFor(executor, LookInterval);
@@ -63,17 +74,11 @@
 {
     bool isWanted = std::any_of(
         this->wantedCalls.begin(), this->wantedCalls.end(), [now](TimePoint due) { return due <= now; });
-    bool isDue = isWanted || now - this->lastCallAt >= RenewalInterval;
-    return isDue && !this->hasEnded && (this->connection || now >= this->nextOpenAt) && !this->closedUntil();
+    return now >= this->nextCallAt && (isWanted || now - this->lastCallAt >= RenewalInterval);
 }
 
 asio::awaitable<void> ServerLiveness::callServer()
 {
-    if (!this->connection) {
-        bool isOpen = co_await this->openConnection();
-        if (!isOpen)
-            co_return;
-    }
     TimePoint sentAt = TimerDriver::now();
     this->callSentAt = sentAt;
     this->lastCallAt = sentAt;
@@ -85,29 +90,33 @@
         this->answeredCallAt = sentAt;
         this->responseTime = TimerDriver::now() - sentAt;
         std::erase_if(this->wantedCalls, [sentAt](TimePoint due) { return due <= sentAt; });
+    } else {
+        this->nextCallAt = TimerDriver::now() + RetryInterval;
     }
-    this->hasConnectionAnswered = this->hasConnectionAnswered || result == StatusCallResult::Answered;
-    if (!this->connection->isReusable())
-        this->dropConnection(result == StatusCallResult::PeerClosed);
+    if (this->connection->isReusable())
+        co_return;
+    this->dropConnection(result == StatusCallResult::PeerClosed);
+    // After a whole answer the server closes the connection as it has announced.
+    if (result == StatusCallResult::Answered)
+        co_await this->openConnection(true);
 }
 
-asio::awaitable<bool> ServerLiveness::openConnection()
+asio::awaitable<void> ServerLiveness::openConnection(bool isContinued)
 {
     auto opened = co_await this->client->openStatusConnection(this->healthPath, CallTimeout);
     if (auto* error = std::get_if<NetError>(&opened)) {
         this->hasEnded = error->kind == NetErrorKind::ConnectRefused;
         this->nextOpenAt = TimerDriver::now() + ReopenInterval;
-        co_return false;
+        co_return;
     }
     this->connection = std::get<std::shared_ptr<StatusConnection>>(std::move(opened));
-    this->hasConnectionAnswered = false;
-    co_return true;
+    if (!isContinued)
+        this->connectedSince = TimerDriver::now();
 }
 
 void ServerLiveness::dropConnection(bool isPeerClosed)
 {
-    // A connection that was idle before may have been closed as such.
-    if (isPeerClosed && this->hasConnectionAnswered)
+    if (isPeerClosed)
         this->closedAt = TimerDriver::now();
     this->connection.reset();
     this->nextOpenAt = TimerDriver::now() + ReopenInterval;
@@ -119,16 +128,19 @@
     TimePoint endedAt = TimerDriver::now();
     TimePoint deadline = endedAt + timeout;
     TimePoint due = std::min(endedAt + settleTime, deadline);
-    this->wantedCalls.push_back(due);
+    TimePoint unkeptDue = endedAt + UnkeptSettleTime;
+    this->wantedCalls.insert(this->wantedCalls.end(), { due, unkeptDue });
     LivenessCheck check;
-    check.wasWatched = this->connection && this->answeredCallAt;
+    check.wasWatched = this->isKeptSince(endedAt);
     auto found = this->result(endedAt, due);
     while (!found && TimerDriver::now() < deadline) {
         co_await sleepFor(this->executor, std::min<Duration>(LookInterval, deadline - TimerDriver::now()));
         found = this->result(endedAt, due);
     }
-    if (!found && (this->isSlowAsBefore(TimerDriver::now()) || this->isOpenWithoutCalls()))
+    if (!found && this->isKeptSince(endedAt) && this->isSlowAsBefore(TimerDriver::now()))
         found = Liveness::Alive;
+    this->removeWantedCall(due);
+    this->removeWantedCall(unkeptDue);
     check.liveness = found.value_or(Liveness::Unknown);
     co_return check;
 }
@@ -139,15 +151,29 @@
         return Liveness::Closing;
     if (this->hasEnded)
         return Liveness::Ended;
-    if (this->answeredCallAt && *this->answeredCallAt >= due)
+    bool isKept = this->isKeptSince(endedAt);
+    if (this->answeredCallAt && *this->answeredCallAt >= (isKept ? due : endedAt + UnkeptSettleTime))
+        return Liveness::Alive;
+    if (isKept && this->isOpenWithoutCalls() && TimerDriver::now() >= due)
         return Liveness::Alive;
     return std::nullopt;
 }
 
+bool ServerLiveness::isKeptSince(TimePoint endedAt) const
+{
+    return this->connection && this->connectedSince <= std::max(endedAt, this->startedAt + ConnectAllowance);
+}
+
+void ServerLiveness::removeWantedCall(TimePoint due)
+{
+    auto found = std::find(this->wantedCalls.begin(), this->wantedCalls.end(), due);
+    if (found != this->wantedCalls.end())
+        this->wantedCalls.erase(found);
+}
+
 bool ServerLiveness::isOpenWithoutCalls() const
 {
-    return this->hasConnectionAnswered && this->connection && !this->callSentAt && this->closedUntil()
-        && this->connection->state() == ConnectionState::Open;
+    return this->answeredCallAt && this->connection && !this->callSentAt && this->closedUntil();
 }
 
 bool ServerLiveness::isSlowAsBefore(TimePoint now) const
--- a/src/libperidotgrade/gateway/server_liveness_test.cpp
+++ b/src/libperidotgrade/gateway/server_liveness_test.cpp
@@ -56,6 +56,13 @@
         this->connections.clear();
     }
 
+    void resetConnections()
+    {
+        for (const auto& connection : this->connections)
+            connection->set_option(asio::socket_base::linger(true, 0));
+        this->closeConnections();
+    }
+
     void end()
     {
         this->closeConnections();
@@ -66,6 +73,7 @@
     std::string identity = "X-Instance-Id: i-1\r\n";
     std::uint64_t startedAt = StartedAt;
     Duration delay {};
+    bool closesAfterEachCall = false;
     int calls = 0;
 
 private:
@@ -96,12 +104,15 @@
             ++this->calls;
             co_await sleepFor(this->listener.get_executor(), this->delay);
             std::string body = "{\"stage\":\"decode\",\"born\":" + std::to_string(this->startedAt) + "}";
+            std::string closing = this->closesAfterEachCall ? "Connection: close\r\n" : "";
             std::string answer = "HTTP/1.1 " + std::to_string(this->status) + " X\r\n" + this->identity
-                + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+                + closing + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             co_await asio::async_write(
                 *connection, asio::buffer(answer), asio::redirect_error(asio::use_awaitable, error));
-            if (error)
-                co_return;
+            if (!error && !this->closesAfterEachCall)
+                continue;
+            connection->close();
+            co_return;
         }
     }
 
@@ -263,6 +274,54 @@
     auto result = this->checkAfter(200ms);
     this->run();
     BOOST_TEST(nameOf(result->liveness) == "unknown");
+    BOOST_TEST(this->server.calls <= 12);
+}
+
+BOOST_AUTO_TEST_CASE(checkThatHasEndedCausesNoCalls)
+{
+    this->server.identity = "";
+    this->server.status = 502;
+    this->checkAfter(0ms, 300ms);
+    int callsAfterCheck = 0;
+    this->after(400ms, [this, &callsAfterCheck] { callsAfterCheck = this->server.calls; });
+    this->checkAfter(1900ms, 60ms);
+    this->run();
+    BOOST_TEST(this->server.calls - callsAfterCheck <= 8);
+}
+
+BOOST_AUTO_TEST_CASE(serverThatClosesTheConnectionOfEachCallIsAlive)
+{
+    this->server.closesAfterEachCall = true;
+    auto result = this->checkAfter(700ms);
+    this->run();
+    BOOST_TEST(nameOf(result->liveness) == "alive");
+    BOOST_TEST(result->wasWatched);
+}
+
+BOOST_AUTO_TEST_CASE(serverThatClosesTheConnectionOfEachCallAndThenAllOthersIsClosing)
+{
+    this->server.closesAfterEachCall = true;
+    auto result = this->checkAfter(700ms, 3s);
+    this->after(702ms, [this] { this->server.closeConnections(); });
+    this->run();
+    BOOST_TEST(nameOf(result->liveness) == "closing");
+}
+
+BOOST_AUTO_TEST_CASE(serverWhoseConnectionWasResetHasToAnswerLater)
+{
+    auto early = this->checkAfter(300ms);
+    auto late = this->checkAfter(300ms, 3s);
+    this->after(310ms, [this] { this->server.resetConnections(); });
+    this->run();
+    BOOST_TEST(nameOf(early->liveness) == "unknown");
+    BOOST_TEST(nameOf(late->liveness) == "alive");
+}
+
+BOOST_AUTO_TEST_CASE(answerThatEndsBeforeAConnectionIsOpenIsCheckedInTime)
+{
+    auto result = this->checkAfter(0ms, 400ms);
+    this->run();
+    BOOST_TEST(nameOf(result->liveness) == "alive");
 }
 
 BOOST_AUTO_TEST_CASE(serverThatWantsNoCallsIsJudgedByItsConnection)
--- a/src/libperidotgrade/net/http_channel.cpp
+++ b/src/libperidotgrade/net/http_channel.cpp
@@ -326,6 +326,12 @@
     co_return co_await self->connect(connectTimeout);
 }
 
+asio::awaitable<HttpChannelPool::Opened> HttpChannelPool::openNew(Duration connectTimeout)
+{
+    auto self = this->impl;
+    co_return co_await self->connect(connectTimeout);
+}
+
 void HttpChannelPool::release(std::shared_ptr<HttpChannel> channel)
 {
     auto kept = std::static_pointer_cast<BeastChannel>(std::move(channel));
