Do not run at engines that begin to leave during the prefill

Cause: an engine that granted a reservation before the list showed that it leaves got the run, however long the prefill took. Before the run it was asked whether the engine has been replaced or wants no requests, and not whether it leaves.

The run goes to another engine now, which fetches the same KV cache, if the list or the engine's own answers show by then that it leaves, or that another incarnation has its name.

--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -38,6 +38,8 @@
     /// False if the retry budget has too little left for the prefill and the run of the next round: the
     /// reservation, and the retry that is paid first, would be taken in vain.
     bool hasRoundBudget();
+    /// What was found out of the engine after it granted a reservation; empty if it may get the run.
+    std::string_view reasonNotToRunAt(const ServerRecord& engine);
     bool takeRunBudget();
     /// Takes the budget for sending a prefill once more after its connection has ended.
     bool takePrefillResendBudget();
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -215,15 +215,25 @@
     return true;
 }
 
+std::string_view GenerationCall::reasonNotToRunAt(const ServerRecord& engine)
+{
+    if (this->state.health.isReplaced(engine.id, this->state.now()))
+        return "the engine has been replaced";
+    if (this->state.isBackingOff(engine))
+        return "the engine asked for a backoff";
+    const ServerRecord* listed = this->state.directory.find(engine.id);
+    if (listed == nullptr || listed->startedAt != engine.startedAt)
+        return "the engine leaves";
+    return {};
+}
+
 asio::awaitable<GenerationCall::Next> GenerationCall::stream(
     const EngineReservation& reservation, KvLocation kvCache)
 {
     const ServerId server = reservation.engine->record().id;
-    bool isReplaced = this->state.health.isReplaced(server, this->state.now());
-    if (isReplaced || this->state.isBackingOff(reservation.engine->record())) {
-        // Another call found this out after the reservation was granted; a run would be rejected.
-        this->noteFailedHandOver(
-            server, kvCache, isReplaced ? "the engine has been replaced" : "the engine asked for a backoff");
+    std::string_view reason = this->reasonNotToRunAt(reservation.engine->record());
+    if (!reason.empty()) {
+        this->noteFailedHandOver(server, kvCache, std::string { reason });
         this->broker->cancel(reservation);
         this->unusedCache = std::move(kvCache);
         co_return Next::Retry;
