Take a connection as kept once its server has answered on it

Sound answers were broken off at servers that name a limit (3 to 5 of 11 to 12 actions at 5 a second got 504), that turn requests away for longer than their idle time-out (3 of 3), and that take few connections.

Cause: a connection counted as kept from the moment at which the system accepted it, although the process may accept it only after it has ended its answers; a reset of it counted as nothing known, so an answer 2 s later on a new connection sufficed; connections were not opened while the server wanted no calls; any orderly end counted as a sign of the end, that of a connection idle for lack of calls too.

A connection is kept from the first answer on it. If it ends unannounced after that, in an orderly way or by a reset, while it was in use, the answers that end then are broken off; if it ends before, or after a pause of the calls, nothing follows. Connections are opened while no calls are wanted, and judge such servers. Servers with a limit are called once a second, others at most every 50 ms.

Not mended: the process accepts the connection after it has ended an answer of under 50 ms (3 of 3), and servers that close only their listener 0.8 s before they end their answers (12 of 12).

--- a/src/include/peridotgrade/core/serving/server_limits.h
+++ b/src/include/peridotgrade/core/serving/server_limits.h
@@ -96,6 +96,8 @@
     {
         return !this->nextCallAt(server, now).has_value();
     }
+    /// True if the server has named a limit.
+    bool isLimited(const ServerRecord& server) { return this->find(server) != nullptr; }
     /// When the next call is allowed; nothing if it is now.
     std::optional<TimePoint> nextCallAt(const ServerRecord& server, TimePoint now);
     /// A call is being sent to the server.
--- a/src/include/peridotgrade/gateway/server_liveness.h
+++ b/src/include/peridotgrade/gateway/server_liveness.h
@@ -48,11 +48,15 @@
 /// thread safe.
 class ServerLiveness : public std::enable_shared_from_this<ServerLiveness> {
 public:
-    /// When the server may be called; nothing if it may be called now.
-    using ClosedUntil = std::function<std::optional<TimePoint>()>;
+    struct CallRules {
+        /// When the server may be called; nothing if it may be called now.
+        std::function<std::optional<TimePoint>()> closedUntil;
+        /// The server takes few calls.
+        std::function<bool()> isLimited;
+    };
 
     ServerLiveness(boost::asio::any_io_executor executor, std::shared_ptr<ServerClient> client,
-        std::string healthPath, ClosedUntil closedUntil);
+        std::string healthPath, CallRules rules);
 
     const ServerRecord& record() const { return this->client->record(); }
     /// Calls the server from now on, as long as this object lives.
@@ -63,31 +67,42 @@
 
 private:
     static boost::asio::awaitable<void> keepCalling(std::weak_ptr<ServerLiveness> watched);
-    bool mayCall() const { return !this->hasEnded && !this->closedUntil(); }
+    bool mayCall() const { return !this->hasEnded && !this->rules.closedUntil(); }
     bool isCallDue(TimePoint now) const;
     boost::asio::awaitable<void> callServer();
     /// With `isContinued`, the connection before was kept until the server closed it as announced.
     boost::asio::awaitable<void> openConnection(bool isContinued);
-    void dropConnection(bool isPeerClosed);
+    Duration renewalInterval() const;
+    /// The connection has ended unannounced; the server could have used it until `usableAt`.
+    void noteLost(bool isPeerClosed, TimePoint usableAt);
     void removeWantedCall(TimePoint due);
     /// Nothing while the server may still answer a call that was sent at `due` or later.
     std::optional<Liveness> result(TimePoint endedAt, TimePoint due) const;
-    /// A connection is open and has been since before the end of the answer, or as soon as one could be.
+    /// A connection is open that the process had answered on before the end of the answer, or that was open
+    /// as soon as it could be if the answer was short.
     bool isKeptSince(TimePoint endedAt) const;
-    /// The server must not be called now, and its connection is open.
-    bool isOpenWithoutCalls() const;
+    /// The server must not be called now, and its connection has been open since before the end.
+    bool isOpenWithoutCalls(TimePoint endedAt) const;
     /// A call is in progress that takes no longer than the one before has taken twice.
     bool isSlowAsBefore(TimePoint now) const;
 
     const boost::asio::any_io_executor executor;
     const std::shared_ptr<ServerClient> client;
     const std::string healthPath;
-    const ClosedUntil closedUntil;
+    const CallRules rules;
     TimePoint startedAt {};
     std::shared_ptr<StatusConnection> connection;
-    /// Since when a connection has been open without an interruption that the server had not announced. Valid
-    /// with a connection.
+    /// The connection has carried a call that the process answered.
+    bool hasConnectionAnswered = false;
+    /// The connection before was kept until the server closed it as announced.
+    bool isContinued = false;
+    /// Since when connections have been open without an interruption that the server had not announced. The
+    /// system accepts connections for a process that has not, so the process is known to keep them only since
+    /// it answered on one. Both are valid with a connection.
     TimePoint connectedSince {};
+    std::optional<TimePoint> keptSince;
+    /// When the connection was opened or the process last answered on it.
+    TimePoint usedAt {};
     TimePoint nextOpenAt {};
     TimePoint nextCallAt {};
     /// When the call in progress was sent.
@@ -96,7 +111,7 @@
     /// When the latest call was sent that the process has answered, and how long that took.
     std::optional<TimePoint> answeredCallAt;
     Duration responseTime {};
-    /// When the server last closed the kept connection without having announced it.
+    /// When the kept connection last ended without announcement and without having been idle.
     std::optional<TimePoint> closedAt;
     /// Invariant: once true, it remains so.
     bool hasEnded = false;
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -302,7 +302,8 @@
             healthPath = service.healthPath;
     }
     auto started = std::make_shared<ServerLiveness>(this->executor, server, std::move(healthPath),
-        [this, server] { return this->closedUntil(server->record()); });
+        ServerLiveness::CallRules { [this, server] { return this->closedUntil(server->record()); },
+            [this, server] { return this->limits.isLimited(server->record()); } });
     started->start();
     watch = started;
     return started;
--- a/src/libperidotgrade/gateway/server_liveness.cpp
+++ b/src/libperidotgrade/gateway/server_liveness.cpp
@@ -22,12 +22,14 @@
     constexpr std::chrono::milliseconds LookInterval { 10 };
     // Servers state their idle time-outs in whole seconds, and may have shorter ones that they do not state.
     constexpr std::chrono::milliseconds RenewalInterval { 250 };
-    constexpr std::chrono::milliseconds ReopenInterval { 50 };
+    constexpr std::chrono::milliseconds LimitedRenewalInterval { 1000 };
+    constexpr std::chrono::milliseconds MinCallInterval { 50 };
+    constexpr std::chrono::milliseconds ReopenInterval { 100 };
     // Between calls that have not been answered by the process.
     constexpr std::chrono::milliseconds RetryInterval { 100 };
     constexpr std::chrono::seconds CallTimeout { 3 };
     // For the first connection, which is opened when the head of an answer arrives.
-    constexpr std::chrono::milliseconds ConnectAllowance { 100 };
+    constexpr std::chrono::milliseconds ConnectAllowance { 50 };
     // A process that is being stopped closes idle connections first and gives running answers some time.
     constexpr std::chrono::seconds ClosingTime { 2 };
     // In place of the settle time if no connection was kept since before the end of the answer.
@@ -39,11 +41,11 @@
 std::string_view nameOf(Liveness liveness) { return nameAt(Names, liveness); }
 
 ServerLiveness::ServerLiveness(asio::any_io_executor executor, std::shared_ptr<ServerClient> client,
-    std::string healthPath, ClosedUntil closedUntil)
+    std::string healthPath, CallRules rules)
     : executor(std::move(executor))
     , client(std::move(client))
     , healthPath(std::move(healthPath))
-    , closedUntil(std::move(closedUntil))
+    , rules(std::move(rules))
 {
 }
 
@@ -60,8 +62,8 @@
         // One look: the system reports a reset once, and then the end.
         auto state = self->connection ? self->connection->state() : ConnectionState::Open;
         if (state != ConnectionState::Open)
-            self->dropConnection(state == ConnectionState::PeerClosed);
-        if (!self->connection && self->mayCall() && TimerDriver::now() >= self->nextOpenAt)
+            self->noteLost(state == ConnectionState::PeerClosed, TimerDriver::now());
+        if (!self->connection && !self->hasEnded && TimerDriver::now() >= self->nextOpenAt)
             co_await self->openConnection(false);
         if (self->connection && self->mayCall() && self->isCallDue(TimerDriver::now()))
             co_await self->callServer();
@@ -74,7 +76,12 @@
 {
     bool isWanted = std::any_of(
         this->wantedCalls.begin(), this->wantedCalls.end(), [now](TimePoint due) { return due <= now; });
-    return now >= this->nextCallAt && (isWanted || now - this->lastCallAt >= RenewalInterval);
+    return now >= this->nextCallAt && (isWanted || now - this->lastCallAt >= this->renewalInterval());
+}
+
+Duration ServerLiveness::renewalInterval() const
+{
+    return this->rules.isLimited() ? LimitedRenewalInterval : RenewalInterval;
 }
 
 asio::awaitable<void> ServerLiveness::callServer()
@@ -84,18 +91,27 @@
     this->lastCallAt = sentAt;
     StatusCallResult result = co_await this->connection->call(CallTimeout);
     this->callSentAt.reset();
+    TimePoint now = TimerDriver::now();
+    this->nextCallAt = now + (result == StatusCallResult::Answered ? MinCallInterval : RetryInterval);
     if (result == StatusCallResult::Replaced)
         this->hasEnded = true;
+    if (result == StatusCallResult::ConnectionLost) {
+        this->noteLost(false, sentAt);
+        co_return;
+    }
     if (result == StatusCallResult::Answered) {
         this->answeredCallAt = sentAt;
-        this->responseTime = TimerDriver::now() - sentAt;
+        this->responseTime = now - sentAt;
         std::erase_if(this->wantedCalls, [sentAt](TimePoint due) { return due <= sentAt; });
-    } else {
-        this->nextCallAt = TimerDriver::now() + RetryInterval;
+        this->hasConnectionAnswered = true;
+        this->usedAt = now;
+        if (!this->keptSince)
+            this->keptSince = now;
     }
     if (this->connection->isReusable())
         co_return;
-    this->dropConnection(result == StatusCallResult::PeerClosed);
+    this->connection.reset();
+    this->nextOpenAt = now + ReopenInterval;
     // After a whole answer the server closes the connection as it has announced.
     if (result == StatusCallResult::Answered)
         co_await this->openConnection(true);
@@ -110,13 +126,21 @@
         co_return;
     }
     this->connection = std::get<std::shared_ptr<StatusConnection>>(std::move(opened));
-    if (!isContinued)
-        this->connectedSince = TimerDriver::now();
+    this->hasConnectionAnswered = false;
+    this->isContinued = isContinued;
+    this->usedAt = TimerDriver::now();
+    if (!isContinued) {
+        this->connectedSince = this->usedAt;
+        this->keptSince.reset();
+    }
 }
 
-void ServerLiveness::dropConnection(bool isPeerClosed)
+void ServerLiveness::noteLost(bool isPeerClosed, TimePoint usableAt)
 {
-    if (isPeerClosed)
+    // Servers close idle connections and reset further ones than they take.
+    bool wasIdle = usableAt - this->usedAt > 2 * this->renewalInterval();
+    bool wasKept = this->hasConnectionAnswered || (this->isContinued && isPeerClosed);
+    if (wasKept && !wasIdle)
         this->closedAt = TimerDriver::now();
     this->connection.reset();
     this->nextOpenAt = TimerDriver::now() + ReopenInterval;
@@ -154,14 +178,18 @@
     bool isKept = this->isKeptSince(endedAt);
     if (this->answeredCallAt && *this->answeredCallAt >= (isKept ? due : endedAt + UnkeptSettleTime))
         return Liveness::Alive;
-    if (isKept && this->isOpenWithoutCalls() && TimerDriver::now() >= due)
+    if (this->isOpenWithoutCalls(endedAt) && TimerDriver::now() >= due)
         return Liveness::Alive;
     return std::nullopt;
 }
 
 bool ServerLiveness::isKeptSince(TimePoint endedAt) const
 {
-    return this->connection && this->connectedSince <= std::max(endedAt, this->startedAt + ConnectAllowance);
+    if (!this->connection)
+        return false;
+    TimePoint allowedAt = this->startedAt + ConnectAllowance;
+    bool isShort = endedAt <= allowedAt && this->connectedSince <= allowedAt;
+    return isShort || (this->keptSince && *this->keptSince <= endedAt);
 }
 
 void ServerLiveness::removeWantedCall(TimePoint due)
@@ -171,9 +199,11 @@
         this->wantedCalls.erase(found);
 }
 
-bool ServerLiveness::isOpenWithoutCalls() const
+bool ServerLiveness::isOpenWithoutCalls(TimePoint endedAt) const
 {
-    return this->answeredCallAt && this->connection && !this->callSentAt && this->closedUntil();
+    bool isOpen = this->connection && !this->callSentAt
+        && this->connectedSince <= std::max(endedAt, this->startedAt + ConnectAllowance);
+    return isOpen && this->rules.closedUntil();
 }
 
 bool ServerLiveness::isSlowAsBefore(TimePoint now) const
--- a/testsuite/gateway_partial_answers_of_ended_servers/case.py
+++ b/testsuite/gateway_partial_answers_of_ended_servers/case.py
@@ -81,6 +81,11 @@
     server.child.wait()
 
 
+def reset_idle_connections(site, server):
+    server.order(reset_idle=3.5)
+    server.child.wait()
+
+
 def unlist(site, server):
     server.order(unlist=True)
     server.is_unlisted.wait(5)
@@ -117,8 +122,8 @@
     time.sleep(LIMIT_S)
 
 
-ENDS = [kill, terminate, leave, end_connections_first, end_idle_connections_first, end_connections_one_by_one, unlist,
-        replace, restart, end_connections_of_closing_server, drain_and_end_connections, restart_closing_server,
+ENDS = [kill, terminate, leave, end_connections_first, end_idle_connections_first, end_connections_one_by_one,
+        reset_idle_connections, unlist, replace, restart, end_connections_of_closing_server, drain_and_end_connections, restart_closing_server,
         reach_time_limit]
 
 
--- a/testsuite/support/server_process.py
+++ b/testsuite/support/server_process.py
@@ -8,7 +8,7 @@
 drains, serves for that many seconds and exits. `end_connections`: it closes all its connections at once, and exits that
 many seconds later. `end_idle_first`: it closes its idle connections, those with a running answer 0.12 s later, and exits that
 many seconds later. `end_one_by_one`: it closes its connections so many seconds apart, the idle ones last, and exits 0.3 s
-later. `drain_and_end`: it reports that it drains, closes its connections so many seconds later, and exits 1.5 s after that.
+later. `reset_idle`: it resets its idle connections, closes the others, and exits that many seconds later. `drain_and_end`: it reports that it drains, closes its connections so many seconds later, and exits 1.5 s after that.
 `idle_s`: it closes connections that were idle for so long. `closes_status`: it closes the connection after each status
 answer, and says so; with "draining" only while it drains. `ends_before_limit_s`: it ends an answer so long before the time
 limit of its request. `unlist`: its record is deleted from the store, and it writes no other one.
@@ -164,6 +164,14 @@
         await asyncio.sleep(0.3)
         os._exit(0)
 
+    async def reset_idle(self, exit_after_s):
+        for writer in self.writers - self.busy:
+            fake_platform.reset(writer)
+        for writer in list(self.busy):
+            writer.close()
+        await asyncio.sleep(exit_after_s)
+        os._exit(0)
+
     async def drain_and_end(self, seconds):
         self.state = "draining"
         await self.report()
@@ -184,7 +192,7 @@
                     for writer in list(self.writers):
                         writer.close()
                     asyncio.get_event_loop().call_later(value, os._exit, 0)
-                elif name in ("end_idle_first", "end_one_by_one", "drain_and_end"):
+                elif name in ("end_idle_first", "end_one_by_one", "reset_idle", "drain_and_end"):
                     asyncio.ensure_future(getattr(self, name)(value))
                 elif name == "unlist":
                     self.is_listed = False
