Find servers that end soon after the check of a lost run

The logs have server_checked purpose=lost_run result=not_refused for servers that had crashed, so these crashes counted only when something else showed the end, 0.4 s later in one trial.

The probe now connects again after any error but a refusal until its 150 ms are over. After not_refused, a check in the background (purpose=lost_run_later) holds a connection for up to 0.5 s, connects again if it ends, and once more at last, since an accepted connection may outlive the listener. A refusal ends the incarnation that lost the run. One such check runs at a time for each incarnation; runs that are lost during it are followed by one more.

--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -35,6 +35,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace peridotgrade {
 
@@ -190,14 +192,22 @@
     void updateVersions(const ServiceId& service);
     void noteLimit(const ServerRecord& server, const ServerNotice& notice);
     void noteEnd(const ServerCrash& incarnation, std::string_view evidence);
-    /// True if the server's address refuses connections. `purpose` and `attempt` are for the log.
-    boost::asio::awaitable<bool> refusesConnections(
-        ServerRecord server, std::string_view purpose, std::string attempt);
+    /// Looks in the background whether a server ends that accepted a connection after a lost run. `server` is
+    /// the incarnation that the run was lost at, `attempt` is for the log.
+    void checkLater(
+        std::shared_ptr<ServerClient> server, const ServerCrash& incarnation, const std::string& attempt);
+    boost::asio::awaitable<void> runLaterChecks(
+        std::shared_ptr<ServerClient> server, ServerCrash incarnation);
+    void logCheck(const ServerId& server, std::string_view purpose, const std::string& attempt,
+        TimePoint asked, const ServerProbeResult& result);
     void noteUncheckedServer(const ServerId& server, std::string_view purpose, const std::string& attempt,
         std::string_view reason);
     void noteEndsInList(const DirectoryChange& change);
 
     ServerEndProbe endProbe;
+    /// Of each incarnation of a server with a check in the background. The value is the attempt of a run that
+    /// was lost since that check began, which needs one more; none at first or if there is none.
+    std::map<ServerCrash, std::optional<std::string>> laterChecks;
     /// Of each incarnation of a server, while answers are received that need it.
     std::map<std::pair<ServerId, WallTime>, std::weak_ptr<ServerLiveness>> watches;
     std::string_view loadAwareReason;
--- a/src/include/peridotgrade/gateway/server_end_probe.h
+++ b/src/include/peridotgrade/gateway/server_end_probe.h
@@ -21,9 +21,7 @@
     TimePoint beganAt {};
 };
 
-/// Connects to the server's address: nothing listens there once its process has ended. Calls at the same time
-/// share one connection, but for the result that the address accepted a connection before a call. Not thread
-/// safe.
+/// Connects to the server's address: nothing listens there once its process has ended. Not thread safe.
 class ServerEndProbe {
 public:
     explicit ServerEndProbe(boost::asio::any_io_executor executor)
@@ -31,7 +29,13 @@
     {
     }
 
+    /// For requests that wait. An accepted connection soon counts as that of a process that goes on, although
+    /// it may be ending. Calls at the same time share one connection, but for the result that the address
+    /// accepted a connection before a call.
     boost::asio::awaitable<ServerProbeResult> run(std::shared_ptr<ServerClient> server);
+    /// Waits for longer whether a process that still accepts connections ends, and connects again at last.
+    /// Shares no result.
+    boost::asio::awaitable<ServerProbeResult> runLonger(std::shared_ptr<ServerClient> server);
 
 private:
     struct Probe;
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <cstdio>
 #include <set>
+#include <utility>
 
 namespace peridotgrade {
 
@@ -29,6 +30,7 @@
 
     // Purposes of the checks whether a server has ended.
     constexpr std::string_view LostRun = "lost_run";
+    constexpr std::string_view LostRunLater = "lost_run_later";
     constexpr std::string_view EndOfAnswer = "end_of_answer";
 
     std::string textOfTime(Duration time)
@@ -274,8 +276,41 @@
     }
     ServerCrash incarnation = incarnationOf(*record);
     this->crashes.recordLoss(incarnation, request.suspects(), this->now(), request.trial != nullptr);
-    bool hasEnded = co_await this->refusesConnections(*record, LostRun, request.attempt);
-    if (hasEnded)
+    // The list may show another incarnation after the check.
+    auto client = this->clients.clientFor(*record);
+    TimePoint asked = this->now();
+    ServerProbeResult result = co_await this->endProbe.run(client);
+    this->logCheck(server, LostRun, request.attempt, asked, result);
+    if (result.isRefused)
+        this->noteEnd(incarnation, RefusedEvidence);
+    else
+        this->checkLater(client, incarnation, request.attempt);
+}
+
+void GatewayState::checkLater(
+    std::shared_ptr<ServerClient> server, const ServerCrash& incarnation, const std::string& attempt)
+{
+    auto [check, isFirst] = this->laterChecks.try_emplace(incarnation);
+    check->second = attempt;
+    if (isFirst)
+        boost::asio::co_spawn(
+            this->executor, this->runLaterChecks(std::move(server), incarnation), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> GatewayState::runLaterChecks(
+    std::shared_ptr<ServerClient> server, ServerCrash incarnation)
+{
+    bool isRefused = false;
+    while (auto attempt = std::exchange(this->laterChecks[incarnation], std::nullopt)) {
+        TimePoint asked = this->now();
+        ServerProbeResult result = co_await this->endProbe.runLonger(server);
+        this->logCheck(server->record().id, LostRunLater, *attempt, asked, result);
+        isRefused = result.isRefused;
+        if (isRefused)
+            break;
+    }
+    this->laterChecks.erase(incarnation);
+    if (isRefused)
         this->noteEnd(incarnation, RefusedEvidence);
 }
 
@@ -333,19 +368,16 @@
     co_return check.liveness != Liveness::Alive;
 }
 
-boost::asio::awaitable<bool> GatewayState::refusesConnections(
-    ServerRecord server, std::string_view purpose, std::string attempt)
+void GatewayState::logCheck(const ServerId& server, std::string_view purpose, const std::string& attempt,
+    TimePoint asked, const ServerProbeResult& result)
 {
-    TimePoint asked = this->now();
-    auto result = co_await this->endProbe.run(this->clients.clientFor(server));
     std::string_view text = result.isRefused ? "refused" : "not_refused";
     this->metrics.countServerCheck(std::string { purpose }, std::string { text });
     this->log.write(LogLevel::Info, "server_checked",
-        { { "request", attempt }, { "server", server.id.raw() }, { "purpose", std::string { purpose } },
+        { { "request", attempt }, { "server", server.raw() }, { "purpose", std::string { purpose } },
             { "result", std::string { text } }, { "shared", result.isShared ? "true" : "false" },
             { "began_before_us", textOfTime(asked - result.beganAt) },
             { "took_us", textOfTime(this->now() - asked) } });
-    co_return result.isRefused;
 }
 
 void GatewayState::noteUncheckedServer(
--- a/src/libperidotgrade/gateway/server_end_probe.cpp
+++ b/src/libperidotgrade/gateway/server_end_probe.cpp
@@ -16,6 +16,11 @@
 namespace {
     // A refusal takes one round trip. Requests wait for it before they are repeated.
     constexpr std::chrono::milliseconds ProbeTimeout { 150 };
+    // The system of a process that ends accepts connections until it has closed the listener, and ends them
+    // then.
+    constexpr std::chrono::milliseconds AcceptedTime { 20 };
+    // A process that ends by its own code, or on a busy machine, takes longer.
+    constexpr std::chrono::milliseconds LongAcceptedTime { 500 };
 } // namespace
 
 struct ServerEndProbe::Probe {
@@ -47,11 +52,21 @@
     }
     auto probe = std::make_shared<Probe>(this->executor);
     this->running[id] = probe;
-    probe->result.isRefused = co_await server->refusesConnections(ProbeTimeout);
+    probe->result.isRefused = co_await server->refusesConnections(ProbeTimeout, AcceptedTime);
     probe->isDone = true;
     this->running.erase(id);
     probe->done.cancel();
     co_return probe->result;
 }
 
+asio::awaitable<ServerProbeResult> ServerEndProbe::runLonger(std::shared_ptr<ServerClient> server)
+{
+    ServerProbeResult result { false, false, TimerDriver::now() };
+    result.isRefused = co_await server->refusesConnections(LongAcceptedTime + ProbeTimeout, LongAcceptedTime);
+    // An accepted connection may outlive the listener.
+    if (!result.isRefused)
+        result.isRefused = co_await server->refusesConnections(ProbeTimeout, Duration::zero());
+    co_return result;
+}
+
 } // namespace peridotgrade
