Mutations: guards of the kept connection

The texts are all found in the sources, but for that of a stopping entry, which was not found before either.

--- a/testsuite/gateway_soak/removed_guards.py
+++ b/testsuite/gateway_soak/removed_guards.py
@@ -53,8 +53,8 @@
 # The same, with the case that has to notice.
 CASE_GUARDS = [
     ("an accepted connection does not complete an answer", GATEWAY + "gateway_state.cpp",
-     "LivenessCheck check = co_await watch->check(times.settleTime, times.timeout);",
-     "LivenessCheck check;\n    auto probe = co_await this->endProbe.run(this->clients.clientFor(watch->record()));\n"
+     "check = co_await watch->check(times.settleTime, times.timeout);",
+     "{}\n    auto probe = co_await this->endProbe.run(this->clients.clientFor(watch->record()));\n"
      "    check.liveness = probe.isRefused || times.timeout <= times.timeout.zero() ? Liveness::Ended : Liveness::Alive;",
      ENDED_SERVERS),
     ("an answer of a server that has shown nothing is incomplete", GATEWAY + "gateway_state.cpp",
@@ -65,6 +65,17 @@
      "    if (listed == nullptr || listed->isDraining)\n        co_return false;", ENDED_SERVERS),
     ("a server that closes its connections has not completed its answers", GATEWAY + "server_liveness.cpp",
      "if (this->closedAt && *this->closedAt >= endedAt - ClosingTime)", "if (endedAt > due)", ENDED_SERVERS),
+    ("an answer on a new connection does not complete an earlier one", GATEWAY + "server_liveness.cpp",
+     "(isKept ? due : endedAt + UnkeptSettleTime)", "due", ENDED_SERVERS),
+    ("a connection that is closed as announced is followed by the next", GATEWAY + "server_liveness.cpp",
+     "co_await this->openConnection(true);", "co_await this->openConnection(false);", ENDED_SERVERS),
+    ("a reset of the kept connection is a sign of the end", GATEWAY + "server_liveness.cpp",
+     "bool wasKept = this->hasConnectionAnswered || (this->isContinued && isPeerClosed);",
+     "bool wasKept = isPeerClosed;", ENDED_SERVERS),
+    ("an answer that ends at its limit is incomplete", GATEWAY + "gateway_state.cpp",
+     "if (times.timeout >= MinEndCheckTime)", "if (times.timeout >= Duration::zero())", ENDED_SERVERS),
+    ("an engine that leaves gets no run", GATEWAY + "generation_call.cpp",
+     'return "the engine leaves";', "return {};", "gateway_engines_leaving_during_prefill"),
     ("a request is the same from wherever it comes", GATEWAY + "gateway_node.cpp",
      "request.clientAddress = exchange.clientAddress();",
      "request.clientAddress = exchange.clientAddress();\n        request.fingerprint = Fingerprint {"
