--- a/testsuite/support/server_process.py
+++ b/testsuite/support/server_process.py
@@ -8,7 +8,9 @@
 drains, serves for that many seconds and exits. `end_connections`: it closes all its connections at once, and exits that
 many seconds later. `end_idle_first`: it closes its idle connections, those with a running answer 0.12 s later, and exits that
 many seconds later. `end_one_by_one`: it closes its connections so many seconds apart, the idle ones last, and exits 0.3 s
-later. `reset_idle`: it resets its idle connections, closes the others, and exits that many seconds later. `drain_and_end`: it reports that it drains, closes its connections so many seconds later, and exits 1.5 s after that.
+later. `reset_idle`: it resets its idle connections, closes the others, and exits that many seconds later. `stop_listening`: it closes its listener, its running
+answers 0.8 s later, and exits that many seconds after that; idle connections go on. `end_after_head`: with its next answer it
+sends the first part, is busy for so long, closes all connections and exits 1.5 s later. `drain_and_end`: it reports that it drains, closes its connections so many seconds later, and exits 1.5 s after that.
 `idle_s`: it closes connections that were idle for so long. `closes_status`: it closes the connection after each status
 answer, and says so; with "draining" only while it drains. `ends_before_limit_s`: it ends an answer so long before the time
 limit of its request. `unlist`: its record is deleted from the store, and it writes no other one.
@@ -51,7 +53,7 @@
         self.born, self.sequence, self.state, self.is_listed = int(time.time() * 1000), 0, "ready", True
         self.framing, self.events, self.event_s = "chunked", 60, 0.05
         self.status_delay_s, self.fails = 0, False
-        self.idle_s, self.closes_status, self.ends_before_limit_s = 60, None, None
+        self.idle_s, self.closes_status, self.ends_before_limit_s, self.end_after_head = 60, None, None, None
         self.writers, self.busy = set(), set()
 
     def say(self, *words):
@@ -135,6 +137,8 @@
         ends_at = None
         if self.ends_before_limit_s is not None:
             ends_at = time.monotonic() + int(request.headers["x-deadline-ms"]) / 1000 - self.ends_before_limit_s
+        if self.end_after_head is not None:
+            await self.write_part_and_end(parts[0], writer)
         for part in parts:
             if ends_at and time.monotonic() + gap >= ends_at:
                 await asyncio.sleep(ends_at - time.monotonic())
@@ -172,6 +176,24 @@
         await asyncio.sleep(exit_after_s)
         os._exit(0)
 
+    async def stop_listening(self, exit_after_s):
+        self.listener.close()
+        await asyncio.sleep(0.8)
+        for writer in list(self.busy):
+            writer.close()
+        await asyncio.sleep(exit_after_s)
+        os._exit(0)
+
+    async def write_part_and_end(self, part, writer):
+        writer.write(part)
+        await writer.drain()
+        # Meanwhile only the system accepts connections.
+        time.sleep(self.end_after_head)
+        for each in list(self.writers):
+            each.close()
+        await asyncio.sleep(1.5)
+        os._exit(0)
+
     async def drain_and_end(self, seconds):
         self.state = "draining"
         await self.report()
@@ -192,7 +214,7 @@
                     for writer in list(self.writers):
                         writer.close()
                     asyncio.get_event_loop().call_later(value, os._exit, 0)
-                elif name in ("end_idle_first", "end_one_by_one", "reset_idle", "drain_and_end"):
+                elif name in ("end_idle_first", "end_one_by_one", "reset_idle", "stop_listening", "drain_and_end"):
                     asyncio.ensure_future(getattr(self, name)(value))
                 elif name == "unlist":
                     self.is_listed = False
@@ -204,8 +226,8 @@
 
     async def main(self):
         host, _, port = (self.wanted_address or f"{run_address()}:0").rpartition(":")
-        server = await asyncio.start_server(self.serve, host, int(port), backlog=512)
-        self.address = "%s:%d" % server.sockets[0].getsockname()
+        self.listener = await asyncio.start_server(self.serve, host, int(port), backlog=512)
+        self.address = "%s:%d" % self.listener.sockets[0].getsockname()
         lines = asyncio.StreamReader()
         await asyncio.get_event_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
         asyncio.ensure_future(self.obey(lines))
