--- a/testsuite/gateway_partial_answers_of_ended_servers/case.py
+++ b/testsuite/gateway_partial_answers_of_ended_servers/case.py
@@ -109,6 +109,12 @@
     end_connections_first(site, server)
 
 
+def end_connections_of_slow_server(site, server):
+    """It has not answered a status call before it ends its answers."""
+    server.order(end_connections=1.9)
+    server.child.wait()
+
+
 def drain_and_end_connections(site, server):
     server.order(drain_and_end=0.5)
     server.child.wait()
@@ -123,8 +129,8 @@
 
 
 ENDS = [kill, terminate, leave, end_connections_first, end_idle_connections_first, end_connections_one_by_one,
-        reset_idle_connections, unlist, replace, restart, end_connections_of_closing_server, drain_and_end_connections, restart_closing_server,
-        reach_time_limit]
+        reset_idle_connections, unlist, replace, restart, end_connections_of_closing_server,
+        end_connections_of_slow_server, drain_and_end_connections, restart_closing_server, reach_time_limit]
 
 
 def leave_late(site, server):
@@ -166,6 +172,7 @@
 # Settings of all servers of a scenario.
 SETTINGS = {
     end_connections_of_closing_server: {"closes_status": "always"},
+    end_connections_of_slow_server: {"status_delay_s": 0.6},
     drain_and_end_connections: {"closes_status": "draining"},
     restart_closing_server: {"closes_status": "always"},
     reach_time_limit: {"ends_before_limit_s": 0.02},
