Log how far a request was written when its answer ended

What callers saw: a stream that its server had reset looked complete, and its lines were those of a whole one. Cause of the gap: no line showed whether the request was still being written, so a reset that the write had met and an orderly end could not be told apart. Change: `request_write` (written, in_progress, failed) in request_ended, stream_broken and answer_incomplete. No logic changes.

--- a/src/include/peridotgrade/gateway/final_answer.h
+++ b/src/include/peridotgrade/gateway/final_answer.h
@@ -4,6 +4,7 @@
 #include "peridotgrade/gateway/gateway_state.h"
 #include "peridotgrade/gateway/request_context.h"
 #include "peridotgrade/net/body_framing.h"
+#include "peridotgrade/net/request_write_state.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -37,6 +38,8 @@
     std::uint32_t attempts = 0;
     /// How the server marked the end of its answer.
     BodyFraming framing = BodyFraming::Length;
+    /// How far the request had been written to the server when its answer ended.
+    RequestWriteState requestWriteState = RequestWriteState::Written;
     std::optional<StreamSummary> stream;
 };
 
--- a/src/include/peridotgrade/gateway/plain_call.h
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -61,6 +61,7 @@
     /// Memory of `lastAnswer`.
     BodyMemory::Share lastShare;
     BodyFraming lastFraming = BodyFraming::Length;
+    RequestWriteState lastWriteState = RequestWriteState::Written;
     std::string lastDetail;
     std::string lastServer;
 };
--- a/src/include/peridotgrade/net/http_channel.h
+++ b/src/include/peridotgrade/net/http_channel.h
@@ -6,6 +6,7 @@
 #include "peridotgrade/net/endpoint.h"
 #include "peridotgrade/net/http_message.h"
 #include "peridotgrade/net/net_error.h"
+#include "peridotgrade/net/request_write_state.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -49,6 +50,7 @@
     virtual boost::asio::awaitable<std::variant<HttpResponse, NetError>> readHead(Duration timeout) = 0;
     /// How the end of the body is marked. Valid after `readHead`.
     virtual BodyFraming framing() const = 0;
+    virtual RequestWriteState requestWriteState() const = 0;
     /// Reads the next part of the body; empty at its end.
     virtual boost::asio::awaitable<std::variant<std::string, NetError>> readBody(Duration timeout) = 0;
     /// Closes the connection; operations in progress fail.
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -119,6 +119,7 @@
             { "route", context.route.name }, { "service", context.service.raw() },
             { "server", answer.server }, { "attempts", std::to_string(answer.attempts) },
             { "framing", std::string { nameOf(answer.framing) } },
+            { "request_write", std::string { nameOf(answer.requestWriteState) } },
             { "first_event_ms", stream ? millisecondsText(stream->firstEvent) : "" },
             { "longest_pause_ms", stream ? millisecondsText(stream->longestPause) : "" },
             { "events", stream ? std::to_string(stream->events) : "" },
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -123,7 +123,7 @@
     std::uint32_t expected = this->cost().outputTokens;
     std::uint32_t output = this->recordOutput(expected);
     noteAnswered(this->state, this->context,
-        { Success, server.raw(), this->rounds, answer.framing(),
+        { Success, server.raw(), this->rounds, answer.framing(), answer.requestWriteState(),
             StreamSummary { this->firstEvent.value_or(Duration::zero()), this->longestPause,
                 this->framer.events(), this->framer.hasPartialEvent(), expected, output } });
     co_return Next::Done;
@@ -200,6 +200,7 @@
     this->state.health.record(server, ServerCallResult::Unreachable, now);
     this->context.trace.addFailure(now, "stream_broken",
         { { "server", server.raw() }, { "framing", std::string { nameOf(answer.framing()) } },
+            { "request_write", std::string { nameOf(answer.requestWriteState()) } },
             { "events", std::to_string(this->framer.events()) },
             { "partial_event", this->framer.hasPartialEvent() ? "true" : "false" },
             { "left_ms", millisecondsText(timeLeft(this->state, this->context)) },
@@ -237,7 +238,8 @@
     this->state.health.record(server, ServerCallResult::ServerError, this->state.now());
     std::uint16_t status = response.status;
     co_await this->context.exchange.respond(std::move(response));
-    noteAnswered(this->state, this->context, { status, server.raw(), this->rounds, answer.framing(), {} });
+    noteAnswered(this->state, this->context,
+        { status, server.raw(), this->rounds, answer.framing(), answer.requestWriteState(), {} });
     co_return Next::Done;
 }
 
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -268,11 +268,13 @@
         this->lastAnswer = std::move(response);
         this->lastShare = std::move(share);
         this->lastFraming = answer.framing();
+        this->lastWriteState = answer.requestWriteState();
         co_return Next::TryOther;
     }
     std::uint16_t status = response.status;
     co_await this->context.exchange.respond(std::move(response));
-    noteAnswered(this->state, this->context, { status, server.raw(), this->sends, answer.framing(), {} });
+    noteAnswered(this->state, this->context,
+        { status, server.raw(), this->sends, answer.framing(), answer.requestWriteState(), {} });
     co_return Next::Done;
 }
 
@@ -283,6 +285,7 @@
     answer.abort();
     this->context.trace.addFailure(this->state.now(), "answer_incomplete",
         { { "server", server.raw() }, { "kind", std::string { nameOf(error.kind) } },
+            { "request_write", std::string { nameOf(answer.requestWriteState()) } },
             { "detail", error.detail } });
     this->state.health.record(server, ServerCallResult::Unreachable, this->state.now());
 }
@@ -340,7 +343,8 @@
         co_return;
     }
     this->state.health.record(server, ServerCallResult::Answered, this->state.now());
-    noteAnswered(this->state, this->context, { status, server.raw(), this->sends, answer.framing(), {} });
+    noteAnswered(this->state, this->context,
+        { status, server.raw(), this->sends, answer.framing(), answer.requestWriteState(), {} });
 }
 
 asio::awaitable<void> PlainCall::giveUp()
@@ -348,8 +352,8 @@
     if (this->lastAnswer) {
         std::uint16_t status = this->lastAnswer->status;
         co_await this->context.exchange.respond(std::move(*this->lastAnswer));
-        noteAnswered(
-            this->state, this->context, { status, this->lastServer, this->sends, this->lastFraming, {} });
+        noteAnswered(this->state, this->context,
+            { status, this->lastServer, this->sends, this->lastFraming, this->lastWriteState, {} });
         co_return;
     }
     auto left = timeLeft(this->state, this->context);
--- a/src/libperidotgrade/net/http_channel.cpp
+++ b/src/libperidotgrade/net/http_channel.cpp
@@ -74,14 +74,14 @@
             if (body)
                 this->outgoing->body() = { body->data(), body->size() };
             this->outgoing->prepare_payload();
-            this->isWritten = false;
+            this->writeState = RequestWriteState::InProgress;
             this->hasBegun = false;
             this->isConnectionReused = this->exchanges++ > 0;
             this->stream.expires_never();
             http::async_write(this->stream, *this->outgoing,
                 [self = this->shared_from_this(), body = std::move(body)](
                     const boost::system::error_code& error, std::size_t) {
-                    self->isWritten = !error;
+                    self->writeState = error ? RequestWriteState::Failed : RequestWriteState::Written;
                     self->outgoing.reset();
                 });
         }
@@ -125,6 +125,8 @@
             return this->parser->chunked() ? BodyFraming::Chunked : BodyFraming::Length;
         }
 
+        RequestWriteState requestWriteState() const override { return this->writeState; }
+
         asio::awaitable<std::variant<std::string, NetError>> readBody(Duration timeout) override
         {
             auto self = this->shared_from_this();
@@ -177,8 +179,9 @@
 
         bool isReusable() const override
         {
-            bool isComplete = !this->isClosed && !this->isLast && this->isWritten && this->parser
-                && this->parser->is_done();
+            bool isWritten = this->writeState == RequestWriteState::Written;
+            bool isComplete
+                = !this->isClosed && !this->isLast && isWritten && this->parser && this->parser->is_done();
             return isComplete && this->parser->get().keep_alive() && this->buffer.size() == 0;
         }
 
@@ -236,7 +239,7 @@
         TimePoint idleSince {};
         std::uint32_t exchanges = 0;
         bool isHead = false;
-        bool isWritten = false;
+        RequestWriteState writeState = RequestWriteState::InProgress;
         bool hasBegun = false;
         bool isConnectionReused = false;
         bool isClosed = false;
