Test: streams at an installation of processes with tenants, quotas and slow callers

What callers saw: 18 cases of rule ORDER on a deployment with 29 entries, 52 engines, tenants and quotas. Cause of the gap: no case had that size, slow callers or overlapping faults of entries and servers that are a process each.

--- a/testsuite/support/gateway.py
+++ b/testsuite/support/gateway.py
@@ -139,8 +139,8 @@
             self.connection = None
 
     def send(self, path, method="POST", body=b"{}", deadline_s=8.0, tokens="3000,1760", hint=440,
-             disconnect_after=None, resumed=None, parts="5c1e:200,91bd:2800", fields=None):
-        """With `disconnect_after` it reads that many bytes only. `resumed` is the incomplete answer of a stream that
+             disconnect_after=None, resumed=None, parts="5c1e:200,91bd:2800", fields=None, pause_s=None):
+        """With `disconnect_after` it reads that many bytes only, with `pause_s` some at a time, that far apart. `resumed` is the incomplete answer of a stream that
         this request resumes. `parts` are those of the prompt. `fields` are further header fields."""
         attempt = uuid.uuid4().hex[:16]
         is_repeatable = path.startswith(("/read/", "/resume/"))
@@ -169,13 +169,16 @@
                 answer.body = reply.read(disconnect_after)
                 self.close()
                 return answer
-            answer.body = reply.read()
+            while pause_s and (piece := reply.read1(256)):
+                answer.body += piece
+                time.sleep(pause_s)
+            answer.body += reply.read()
             answer.is_whole = True
             if reply.will_close:
                 self.close()
         except (OSError, http.client.HTTPException) as problem:
             if isinstance(problem, http.client.IncompleteRead):
-                answer.body = problem.partial
+                answer.body += problem.partial
             self.close()
         self._check(answer, path)
         return answer
