Test: streams that are reset before their request is read (fails, known red)

Change: a case over real processes, whose servers answer before they read a request of 2 MB and reset the stream after 20 events.

--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -35,7 +35,8 @@
         return json.loads(self.body)
 
 
-async def read_request(reader):
+async def read_head(reader):
+    """A request whose body has not been read yet."""
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     method, target, _ = lines[0].split(" ", 2)
@@ -46,6 +47,10 @@
             name, value = name.strip().lower(), value.strip()
             # A field that occurs several times has all its values, as receivers may read it.
             headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    return Request(method, target, headers, b"")
+
+
+async def read_body(reader, headers):
     body = b""
     if headers.get("transfer-encoding") == "chunked":
         while True:
@@ -56,7 +61,13 @@
             body += piece[:-2]
     elif "content-length" in headers:
         body = await reader.readexactly(int(headers["content-length"]))
-    return Request(method, target, headers, body)
+    return body
+
+
+async def read_request(reader):
+    request = await read_head(reader)
+    request.body = await read_body(reader, request.headers)
+    return request
 
 
 def response(status, body=b"", headers=None, framing="length"):
--- a/testsuite/support/server_process.py
+++ b/testsuite/support/server_process.py
@@ -13,7 +13,8 @@
 sends the first part, is busy for so long, closes all connections and exits 1.5 s later. `drain_and_end`: it reports that it drains, closes its connections so many seconds later, and exits 1.5 s after that.
 `idle_s`: it closes connections that were idle for so long. `closes_status`: it closes the connection after each status
 answer, and says so; with "draining" only while it drains. `ends_before_limit_s`: it ends an answer so long before the time
-limit of its request. `unlist`: its record is deleted from the store, and it writes no other one.
+limit of its request. `answers_unread`: it answers a request before it reads the body. `resets_after`: it resets the connection of an
+answer after so many parts, and goes on serving. `unlist`: its record is deleted from the store, and it writes no other one.
 Lines of output: `address`, `run`, `end`, `status`.
 """
 import asyncio
@@ -54,6 +55,7 @@
         self.framing, self.events, self.event_s = "chunked", 60, 0.05
         self.status_delay_s, self.fails = 0, False
         self.idle_s, self.closes_status, self.ends_before_limit_s, self.end_after_head = 60, None, None, None
+        self.answers_unread, self.resets_after = False, None
         self.writers, self.busy = set(), set()
 
     def say(self, *words):
@@ -81,9 +83,13 @@
         self.writers.add(writer)
         try:
             while True:
-                request = await asyncio.wait_for(fake_platform.read_request(reader), self.idle_s)
+                request = await asyncio.wait_for(fake_platform.read_head(reader), self.idle_s)
+                if not self.answers_unread:
+                    request.body = await fake_platform.read_body(reader, request.headers)
                 if not await self.answer(request, writer):
                     return
+                if self.answers_unread:
+                    await fake_platform.read_body(reader, request.headers)
                 await writer.drain()
         except (asyncio.IncompleteReadError, asyncio.TimeoutError, ConnectionError, ValueError):
             pass
@@ -139,7 +145,10 @@
             ends_at = time.monotonic() + int(request.headers["x-deadline-ms"]) / 1000 - self.ends_before_limit_s
         if self.end_after_head is not None:
             await self.write_part_and_end(parts[0], writer)
-        for part in parts:
+        for number, part in enumerate(parts):
+            if number == self.resets_after:
+                fake_platform.reset(writer)
+                return False
             if ends_at and time.monotonic() + gap >= ends_at:
                 await asyncio.sleep(ends_at - time.monotonic())
                 return False
