Take a reset for a reset when the request's write has met it

Cause: HttpChannel writes a request while it reads the answer. Linux reports a reset once (ECONNRESET), to the operation that asks first, and of two that are ready Asio performs the write first; its error was dropped, and the read that followed saw an orderly end. Evidence: request_write=failed in the lines of these streams; net_test fails without the change, for a reset only. Change: a body that only the end of its connection marks is broken off if the write met a reset.

--- a/src/libperidotgrade/net/http_channel.cpp
+++ b/src/libperidotgrade/net/http_channel.cpp
@@ -82,6 +82,7 @@
                 [self = this->shared_from_this(), body = std::move(body)](
                     const boost::system::error_code& error, std::size_t) {
                     self->writeState = error ? RequestWriteState::Failed : RequestWriteState::Written;
+                    self->wasReset = error == asio::error::connection_reset;
                     self->outgoing.reset();
                 });
         }
@@ -150,6 +151,8 @@
                 if (TimerDriver::now() >= deadline && !this->parser->is_done())
                     co_return this->fail(beast::error::timeout);
             }
+            if (this->wasReset && this->parser->need_eof())
+                co_return this->fail(asio::error::connection_reset);
             co_return std::string {};
         }
 
@@ -240,6 +243,9 @@
         std::uint32_t exchanges = 0;
         bool isHead = false;
         RequestWriteState writeState = RequestWriteState::InProgress;
+        /// The write of the request met a reset. The system reports it once, so a read sees an orderly end
+        /// then.
+        bool wasReset = false;
         bool hasBegun = false;
         bool isConnectionReused = false;
         bool isClosed = false;
--- a/src/libperidotgrade/net/http_channel_test.cpp
+++ b/src/libperidotgrade/net/http_channel_test.cpp
@@ -1,12 +1,16 @@
 // Tests which pooled connections may be reused and which must not be.
 #include "peridotgrade/net/http_channel.h"
 
+#include "peridotgrade/net/sleep.h"
 #include "peridotgrade/net/timer_driver.h"
 #include "test_support/scripted_server.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace peridotgrade;
@@ -53,6 +57,52 @@
         context.run_for(5s);
         return bodies;
     }
+
+    enum class EndOfConnection : std::uint8_t { Reset, Orderly };
+
+    /// Reads a body without a length whose server ends the connection before it has read the request.
+    bool endsWithAnError(EndOfConnection end)
+    {
+        asio::ip::tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+                std::string answer = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n";
+                co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+                co_await sleepFor(context.get_executor(), 50ms);
+                if (end == EndOfConnection::Reset)
+                    socket.set_option(asio::socket_base::linger(true, 0));
+                else
+                    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+                if (end == EndOfConnection::Orderly)
+                    co_await sleepFor(context.get_executor(), 1s);
+            },
+            asio::detached);
+        std::optional<bool> hasFailed;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                Endpoint server { "127.0.0.1", acceptor.local_endpoint().port() };
+                HttpChannelPool pool(context.get_executor(), server);
+                auto opened = co_await pool.open(1s, 1s);
+                auto channel = std::get<std::shared_ptr<HttpChannel>>(opened);
+                HttpRequest request;
+                request.method = "POST";
+                request.body = std::string(16'000'000, 'x');
+                channel->send(std::move(request));
+                co_await channel->readHead(1s);
+                auto piece = co_await channel->readBody(1s);
+                while (std::holds_alternative<std::string>(piece) && !std::get<std::string>(piece).empty())
+                    piece = co_await channel->readBody(1s);
+                hasFailed = std::holds_alternative<NetError>(piece);
+                context.stop();
+            },
+            asio::detached);
+        context.run_for(5s);
+        BOOST_REQUIRE(hasFailed.has_value());
+        return *hasFailed;
+    }
 };
 
 } // namespace
@@ -127,6 +177,16 @@
     BOOST_TEST(bodies.front() == "error");
 }
 
+BOOST_AUTO_TEST_CASE(resetOfABodyWithoutLengthIsNotItsEndWhileTheRequestIsWritten)
+{
+    BOOST_TEST(endsWithAnError(EndOfConnection::Reset));
+}
+
+BOOST_AUTO_TEST_CASE(bodyWithoutLengthIsWholeAtAnOrderlyEndWhileTheRequestIsWritten)
+{
+    BOOST_TEST(!endsWithAnError(EndOfConnection::Orderly));
+}
+
 BOOST_AUTO_TEST_CASE(bytesThatBelongToNoBodyAreBounded)
 {
     std::string interim;
