Break off answers without a length of servers that have stopped listening

Cause: the check after the end of an answer looked at the kept connection only, which such a process keeps and answers on. Ruled out: leaving it, since a process that stops in order may also complete its answers. Nothing tells the two apart, and of the two mistakes a part that is called whole is the worse: its caller cannot notice it. Change: after an answer to the status call, one connection is opened; if the address refuses it, the answer is broken off (`not_listening`).

--- a/src/include/peridotgrade/gateway/server_liveness.h
+++ b/src/include/peridotgrade/gateway/server_liveness.h
@@ -25,6 +25,9 @@
     Ended,
     /// It has closed a connection that it had no reason to close.
     Closing,
+    /// It has answered, and its address refuses new connections: it is being stopped, and may have cut its
+    /// answers.
+    NotListening,
     /// It has not answered in time.
     Unknown,
 };
@@ -42,7 +45,8 @@
 /// other and its listening socket at any place among them, so neither that end nor an accepted connection
 /// shows that an answer is complete. A process that is being stopped may close its connections one by one
 /// while it still answers others. What shows that it goes on is its answer to a call that was sent some time
-/// after the end of the answer, on a connection that was open before that end. Such a connection is kept
+/// after the end of the answer, on a connection that was open before that end, and that its address accepts
+/// connections afterwards. Such a connection is kept
 /// while answers are received, and used often enough not to be closed as idle; where the server closes it
 /// after each call, the next one is opened at once. If none was kept, the call has to be sent later. Not
 /// thread safe.
--- a/src/libperidotgrade/gateway/server_liveness.cpp
+++ b/src/libperidotgrade/gateway/server_liveness.cpp
@@ -17,7 +17,8 @@
 
 namespace {
 
-    constexpr auto Names = std::to_array<std::string_view>({ "alive", "ended", "closing", "unknown" });
+    constexpr auto Names
+        = std::to_array<std::string_view>({ "alive", "ended", "closing", "not_listening", "unknown" });
 
     constexpr std::chrono::milliseconds LookInterval { 10 };
     // Servers state their idle time-outs in whole seconds, and may have shorter ones that they do not state.
@@ -35,6 +36,8 @@
     // In place of the settle time if no connection was kept since before the end of the answer.
     constexpr std::chrono::seconds UnkeptSettleTime { 2 };
     constexpr int SlownessTolerance = 2;
+    // A refusal takes one round trip.
+    constexpr std::chrono::milliseconds RefusalTimeout { 100 };
 
 } // namespace
 
@@ -163,6 +166,9 @@
     }
     if (!found && this->isKeptSince(endedAt) && this->isSlowAsBefore(TimerDriver::now()))
         found = Liveness::Alive;
+    if (found == Liveness::Alive
+        && co_await this->client->refusesConnections(RefusalTimeout, Duration::zero()))
+        found = Liveness::NotListening;
     this->removeWantedCall(due);
     this->removeWantedCall(unkeptDue);
     check.liveness = found.value_or(Liveness::Unknown);
--- a/src/libperidotgrade/gateway/server_liveness_test.cpp
+++ b/src/libperidotgrade/gateway/server_liveness_test.cpp
@@ -63,10 +63,12 @@
         this->closeConnections();
     }
 
+    void stopListening() { this->listener.close(); }
+
     void end()
     {
         this->closeConnections();
-        this->listener.close();
+        this->stopListening();
     }
 
     std::uint16_t status = 200;
@@ -196,6 +198,14 @@
     BOOST_TEST(nameOf(result->liveness) == "ended");
 }
 
+BOOST_AUTO_TEST_CASE(serverThatStopsListeningAndAnswersOnKeptConnectionsIsNotAlive)
+{
+    auto result = this->checkAfter(200ms);
+    this->after(150ms, [this] { this->server.stopListening(); });
+    this->run();
+    BOOST_TEST(nameOf(result->liveness) == "not_listening");
+}
+
 BOOST_AUTO_TEST_CASE(serverThatClosesItsConnectionsAndAnswersNewOnesIsClosing)
 {
     auto result = this->checkAfter(200ms);
