Confirm the end of a short stream only on a proven connection

Cause: for answers that end within 50 ms a connection counted as kept as soon as the system had accepted it, since there was no time for a call before the end. Plain answers and resumable streams have no time for that and keep the allowance.

--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -44,6 +44,9 @@
 struct EndCheckTimes {
     Duration settleTime;
     Duration timeout;
+    /// An answer that ends this soon after its head may be confirmed on a connection that its server had not
+    /// answered on before.
+    Duration newConnectionAllowance;
 };
 
 /// The state of the gateway's single thread; it has no locks.
--- a/src/include/peridotgrade/gateway/server_liveness.h
+++ b/src/include/peridotgrade/gateway/server_liveness.h
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -52,6 +53,9 @@
 /// thread safe.
 class ServerLiveness : public std::enable_shared_from_this<ServerLiveness> {
 public:
+    /// Time for the first connection, which is opened when the head of an answer arrives.
+    static constexpr std::chrono::milliseconds NewConnectionAllowance { 50 };
+
     struct CallRules {
         /// When the server may be called; nothing if it may be called now.
         std::function<std::optional<TimePoint>()> closedUntil;
@@ -66,8 +70,10 @@
     /// Calls the server from now on, as long as this object lives.
     void start();
     /// To be called at the end of an answer. The call that decides is sent `settleTime` later, or later than
-    /// that if no connection was kept; the result is there after at most `timeout`.
-    boost::asio::awaitable<LivenessCheck> check(Duration settleTime, Duration timeout);
+    /// that if no connection was kept; the result is there after at most `timeout`. After answers that are no
+    /// longer than `newConnectionAllowance` a connection that the process has not answered on counts as kept.
+    boost::asio::awaitable<LivenessCheck> check(
+        Duration settleTime, Duration timeout, Duration newConnectionAllowance);
 
 private:
     static boost::asio::awaitable<void> keepCalling(std::weak_ptr<ServerLiveness> watched);
@@ -81,10 +87,10 @@
     void noteLost(bool isPeerClosed, TimePoint usableAt);
     void removeWantedCall(TimePoint due);
     /// Nothing while the server may still answer a call that was sent at `due` or later.
-    std::optional<Liveness> result(TimePoint endedAt, TimePoint due) const;
+    std::optional<Liveness> result(TimePoint endedAt, TimePoint due, Duration newConnectionAllowance) const;
     /// A connection is open that the process had answered on before the end of the answer, or that was open
     /// as soon as it could be if the answer was short.
-    bool isKeptSince(TimePoint endedAt) const;
+    bool isKeptSince(TimePoint endedAt, Duration newConnectionAllowance) const;
     /// The server must not be called now, and its connection has been open since before the end.
     bool isOpenWithoutCalls(TimePoint endedAt) const;
     /// A call is in progress that takes no longer than the one before has taken twice.
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -352,7 +352,7 @@
     TimePoint endedAt = this->now();
     LivenessCheck check;
     if (times.timeout >= MinEndCheckTime)
-        check = co_await watch->check(times.settleTime, times.timeout);
+        check = co_await watch->check(times.settleTime, times.timeout, times.newConnectionAllowance);
     const ServerRecord* current = this->directory.find(watch->record().id);
     // Status answers need not state the start of their process.
     if (current != nullptr && current->startedAt > watch->record().startedAt)
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -249,7 +249,10 @@
         = std::min<Duration>(timeLeft(this->state, this->context), GatewayState::MaxEndCheckTime);
     if (this->isStallWatched())
         timeout = std::min<Duration>(timeout, this->context.route.gapTarget * StallGapCount);
-    return { std::min<Duration>(SettleTime, timeout / 2), timeout };
+    // A stream that cannot be resumed has the time to prove a new connection.
+    bool hasTime = this->hasBegun && !this->isStallWatched();
+    Duration allowance = hasTime ? Duration::zero() : Duration { ServerLiveness::NewConnectionAllowance };
+    return { std::min<Duration>(SettleTime, timeout / 2), timeout, allowance };
 }
 
 Duration GenerationCall::readTimeout() const
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -210,7 +210,7 @@
 {
     Duration timeout
         = std::min<Duration>(timeLeft(this->state, this->context), GatewayState::MaxEndCheckTime);
-    return { std::min<Duration>(SettleTime, timeout / 2), timeout };
+    return { std::min<Duration>(SettleTime, timeout / 2), timeout, ServerLiveness::NewConnectionAllowance };
 }
 
 asio::awaitable<PlainCall::Next> PlainCall::forwardAnswer(
--- a/src/libperidotgrade/gateway/server_liveness.cpp
+++ b/src/libperidotgrade/gateway/server_liveness.cpp
@@ -29,8 +29,6 @@
     // Between calls that have not been answered by the process.
     constexpr std::chrono::milliseconds RetryInterval { 100 };
     constexpr std::chrono::seconds CallTimeout { 3 };
-    // For the first connection, which is opened when the head of an answer arrives.
-    constexpr std::chrono::milliseconds ConnectAllowance { 50 };
     // A process that is being stopped closes idle connections first and gives running answers some time.
     constexpr std::chrono::seconds ClosingTime { 2 };
     // In place of the settle time if no connection was kept since before the end of the answer.
@@ -149,7 +147,8 @@
     this->nextOpenAt = TimerDriver::now() + ReopenInterval;
 }
 
-asio::awaitable<LivenessCheck> ServerLiveness::check(Duration settleTime, Duration timeout)
+asio::awaitable<LivenessCheck> ServerLiveness::check(
+    Duration settleTime, Duration timeout, Duration newConnectionAllowance)
 {
     auto self = this->shared_from_this();
     TimePoint endedAt = TimerDriver::now();
@@ -158,13 +157,14 @@
     TimePoint unkeptDue = endedAt + UnkeptSettleTime;
     this->wantedCalls.insert(this->wantedCalls.end(), { due, unkeptDue });
     LivenessCheck check;
-    check.wasWatched = this->isKeptSince(endedAt);
-    auto found = this->result(endedAt, due);
+    check.wasWatched = this->isKeptSince(endedAt, newConnectionAllowance);
+    auto found = this->result(endedAt, due, newConnectionAllowance);
     while (!found && TimerDriver::now() < deadline) {
         co_await sleepFor(this->executor, std::min<Duration>(LookInterval, deadline - TimerDriver::now()));
-        found = this->result(endedAt, due);
+        found = this->result(endedAt, due, newConnectionAllowance);
     }
-    if (!found && this->isKeptSince(endedAt) && this->isSlowAsBefore(TimerDriver::now()))
+    if (!found && this->isKeptSince(endedAt, newConnectionAllowance)
+        && this->isSlowAsBefore(TimerDriver::now()))
         found = Liveness::Alive;
     if (found == Liveness::Alive
         && co_await this->client->refusesConnections(RefusalTimeout, Duration::zero()))
@@ -175,13 +175,14 @@
     co_return check;
 }
 
-std::optional<Liveness> ServerLiveness::result(TimePoint endedAt, TimePoint due) const
+std::optional<Liveness> ServerLiveness::result(
+    TimePoint endedAt, TimePoint due, Duration newConnectionAllowance) const
 {
     if (this->closedAt && *this->closedAt >= endedAt - ClosingTime)
         return Liveness::Closing;
     if (this->hasEnded)
         return Liveness::Ended;
-    bool isKept = this->isKeptSince(endedAt);
+    bool isKept = this->isKeptSince(endedAt, newConnectionAllowance);
     if (this->answeredCallAt && *this->answeredCallAt >= (isKept ? due : endedAt + UnkeptSettleTime))
         return Liveness::Alive;
     if (this->isOpenWithoutCalls(endedAt) && TimerDriver::now() >= due)
@@ -189,11 +190,11 @@
     return std::nullopt;
 }
 
-bool ServerLiveness::isKeptSince(TimePoint endedAt) const
+bool ServerLiveness::isKeptSince(TimePoint endedAt, Duration newConnectionAllowance) const
 {
     if (!this->connection)
         return false;
-    TimePoint allowedAt = this->startedAt + ConnectAllowance;
+    TimePoint allowedAt = this->startedAt + newConnectionAllowance;
     bool isShort = endedAt <= allowedAt && this->connectedSince <= allowedAt;
     return isShort || (this->keptSince && *this->keptSince <= endedAt);
 }
@@ -208,7 +209,7 @@
 bool ServerLiveness::isOpenWithoutCalls(TimePoint endedAt) const
 {
     bool isOpen = this->connection && !this->callSentAt
-        && this->connectedSince <= std::max(endedAt, this->startedAt + ConnectAllowance);
+        && this->connectedSince <= std::max(endedAt, this->startedAt + NewConnectionAllowance);
     return isOpen && this->rules.closedUntil();
 }
 
--- a/src/libperidotgrade/gateway/server_liveness_test.cpp
+++ b/src/libperidotgrade/gateway/server_liveness_test.cpp
@@ -135,19 +135,20 @@
             [this] { return this->closedUntil; }, [this] { return this->isLimited; } });
 
     /// The result is valid after `run`.
-    std::shared_ptr<LivenessCheck> checkAfter(Duration delay, Duration timeout = 1s)
+    std::shared_ptr<LivenessCheck> checkAfter(
+        Duration delay, Duration timeout = 1s, Duration allowance = ServerLiveness::NewConnectionAllowance)
     {
         auto result = std::make_shared<LivenessCheck>();
         ++this->checksInProgress;
         asio::co_spawn(
             this->context,
-            [](Fixture& self, Duration delay, Duration timeout,
+            [](Fixture& self, Duration delay, Duration timeout, Duration allowance,
                 std::shared_ptr<LivenessCheck> result) -> asio::awaitable<void> {
                 co_await sleepFor(self.context.get_executor(), delay);
-                *result = co_await self.watch->check(SettleTime, timeout);
+                *result = co_await self.watch->check(SettleTime, timeout, allowance);
                 if (--self.checksInProgress == 0)
                     self.context.stop();
-            }(*this, delay, timeout, result),
+            }(*this, delay, timeout, allowance, result),
             asio::detached);
         return result;
     }
@@ -376,6 +377,16 @@
     BOOST_TEST(nameOf(result->liveness) == "alive");
 }
 
+BOOST_AUTO_TEST_CASE(newConnectionProvesLaterWithoutAnAllowance)
+{
+    this->server.delay = 30ms;
+    auto early = this->checkAfter(10ms, 1s, 0ms);
+    auto late = this->checkAfter(10ms, 3s, 0ms);
+    this->run();
+    BOOST_TEST(nameOf(early->liveness) == "unknown");
+    BOOST_TEST(nameOf(late->liveness) == "alive");
+}
+
 BOOST_AUTO_TEST_CASE(serverThatWantsNoCallsIsJudgedByItsConnection)
 {
     this->after(200ms, [this] { this->closedUntil = TimePoint::max(); });
