Log failed reads of the store and bound the delay of each configuration

Cause of the gap: a first failed call left no line, and neither log nor metric told how old a configuration was when an entry first used it. Change: `store_call_failed`, the first of a row; `within_ms` in `configuration_applied` and its distribution peridot_gateway_configuration_delay_bound_seconds: the time since the answer that showed the version before as the newest. No logic changes.

--- a/src/include/peridotgrade/gateway/gateway_metrics.h
+++ b/src/include/peridotgrade/gateway/gateway_metrics.h
@@ -37,6 +37,11 @@
     void addFirstEvent(std::chrono::nanoseconds time) { this->firstEvent.add(time); }
     void addAnswer(std::chrono::nanoseconds time) { this->answer.add(time); }
     void addReservationWait(std::chrono::nanoseconds time) { this->reservationWait.add(time); }
+    /// The longest time that may have passed from the acknowledgement of a configuration to its use.
+    void addConfigurationDelayBound(std::chrono::nanoseconds time)
+    {
+        this->configurationDelayBound.add(time);
+    }
     void addPrefill(std::chrono::nanoseconds time) { this->prefill.add(time); }
     /// Expected factor of the usual time at a server that was chosen.
     void addServerPace(double factor);
@@ -50,6 +55,7 @@
     Distribution& reservationWait;
     Distribution& prefill;
     Distribution& serverPace;
+    Distribution& configurationDelayBound;
     Distribution& outputError;
 };
 
--- a/src/include/peridotgrade/gateway/store_watch.h
+++ b/src/include/peridotgrade/gateway/store_watch.h
@@ -49,6 +49,9 @@
     boost::asio::awaitable<void> run();
     /// Up to where the topic has been read; nothing while the store cannot be read.
     std::optional<LogOffset> position() const { return this->next; }
+    /// When the answer before the present one arrived that showed the topic as up to date: what the present
+    /// one brings was appended later. Nothing if there was none.
+    std::optional<TimePoint> currentBefore() const { return this->previousCurrentAt; }
 
 private:
     boost::asio::awaitable<bool> relist();
@@ -56,8 +59,9 @@
     std::chrono::milliseconds readWait() const;
     /// Pause before the next read, after one that succeeded.
     std::chrono::milliseconds pause() const;
-    void noteFailure(const StoreError& error);
+    void noteFailure(const StoreError& error, TimePoint began);
     void noteSuccess();
+    void noteCurrent();
 
     GatewayState& state;
     StoreClient& store;
@@ -73,6 +77,9 @@
     /// More records follow those of the last read.
     bool isBehind = false;
     std::uint32_t consecutiveFailures = 0;
+    /// When answers arrived that showed the topic as up to date: the last one, and the one before.
+    std::optional<TimePoint> currentAt;
+    std::optional<TimePoint> previousCurrentAt;
 };
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/gateway/configuration_log.cpp
+++ b/src/libperidotgrade/gateway/configuration_log.cpp
@@ -1,6 +1,8 @@
 // Compares the tenants of two configurations and writes the lines.
 #include "peridotgrade/gateway/configuration_log.h"
 
+#include "peridotgrade/gateway/request_trace.h"
+
 #include <algorithm>
 #include <cstdio>
 #include <map>
@@ -87,14 +89,15 @@
 } // namespace
 
 void logConfiguration(Logger& log, const RoutingConfiguration* before, const RoutingConfiguration& now,
-    const std::vector<ConfigurationFinding>& findings)
+    const std::vector<ConfigurationFinding>& findings, std::optional<Duration> delayBound)
 {
     log.write(LogLevel::Info, "configuration_applied",
         { { "version", std::to_string(now.version.raw()) },
             { "before", std::to_string(before != nullptr ? before->version.raw() : 0) },
             { "routes", std::to_string(now.routes.size()) },
             { "services", std::to_string(now.services.size()) },
-            { "tenants", std::to_string(now.tenants.size()) } });
+            { "tenants", std::to_string(now.tenants.size()) },
+            { "within_ms", delayBound ? millisecondsText(*delayBound) : "unknown" } });
     writeTenants(log, before, now);
     writeFindings(log, findings);
 }
--- a/src/libperidotgrade/gateway/gateway_metrics.cpp
+++ b/src/libperidotgrade/gateway/gateway_metrics.cpp
@@ -29,6 +29,9 @@
           "Expected time at servers that were chosen, by their usual and their reported speed; 1 is the "
           "median",
           "", "" }))
+    , configurationDelayBound(registry.distribution({ "peridot_gateway_configuration_delay_bound_seconds",
+          "Longest time that may have passed from the store's acknowledgement of a configuration to its use",
+          "", "" }))
     , outputError(registry.distribution({ "peridot_gateway_output_estimate_ratio",
           "Output tokens of streams, divided by those that were expected", "", "" }))
 {
--- a/src/libperidotgrade/gateway/store_follower.cpp
+++ b/src/libperidotgrade/gateway/store_follower.cpp
@@ -86,7 +86,13 @@
             continue;
         checkInvariant(!this->state.configuration || current < configuration.version,
             Invariant::ConfigurationNeverReverts, "an older configuration would come into force");
-        logConfiguration(this->state.log, this->state.configuration.get(), configuration, findings);
+        std::optional<Duration> delayBound;
+        if (auto before = this->configurationWatch.currentBefore())
+            delayBound = this->state.now() - *before;
+        logConfiguration(
+            this->state.log, this->state.configuration.get(), configuration, findings, delayBound);
+        if (delayBound)
+            this->state.metrics.addConfigurationDelayBound(*delayBound);
         this->state.configuration = std::make_shared<const RoutingConfiguration>(std::move(configuration));
         this->state.updateLoadAwareness();
     }
--- a/src/libperidotgrade/gateway/store_watch.cpp
+++ b/src/libperidotgrade/gateway/store_watch.cpp
@@ -1,9 +1,11 @@
 // Listing, reading and retries of a followed topic.
 #include "peridotgrade/gateway/store_watch.h"
 
+#include "peridotgrade/gateway/request_trace.h"
 #include "peridotgrade/net/sleep.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace peridotgrade {
 
@@ -51,13 +53,14 @@
 {
     this->hasReadRecords = false;
     this->isBehind = false;
+    TimePoint began = this->state.now();
     auto listing = co_await this->store.list(this->topic.name, CallTimeout);
     if (auto* error = std::get_if<StoreError>(&listing)) {
-        this->noteFailure(*error);
+        this->noteFailure(*error, began);
         co_return false;
     }
     this->noteSuccess();
-    this->callbacks.onRead();
+    this->noteCurrent();
     this->enterEra(std::get<StoreListing>(listing).era);
     this->next = std::get<StoreListing>(listing).end;
     this->callbacks.onListing(std::get<StoreListing>(listing));
@@ -68,9 +71,10 @@
 {
     this->hasReadRecords = false;
     auto wait = this->readWait();
+    TimePoint began = this->state.now();
     auto batch = co_await this->store.read(this->topic.name, *this->next, wait, wait + CallTimeout);
     if (auto* error = std::get_if<StoreError>(&batch)) {
-        this->noteFailure(*error);
+        this->noteFailure(*error, began);
         this->next.reset();
         co_return false;
     }
@@ -79,13 +83,14 @@
     this->isBehind = isSameEra && read.next < read.end;
     if (this->isBehind && read.next == *this->next) {
         // An answer without a length that the store's end cut off may end between two records.
-        this->noteFailure({ StoreError::Kind::Malformed, "no records before the end of the topic", {} });
+        this->noteFailure(
+            { StoreError::Kind::Malformed, "no records before the end of the topic", {} }, began);
         this->next.reset();
         co_return false;
     }
     this->noteSuccess();
     if (!this->isBehind && isSameEra)
-        this->callbacks.onRead();
+        this->noteCurrent();
     if (!isSameEra) {
         // The offset that was read from belongs to other records now.
         this->next.reset();
@@ -121,9 +126,20 @@
     this->era = newEra;
 }
 
-void StoreWatch::noteFailure(const StoreError& error)
+void StoreWatch::noteCurrent()
+{
+    this->previousCurrentAt = std::exchange(this->currentAt, this->state.now());
+    this->callbacks.onRead();
+}
+
+void StoreWatch::noteFailure(const StoreError& error, TimePoint began)
 {
     ++this->consecutiveFailures;
+    if (this->consecutiveFailures == 1)
+        this->state.log.write(LogLevel::Warn, "store_call_failed",
+            { { "topic", this->topic.name }, { "call", this->next ? "read" : "list" },
+                { "kind", std::string { nameOf(error.kind) } }, { "detail", error.detail },
+                { "took_ms", millisecondsText(this->state.now() - began) } });
     if (this->consecutiveFailures != FailuresUntilLost)
         return;
     this->state.log.write(LogLevel::Warn, "store_lost",
