--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -182,6 +182,8 @@
         # Offset of the oldest record of each topic that is still retained.
         self.first = collections.Counter()
         self.reads_of_owners = 0
+        # Fields of the answers to reads and listings.
+        self.fields = {}
 
     def restore(self, age_s):
         """Loses what was written in the last `age_s` seconds. Calls that wait get no answer."""
@@ -196,7 +198,7 @@
             writer.transport.abort()
 
     def answer_json(self, value):
-        return json_response(value, {"Store-Era": str(self.era)})
+        return json_response(value, {"Store-Era": str(self.era), **self.fields})
 
     async def put(self, topic, key, value):
         """Appends a record of a keyed topic; without a value it deletes the key."""
@@ -259,7 +261,7 @@
         body = struct.pack(">QQ", len(records), first)
         for content in records[start:]:
             body += struct.pack(">I", len(content)) + content
-        writer.write(response(200, body, {"Store-Era": str(self.era)}))
+        writer.write(response(200, body, {"Store-Era": str(self.era), **self.fields}))
 
     async def _append(self, request, writer):
         at, records = 0, []
@@ -760,8 +762,8 @@
     def engine_at(self, address):
         return next((engine for engine in self.engines if engine.address == address), None)
 
-    async def configure(self, version, extra_routes=(), tenants=None, public=(), priorities=None):
-        """`public` are names of routes for which callers need no key."""
+    async def configure(self, version, extra_routes=(), tenants=None, public=(), priorities=None, filling=0):
+        """`public` are names of routes for which callers need no key. `filling` is a number of bytes that say nothing."""
         def route(name, prefix, kind, service, **more):
             return {"name": name, "host": HOST, "path_prefix": prefix, "kind": kind, "timeout_ms": 8000,
                     "target_latency_ms": 1000, "priority": 1, "service": service, "max_attempts": 2, **more}
@@ -784,6 +786,8 @@
         value = {"version": version, "routes": routes, "services": services, "limits": limits}
         if tenants is not None:
             value["tenants"] = tenants
+        if filling:
+            value["comment"] = "x" * filling
         await self.store.put("keyed.op", "config", json.dumps(value))
 
     def report_violation(self, text):
--- a/testsuite/support/relay.py
+++ b/testsuite/support/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay between two processes that can cut, stall and delay their connections."""
+"""A TCP relay between two processes that can cut, stall, silence, delay and slow their connections."""
 import socket
 import threading
 import time
@@ -15,7 +15,12 @@
         self.delay = 0.0
         self.is_cut = False
         self.is_stalled = False
+        # Towards the client, over all connections.
+        self.bytes_per_s = None
+        self.free_at = 0.0
         self.sockets = set()
+        # Those whose bytes are dropped.
+        self.silent = set()
         self.lock = threading.Lock()
         self.listener = socket.create_server((run_address(), 0))
         self.address = "%s:%d" % self.listener.getsockname()
@@ -29,6 +34,11 @@
         for connection in sockets:
             _close(connection)
 
+    def silence_open(self):
+        """Drops what the connections that are open now would carry, for good; new ones work."""
+        with self.lock:
+            self.silent |= self.sockets
+
     def restore(self):
         self.is_cut = False
 
@@ -54,16 +64,21 @@
             with self.lock:
                 self.sockets |= {client, server}
             for source, sink in ((client, server), (server, client)):
-                threading.Thread(target=self._forward, args=(source, sink), daemon=True).start()
+                threading.Thread(target=self._forward, args=(source, sink, sink is client), daemon=True).start()
 
-    def _forward(self, source, sink):
+    def _forward(self, source, sink, is_to_client):
         try:
-            while data := source.recv(65536):
+            while data := source.recv(65536 if self.bytes_per_s is None else 8192):
                 if self.delay:
                     time.sleep(self.delay)
                 while self.is_stalled and not self.is_cut:
                     time.sleep(0.01)
-                sink.sendall(data)
+                if self.bytes_per_s and is_to_client:
+                    with self.lock:
+                        self.free_at = max(self.free_at, time.monotonic()) + len(data) / self.bytes_per_s
+                    time.sleep(max(0, self.free_at - time.monotonic()))
+                if source not in self.silent:
+                    sink.sendall(data)
         except OSError:
             pass
         _close(source)
