Read answers of the store for as long as they arrive

Cause: a listing had 0.5 s for its whole answer, however fast it arrived; each try was given up and started from the beginning. The class of fault is a time-out on the total in place of one on the lack of progress: under load every try fails, and adds to the load. Evidence: the listing has 333 KB, which take 0.8 s (gateway_configuration_in_time, check_slow_links).

--- a/src/include/peridotgrade/net/whole_body.h
+++ b/src/include/peridotgrade/net/whole_body.h
@@ -32,6 +32,8 @@
     /// Takes the bytes of the body, and keeps them for as long as its owner keeps the body; null for a body
     /// that is small by its own limit.
     BodyMemory::Share* share = nullptr;
+    /// Longest wait for the next part.
+    Duration maxPause = Duration::max();
 };
 
 /// Appends the rest of the body to `body`, by `deadline` and within `limits`, however fast or slowly it
@@ -45,7 +47,7 @@
         Duration left = deadline - TimerDriver::now();
         if (left <= Duration::zero())
             co_return NetError { NetErrorKind::TimedOut, true, "the body did not end in time" };
-        auto piece = co_await source.readBody(left);
+        auto piece = co_await source.readBody(std::min(left, limits.maxPause));
         if (auto* error = std::get_if<NetError>(&piece))
             co_return std::move(*error);
         std::string& bytes = std::get<std::string>(piece);
