--- a/src/libperidotgrade/gateway/store_follower.cpp
+++ b/src/libperidotgrade/gateway/store_follower.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-    // A change is known within a round trip. A silent connection is noticed within this wait and the time-out
-    // of a call; a configuration has to be in force within two seconds.
+    // A change is known within a round trip. A connection that has gone silent is noticed within this wait
+    // and the time-out of a call, and the listing that follows shows the change.
     constexpr std::chrono::milliseconds ConfigurationWait { 2000 };
     // Servers report every 1.2 s. Reading at this interval finds a draining server well within the two
     // seconds after which it must get no more requests, with few calls, since each call costs.
