--- a/src/libperidotgrade/gateway/store_watch.cpp
+++ b/src/libperidotgrade/gateway/store_watch.cpp
@@ -72,7 +72,8 @@
     this->hasReadRecords = false;
     auto wait = this->readWait();
     TimePoint began = this->state.now();
-    auto batch = co_await this->store.read(this->topic.name, *this->next, wait, wait + CallTimeout);
+    auto batch = co_await this->store.read(
+        this->topic.name, *this->next, wait, wait + CallTimeout, StoreClient::BodyTime::WhileItArrives);
     if (auto* error = std::get_if<StoreError>(&batch)) {
         this->noteFailure(*error, began);
         this->next.reset();
--- a/testsuite/gateway_soak/removed_guards.py
+++ b/testsuite/gateway_soak/removed_guards.py
@@ -85,7 +85,7 @@
      "if (this->wasReset && this->parser->need_eof())", "if (this->wasReset && this->isHead)",
      "gateway_streams_reset_before_their_request_is_read"),
     ("an answer of the store is read while it arrives", "platform/store_client.cpp",
-     "if (bodyTime == BodyTime::WhileItArrives)", "if (bodyTime == BodyTime::WhileItArrives && isAbandonable)",
+     "if (bodyTime == StoreClient::BodyTime::WhileItArrives)", "if (isAbandonable)",
      "gateway_configuration_in_time"),
     ("an engine that leaves gets no run", GATEWAY + "generation_call.cpp",
      'return "the engine leaves";', "return {};", "gateway_engines_leaving_during_prefill"),
