--- a/src/libperidotgrade/net/http_channel_test.cpp
+++ b/src/libperidotgrade/net/http_channel_test.cpp
@@ -21,6 +21,8 @@
 
 const std::string CompleteResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+constexpr std::size_t LongerThanBuffers = 16'000'000;
+
 struct Fixture {
     asio::io_context context;
 
@@ -89,7 +91,7 @@
                 auto channel = std::get<std::shared_ptr<HttpChannel>>(opened);
                 HttpRequest request;
                 request.method = "POST";
-                request.body = std::string(16'000'000, 'x');
+                request.body.resize(LongerThanBuffers, 'x');
                 channel->send(std::move(request));
                 co_await channel->readHead(1s);
                 auto piece = co_await channel->readBody(1s);
