Log how the version of a resumed stream is known, and servers that state another start

Cause of this change: a resumption that succeeds had its version in the log, but not how it is known, for how long, how old the list is and which versions the entry has observed; no line showed that a server had started again under its name. Change: `resumption` has `known_from`, `known_for_ms`, `list_age_ms`, `versions` and `observed_ms`; `run_sent` has `stream_version`; `server_start_differs` is logged once for each start that a report states and the list does not have. No change of decisions.

--- a/src/include/peridotgrade/core/serving/stream_origins.h
+++ b/src/include/peridotgrade/core/serving/stream_origins.h
@@ -15,6 +15,15 @@
 
 namespace peridotgrade {
 
+/// An origin, and how an entry knows it.
+struct KnownOrigin {
+    StreamOrigin origin;
+    /// The entry began the stream itself.
+    bool isOwn = false;
+    /// When the stream began, or its record was read.
+    TimePoint knownSince {};
+};
+
 /// Holds the origins of this entry's incomplete streams, and of those that other entries have published.
 /// Tells which of its own are still to be published. Not thread safe.
 class StreamOrigins {
@@ -30,7 +39,7 @@
     void noteCompleted(const std::string& attempt);
     /// Another entry has published the origin of its stream.
     void notePublished(const StreamOriginRecord& record, TimePoint now);
-    std::optional<StreamOrigin> find(const std::string& attempt) const;
+    std::optional<KnownOrigin> find(const std::string& attempt) const;
 
     /// Takes the unpublished streams of the services that `isWanted` names.
     template <std::predicate<const ServiceId&> Predicate>
@@ -58,18 +67,14 @@
     std::size_t unpublishedStreams() const { return this->unpublished.size(); }
 
 private:
-    struct Stream {
-        StreamOrigin origin;
-        bool isOwn = false;
-    };
     struct Expiry {
         TimePoint at;
         std::string attempt;
     };
 
-    void add(const std::string& attempt, Stream stream, TimePoint now);
+    void add(const std::string& attempt, KnownOrigin stream);
 
-    std::unordered_map<std::string, Stream> streams;
+    std::unordered_map<std::string, KnownOrigin> streams;
     /// In order of time. Invariant: has each of `streams`; streams that were removed before have no effect.
     std::deque<Expiry> expiries;
     /// Attempts of own streams; some may have been removed from `streams`.
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -193,6 +193,7 @@
 
 private:
     void updateVersions(const ServiceId& service);
+    void noteServerStart(const ServerRecord& server, WallTime startedAt);
     void noteLimit(const ServerRecord& server, const ServerNotice& notice);
     void noteEnd(const ServerCrash& incarnation, std::string_view evidence);
     /// Looks in the background whether a server ends that accepted a connection after a lost run. `server` is
@@ -213,6 +214,8 @@
     std::map<ServerCrash, std::optional<std::string>> laterChecks;
     /// Of each incarnation of a server, while answers are received that need it.
     std::map<std::pair<ServerId, WallTime>, std::weak_ptr<ServerLiveness>> watches;
+    /// Starts that servers have stated last and that differ from those in the list.
+    std::map<ServerId, WallTime> unlistedStarts;
     std::string_view loadAwareReason;
 
     void setRetryShare(double share);
--- a/src/include/peridotgrade/gateway/stream_origin_log.h
+++ b/src/include/peridotgrade/gateway/stream_origin_log.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace peridotgrade {
@@ -24,6 +25,16 @@
 /// thread.
 class StreamOriginLog {
 public:
+    /// What is known of the stream that a request resumes.
+    struct Finding {
+        /// Nothing if the stream must not go on.
+        std::optional<StreamOrigin> origin;
+        /// `own`, `published`, `only_version`, `not_recorded` or `store_unavailable`.
+        std::string_view evidence;
+        /// How long the origin has been known; nothing if it is on no record.
+        std::optional<Duration> age;
+    };
+
     StreamOriginLog(GatewayState& state, StoreClient& store);
 
     /// A resumable stream has delivered its first event.
@@ -33,8 +44,7 @@
     /// The origin of the stream that the request resumes. A stream of which nothing is on record is one of
     /// the only version of `service`; if there are several versions, or the list of servers may be out of
     /// date, nothing is returned and the stream must not go on.
-    boost::asio::awaitable<std::optional<StreamOrigin>> originOf(
-        const GatewayRequest& request, ServiceId service);
+    boost::asio::awaitable<Finding> originOf(const GatewayRequest& request, ServiceId service);
 
 private:
     struct Reading;
@@ -45,8 +55,7 @@
         StoreUnavailable,
     };
 
-    boost::asio::awaitable<std::variant<StreamOrigin, Missing>> find(
-        const std::string& attempt, bool isMixed);
+    boost::asio::awaitable<std::variant<KnownOrigin, Missing>> find(const std::string& attempt, bool isMixed);
     /// Reads the topic to its end in a read that begins after this call. Calls at the same time share one
     /// read.
     boost::asio::awaitable<bool> refresh();
--- a/src/libperidotgrade/core/serving/stream_origins.cpp
+++ b/src/libperidotgrade/core/serving/stream_origins.cpp
@@ -5,7 +5,7 @@
 
 void StreamOrigins::noteBegun(const std::string& attempt, const StreamOrigin& origin, TimePoint now)
 {
-    this->add(attempt, { origin, true }, now);
+    this->add(attempt, { origin, true, now });
     this->unpublished.push_back(attempt);
 }
 
@@ -16,13 +16,13 @@
     auto found = this->streams.find(record.attempt);
     // An entry reads its own records too.
     if (found == this->streams.end())
-        this->add(record.attempt, { record.origin, false }, now);
+        this->add(record.attempt, { record.origin, false, now });
 }
 
-std::optional<StreamOrigin> StreamOrigins::find(const std::string& attempt) const
+std::optional<KnownOrigin> StreamOrigins::find(const std::string& attempt) const
 {
     auto found = this->streams.find(attempt);
-    return found == this->streams.end() ? std::nullopt : std::optional { found->second.origin };
+    return found == this->streams.end() ? std::nullopt : std::optional { found->second };
 }
 
 void StreamOrigins::returnUnpublished(const std::vector<StreamOriginRecord>& records)
@@ -40,8 +40,9 @@
     }
 }
 
-void StreamOrigins::add(const std::string& attempt, Stream stream, TimePoint now)
+void StreamOrigins::add(const std::string& attempt, KnownOrigin stream)
 {
+    TimePoint now = stream.knownSince;
     while (!this->expiries.empty()
         && (this->expiries.front().at <= now || this->expiries.size() >= MaxStreams)) {
         this->streams.erase(this->expiries.front().attempt);
--- a/src/libperidotgrade/core/serving/stream_origins_test.cpp
+++ b/src/libperidotgrade/core/serving/stream_origins_test.cpp
@@ -36,7 +36,7 @@
     BOOST_TEST(takenFrom(origins, Service) == std::vector<std::string> { "a" });
     BOOST_TEST(takenFrom(origins, Service).empty());
     BOOST_TEST(takenFrom(origins, OtherService) == std::vector<std::string> { "b" });
-    BOOST_TEST(origins.find("a")->version.raw() == "v1");
+    BOOST_TEST(origins.find("a")->origin.version.raw() == "v1");
     origins.noteBegun("c", First, Now + StreamOrigins::Lifetime);
     BOOST_TEST(!origins.find("a").has_value());
 }
@@ -70,8 +70,8 @@
     origins.noteBegun("a", First, Now);
     origins.notePublished({ "a", Second }, Now);
     origins.notePublished({ "x", Second }, Now);
-    BOOST_TEST(origins.find("a")->version.raw() == "v1");
-    BOOST_TEST(origins.find("x")->service.raw() == "t");
+    BOOST_TEST(origins.find("a")->origin.version.raw() == "v1");
+    BOOST_TEST(origins.find("x")->origin.service.raw() == "t");
 }
 
 BOOST_AUTO_TEST_CASE(memoryIsBounded)
--- a/src/libperidotgrade/core/serving/version_history.cpp
+++ b/src/libperidotgrade/core/serving/version_history.cpp
@@ -7,6 +7,8 @@
 
 void VersionHistory::update(const std::set<SoftwareVersion>& serving, TimePoint now)
 {
+    if (!this->since)
+        this->since = now;
     std::erase_if(
         this->versions, [&](const auto& each) { return each.second && *each.second + Memory <= now; });
     for (auto& [version, goneAt] : this->versions) {
@@ -17,6 +19,16 @@
         this->versions[version].reset();
 }
 
+std::string VersionHistory::text(TimePoint now) const
+{
+    std::string text;
+    for (const auto& [version, goneAt] : this->versions) {
+        if (!goneAt || now < *goneAt + Memory)
+            text += (text.empty() ? "" : ",") + version.raw();
+    }
+    return text;
+}
+
 bool VersionHistory::isMixed(TimePoint now) const
 {
     auto count = std::count_if(this->versions.begin(), this->versions.end(),
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -313,12 +313,20 @@
         const GatewayRequest& request = context.request;
         if (context.route.kind != CallKind::Streaming || !request.isResumption())
             co_return true;
-        auto origin = co_await this->originLog.originOf(request, context.service);
-        context.trace.addFailure(this->state.now(), "resumption",
+        auto found = co_await this->originLog.originOf(request, context.service);
+        const auto& origin = found.origin;
+        TimePoint now = this->state.now();
+        const VersionHistory& versions = this->state.versions[origin ? origin->service : context.service];
+        context.trace.addFailure(now, "resumption",
             { { "resumes", request.resumedAttempt.value_or("") },
                 { "after_event", request.lastEvent ? std::to_string(*request.lastEvent) : "" },
                 { "service", origin ? origin->service.raw() : "" },
-                { "version", origin ? origin->version.raw() : "unknown" } });
+                { "version", origin ? origin->version.raw() : "unknown" },
+                { "known_from", std::string { found.evidence } },
+                { "known_for_ms", found.age ? millisecondsText(*found.age) : "" },
+                { "list_age_ms", millisecondsText(now - this->state.serversReadAt) },
+                { "versions", versions.text(now) },
+                { "observed_ms", millisecondsText(versions.observedFor(now)) } });
         const auto& services = context.route.services;
         bool isOffered = origin
             && std::any_of(services.begin(), services.end(),
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -2,6 +2,7 @@
 #include "peridotgrade/gateway/gateway_state.h"
 
 #include "peridotgrade/core/quarantine/request_content.h"
+#include "peridotgrade/gateway/request_trace.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -72,6 +73,9 @@
               [this](const ServerRecord& server) {
                   const ServerRecord* current = this->directory.find(server.id);
                   return current != nullptr && current->startedAt == server.startedAt;
+              },
+              [this](const ServerRecord& server, WallTime startedAt) {
+                  this->noteServerStart(server, startedAt);
               } },
           HttpChannelSettings { this->memoryBudgets.socketBufferBytes })
     , endProbe(executor)
@@ -221,6 +225,23 @@
         this->onDirectoryChanges(this->directory.noteLeaving(server.id, server.startedAt));
 }
 
+void GatewayState::noteServerStart(const ServerRecord& server, WallTime startedAt)
+{
+    if (startedAt == server.startedAt || server.startedAt == WallTime {})
+        return;
+    // One line for each incarnation, however many answers state it.
+    if (std::exchange(this->unlistedStarts[server.id], startedAt) == startedAt)
+        return;
+    auto text = [](WallTime time) {
+        return std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+    };
+    this->log.write(LogLevel::Info, "server_start_differs",
+        { { "server", server.id.raw() }, { "listed_start", text(server.startedAt) },
+            { "stated_start", text(startedAt) }, { "listed_version", server.softwareVersion.raw() },
+            { "list_age_ms", millisecondsText(this->now() - this->serversReadAt) } });
+}
+
 void GatewayState::noteLimit(const ServerRecord& server, const ServerNotice& notice)
 {
     std::optional<ServerLimitChange> change;
@@ -434,6 +455,7 @@
         if (change.kind != DirectoryChange::Kind::Gone)
             continue;
         this->clients.forget(change.id);
+        this->unlistedStarts.erase(change.id);
         this->health.forget(change.id);
         this->backoff.forget(change.id);
         this->limits.forget(change.id);
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -255,6 +255,7 @@
     TimePoint began = this->state.now();
     this->context.trace.add(began, "run_sent",
         { { "server", server.raw() }, { "version", reservation.engine->record().softwareVersion.raw() },
+            { "stream_version", this->version ? this->version->raw() : "" },
             { "prefill_server", kvCache.engineAddress },
             { "cache_left_ms", millisecondsText(this->cacheUsableUntil - began) },
             { "after_event", options.lastEvent ? std::to_string(*options.lastEvent) : "" } });
--- a/src/libperidotgrade/gateway/stream_origin_log.cpp
+++ b/src/libperidotgrade/gateway/stream_origin_log.cpp
@@ -94,15 +94,16 @@
     return found != this->state.versions.end() && found->second.isMixed(this->state.now());
 }
 
-asio::awaitable<std::optional<StreamOrigin>> StreamOriginLog::originOf(
+asio::awaitable<StreamOriginLog::Finding> StreamOriginLog::originOf(
     const GatewayRequest& request, ServiceId service)
 {
     Missing missing = Missing::NotRecorded;
     if (request.resumedAttempt) {
         auto found = co_await this->find(*request.resumedAttempt, this->isMixed(service));
-        if (auto* origin = std::get_if<StreamOrigin>(&found)) {
+        if (auto* known = std::get_if<KnownOrigin>(&found)) {
             this->state.metrics.countResumption("recorded");
-            co_return std::move(*origin);
+            co_return Finding { std::move(known->origin), known->isOwn ? "own" : "published",
+                this->state.now() - known->knownSince };
         }
         missing = std::get<Missing>(found);
     }
@@ -110,14 +111,15 @@
     bool isListCurrent = this->state.now() - this->state.serversReadAt <= MaxListAge;
     if (only && (missing == Missing::NotRecorded || isListCurrent)) {
         this->state.metrics.countResumption("only_version");
-        co_return StreamOrigin { std::move(service), std::move(*only) };
+        co_return Finding { StreamOrigin { std::move(service), std::move(*only) }, "only_version",
+            std::nullopt };
     }
-    this->state.metrics.countResumption(
-        missing == Missing::NotRecorded ? "not_recorded" : "store_unavailable");
-    co_return std::nullopt;
+    std::string_view evidence = missing == Missing::NotRecorded ? "not_recorded" : "store_unavailable";
+    this->state.metrics.countResumption(std::string { evidence });
+    co_return Finding { std::nullopt, evidence, std::nullopt };
 }
 
-asio::awaitable<std::variant<StreamOrigin, StreamOriginLog::Missing>> StreamOriginLog::find(
+asio::awaitable<std::variant<KnownOrigin, StreamOriginLog::Missing>> StreamOriginLog::find(
     const std::string& attempt, bool isMixed)
 {
     TimePoint end = this->state.now() + this->publishInterval() + SearchMargin;
