--- a/testsuite/gateway_gaps_and_repeats_in_resumed_streams/case.py
+++ b/testsuite/gateway_gaps_and_repeats_in_resumed_streams/case.py
@@ -12,7 +12,7 @@
 
 from support.fake_platform import FakePlatform  # noqa: E402
 from support.gateway import Caller, Gateway  # noqa: E402
-from support.server_process import ServerProcess, event_of  # noqa: E402
+from support.server_process import ServerProcess, event_of, without_tags  # noqa: E402
 
 EVENTS, EVENT_S = 60, 0.04
 GATEWAYS, ENGINES, CALLERS = 4, 8, 20
@@ -82,7 +82,7 @@
         if answer.status != 200:
             return
         expected = b"".join(event_of(answer.attempt, index) for index in range(answer.first_event, EVENTS + 1))
-        if not expected.startswith(answer.body):
+        if not expected.startswith(without_tags(answer.body)):
             self.problems.append(f"{answer.attempt}: other events than {answer.first_event} and the next, in order")
 
     def send_streams(self, number):
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -586,7 +586,8 @@
             writer.write(response(200, headers=identity))
         elif request.path == "/api/report":
             writer.write(json_response({"stage": self.role, "models": [], "busy": self._is_switching(), "seq": 0,
-                                        "queued": 0, "active": 0, "kv_used": self.used_tokens, "kv_total": self.TOKENS}, identity))
+                                        "queued": 0, "active": 0, "kv_used": self.used_tokens, "kv_total": self.TOKENS,
+                                        "born": self.started_ms}, identity))
         elif request.path == "/api/order":
             self.platform.role_commands.append((time.monotonic(), request.json()["holder"], request.json()["fence"]))
             self._switch_to(request.json()["stage"])
@@ -713,6 +714,8 @@
         self.urgencies = collections.defaultdict(set)
         # Software versions of the events of each stream, by the attempt that began it.
         self.stream_versions = collections.defaultdict(set)
+        # The same of the events that callers got, where these are tagged.
+        self.caller_versions = collections.defaultdict(set)
         self.draining_since = {}
         # When each server first said in an answer that it leaves.
         self.leaving_since = {}
--- a/testsuite/support/gateway.py
+++ b/testsuite/support/gateway.py
@@ -13,6 +13,7 @@
 from support.fake_platform import HOST, FakePlatform
 from support.process import Process
 from support.run_address import run_address
+from support.server_process import without_tags
 
 
 CALLER_ADDRESSES = (f"127.1.{number // 250 % 250}.{number % 250 + 1}" for number in itertools.count())
@@ -122,6 +123,12 @@
     def events(self):
         return self.body.count(b"\n\n")
 
+    @property
+    def versions(self):
+        """Software versions of the servers that sent its events, where these are tagged with them."""
+        complete = self.body[:self.body.rfind(b"\n\n") + 2]
+        return {version.decode() for version in re.findall(rb"(?m)^data: \S+ \d+ (\S+)$", complete)}
+
 
 class Caller:
     """Sends requests to one gateway and checks the invariants of each answer."""
@@ -139,9 +146,9 @@
             self.connection = None
 
     def send(self, path, method="POST", body=b"{}", deadline_s=8.0, tokens="3000,1760", hint=440,
-             disconnect_after=None, resumed=None, parts="5c1e:200,91bd:2800", fields=None, pause_s=None):
+             disconnect_after=None, resumed=None, parts="5c1e:200,91bd:2800", fields=None, pause_s=None, names_stream=True):
         """With `disconnect_after` it reads that many bytes only, with `pause_s` some at a time, that far apart. `resumed` is the incomplete answer of a stream that
-        this request resumes. `parts` are those of the prompt. `fields` are further header fields."""
+        this request resumes, by its first attempt with `names_stream`. `parts` are those of the prompt. `fields` are further header fields."""
         attempt = uuid.uuid4().hex[:16]
         is_repeatable = path.startswith(("/read/", "/resume/"))
         stream = self.platform.sent[resumed.attempt].stream if resumed else attempt
@@ -154,7 +161,7 @@
         headers |= fields or {}
         answer = Answer(attempt, first_event=resumed.last_event + 1 if resumed else 1)
         if resumed:
-            headers |= {"Last-Event-Id": str(resumed.last_event), "Resumes": stream}
+            headers |= {"Last-Event-Id": str(resumed.last_event)} | ({"Resumes": stream} if names_stream else {})
         try:
             if self.connection is None:
                 self.connection = http.client.HTTPConnection(self.gateway.host, self.gateway.port, timeout=deadline_s + 2,
@@ -168,6 +175,7 @@
             if disconnect_after is not None:
                 answer.body = reply.read(disconnect_after)
                 self.close()
+                self._check_versions(answer)
                 return answer
             while pause_s and (piece := reply.read1(256)):
                 answer.body += piece
@@ -183,8 +191,18 @@
         self._check(answer, path)
         return answer
 
+    def _check_versions(self, answer):
+        """The events that a caller has of a stream, over all its attempts, are of one version."""
+        versions = self.platform.caller_versions[self.platform.sent[answer.attempt].stream]
+        before = set(versions)
+        versions |= answer.versions
+        if len(versions) > max(1, len(before)):
+            self.platform.report_violation(f"{answer.attempt} got events of {sorted(answer.versions)}, after {answer.first_event - 1}"
+                                           f" of {sorted(before) or 'none'}")
+
     def _check(self, answer, path):
         report = self.platform.report_violation
+        self._check_versions(answer)
         attempt, ran = answer.attempt, self.platform.runs[answer.attempt]
         if answer.status == 200 and answer.headers.get("X-Server-Seal") != f"seal-{attempt}":
             report(f"{attempt} got a success without the X-Server-Seal of its server")
@@ -194,7 +212,7 @@
             expected = b"".join(b"id: %d\ndata: %s %d\n\n" % (i, attempt.encode(), i)
                                 for i in range(answer.first_event, self.platform.events + 1))
             # Comments between events are not part of them.
-            if re.sub(rb"(?m)^:[^\n]*\n\n", b"", answer.body) != expected:
+            if without_tags(re.sub(rb"(?m)^:[^\n]*\n\n", b"", answer.body)) != expected:
                 report(f"{attempt} got a stream that is incomplete or of another request: {answer.events} events")
         if answer.status == 200 and answer.is_whole and path.startswith(("/act/", "/read/")):
             try:
--- a/testsuite/support/server_process.py
+++ b/testsuite/support/server_process.py
@@ -16,11 +16,15 @@
 limit of its request. `answers_unread`: it answers a request before it reads the body. `resets_after`: it resets the connection of an
 answer after so many parts, and goes on serving. `unlist`: its record is deleted from the store, and it writes no other one.
 Lines of output: `address`, `run`, `end`, `status`.
+
+Its software has a `version`. With `is_tagged` each event ends with that version. Its first record follows `listed_after_s` after it
+began to serve. With `is_born_stated` its reports state its start.
 """
 import asyncio
 import json
 import os
 import pathlib
+import re
 import signal
 import struct
 import subprocess
@@ -38,8 +42,12 @@
 PLAIN_PARTS = 10
 
 
-def event_of(attempt, index):
-    return b"id: %d\ndata: %s %d\n\n" % (index, attempt.encode(), index)
+def event_of(attempt, index, tag=""):
+    return b"id: %d\ndata: %s %d%s\n\n" % (index, attempt.encode(), index, f" {tag}".encode() if tag else b"")
+
+
+def without_tags(events):
+    return re.sub(rb"(?m)^(data: \S+ \d+) \S*$", rb"\1", events)
 
 
 def plain_body(attempt):
@@ -50,6 +58,8 @@
     def __init__(self, options):
         self.store, self.name, self.zone = options["store"], options["name"], options["zone"]
         self.service, self.stage = options["service"], options["stage"]
+        self.version, self.tag = options["version"], options["version"] if options["is_tagged"] else ""
+        self.listed_after_s, self.is_born_stated = options["listed_after_s"], options["is_born_stated"]
         self.wanted_address = options.get("address")
         self.born, self.sequence, self.state, self.is_listed = int(time.time() * 1000), 0, "ready", True
         self.framing, self.events, self.event_s = "chunked", 60, 0.05
@@ -73,7 +83,7 @@
 
     async def report(self):
         self.sequence += 1
-        record = {"service": self.service, "addr": self.address, "zone": self.zone, "version": "v1", "slots": 64,
+        record = {"service": self.service, "addr": self.address, "zone": self.zone, "version": self.version, "slots": 64,
                   "state": self.state, "cold_left_ms": 0, "seq": self.sequence, "born": self.born}
         if self.stage:
             record["stage"] = self.stage
@@ -112,6 +122,8 @@
             status = 503 if request.path == "/healthz" and self.state != "ready" else 200
             report = {"stage": self.stage, "models": [], "busy": False, "seq": 0, "queued": 0, "active": 0, "kv_used": 0,
                       "kv_total": 33279, "kv_handles": 0}
+            if self.is_born_stated:
+                report["born"] = self.born
             body = b"" if request.path == "/healthz" else json.dumps(report).encode()
             is_last = self.closes_status in ("always", self.state)
             closing = {"Connection": "close"} if is_last else {}
@@ -124,7 +136,7 @@
     async def run(self, request, attempt, writer, identity):
         if self.stage:
             first = int(request.headers.get("last-event-id", 0)) + 1
-            parts = [event_of(attempt, index) for index in range(first, self.events + 1)]
+            parts = [event_of(attempt, index, self.tag) for index in range(first, self.events + 1)]
             kind, gap = "text/event-stream", self.event_s
         else:
             body = plain_body(attempt)
@@ -240,8 +252,10 @@
         lines = asyncio.StreamReader()
         await asyncio.get_event_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
         asyncio.ensure_future(self.obey(lines))
-        await self.report()
+        if self.listed_after_s == 0:
+            await self.report()
         self.say("address", self.address)
+        await asyncio.sleep(self.listed_after_s)
         while True:
             await asyncio.sleep(0.5)
             if self.is_listed:
@@ -251,10 +265,12 @@
 class ServerProcess:
     """Handle of one server process. Runs are recorded in `platform` as those of its own servers are."""
 
-    def __init__(self, platform, name, stage="decode", zone="north", address=None, **settings):
-        self.platform, self.name, self.stage = platform, name, stage
+    def __init__(self, platform, name, stage="decode", zone="north", address=None, version="v1", is_tagged=False,
+                 listed_after_s=0, is_born_stated=True, **settings):
+        self.platform, self.name, self.stage, self.version = platform, name, stage, version
         service = fake_platform.MODEL_SERVICE if stage else fake_platform.PLAIN_SERVICE
-        options = {"store": platform.store.address, "name": name, "zone": zone, "service": service, "stage": stage}
+        options = {"store": platform.store.address, "name": name, "zone": zone, "service": service, "stage": stage,
+                   "version": version, "is_tagged": is_tagged, "listed_after_s": listed_after_s, "is_born_stated": is_born_stated}
         if address:
             options["address"] = address
         self.child = subprocess.Popen([sys.executable, __file__, json.dumps(options)], stdin=subprocess.PIPE,
