Treat answers whose status is none of HTTP as failed runs

Cause: the client accepts any three digits as a status. Those below 100 cannot be written to the caller, and the exception ended its connection. Change: a status outside 100 to 599 is an error of the connection, as is 101, which no request asks for; so the run has failed and is repeated where it may run again, else answered with 502. All other interim responses are skipped, not only 100. The same in the client of the product's own interface. Nothing else reads a status from a server.

--- a/src/libperidotgrade/net/beast_convert.cpp
+++ b/src/libperidotgrade/net/beast_convert.cpp
@@ -31,6 +31,8 @@
     return NetError { kindOf(error), mayHaveArrived, error.message() };
 }
 
+bool isFinalStatus(unsigned status) { return status >= 200 && status <= 599; }
+
 std::vector<HttpField> fieldsFrom(const http::fields& fields)
 {
     std::vector<HttpField> result;
--- a/src/libperidotgrade/net/beast_convert.h
+++ b/src/libperidotgrade/net/beast_convert.h
@@ -15,6 +15,9 @@
 /// Converts an error of Asio or Beast.
 NetError netErrorFrom(const boost::system::error_code& error, bool mayHaveArrived);
 
+/// True for the status of a final response. Others are interim, or none of HTTP, and no answer to a request.
+bool isFinalStatus(unsigned status);
+
 std::vector<HttpField> fieldsFrom(const boost::beast::http::fields& fields);
 
 /// Sets status, content type, the given fields and `Connection`.
--- a/src/libperidotgrade/net/http_channel.cpp
+++ b/src/libperidotgrade/net/http_channel.cpp
@@ -35,7 +35,7 @@
     constexpr std::size_t ReadBytes = 16 * 1024;
     // Bytes that have been received and belong to no body: fields, chunk extensions and trailers.
     constexpr std::size_t MaxBufferBytes = 64 * 1024;
-    // Interim responses before one actual response; a server sends one or two.
+    // Interim responses (status 100 to 199) before one actual response; a server sends one or two.
     constexpr std::uint32_t MaxInterimResponses = 8;
     // An idle connection is used for at most half of the time for which the server keeps it, so that no
     // request is sent while the server closes it.
@@ -43,6 +43,9 @@
     // Time for which a server that names none is assumed to keep an idle connection.
     constexpr std::chrono::milliseconds DefaultKeepAlive { 4000 };
 
+    /// Status 101 ends the protocol on its connection, which no request asks for.
+    bool isInterim(unsigned status) { return status >= 100 && status <= 199 && status != 101; }
+
     /// Value of `timeout=` in a Keep-Alive field.
     std::optional<std::chrono::seconds> parseKeepAliveTimeout(std::string_view value)
     {
@@ -102,8 +105,11 @@
                 this->hasBegun = this->hasBegun || this->parser->got_some();
                 if (error)
                     co_return this->fail(error);
-                // Status 100 is followed by the actual response.
-                if (this->parser->get().result() != http::status::continue_)
+                unsigned status = this->parser->get().result_int();
+                if (!isFinalStatus(status) && !isInterim(status))
+                    co_return this->fail(http::error::bad_status);
+                // An interim response is followed by the actual one.
+                if (!isInterim(status))
                     break;
                 if (interim == MaxInterimResponses)
                     co_return this->fail(http::error::header_limit);
--- a/src/libperidotgrade/net/http_channel_test.cpp
+++ b/src/libperidotgrade/net/http_channel_test.cpp
@@ -210,10 +210,23 @@
 
 BOOST_AUTO_TEST_CASE(fewInterimResponsesAreSkipped)
 {
-    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-    ScriptedServer server(context, { interim + interim + CompleteResponse, CompleteResponse });
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    ScriptedServer server(context, { interim + CompleteResponse, CompleteResponse });
     auto bodies = exchangeTwice(server, 1s);
     BOOST_TEST((bodies == std::vector<std::string> { "ok", "ok" }));
 }
 
+BOOST_AUTO_TEST_CASE(statusesOutsideTheProtocolAreErrors)
+{
+    for (const char* status : { "000", "099", "101", "600", "700", "999" }) {
+        context.restart();
+        ScriptedServer server(context,
+            { "HTTP/1.1 " + std::string { status } + " Status\r\nContent-Length: 2\r\n\r\nno",
+                CompleteResponse });
+        auto bodies = exchangeTwice(server, 1s);
+        BOOST_REQUIRE(!bodies.empty());
+        BOOST_TEST(bodies[0] == "error", status);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libperidotgrade/net/http_client.cpp
+++ b/src/libperidotgrade/net/http_client.cpp
@@ -62,6 +62,8 @@
                 co_await http::async_read_header(this->connection, this->buffer, this->parser,
                     asio::redirect_error(asio::use_awaitable, error));
             }
+            if (!error && !isFinalStatus(this->parser.get().result_int()))
+                error = http::error::bad_status;
             if (error)
                 co_return netErrorFrom(error, true);
             this->headOfResponse = responseHead(this->parser.get());
@@ -188,6 +190,8 @@
         parser.skip(message.method() == http::verb::head);
         co_await http::async_read(
             connection, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (!error && !isFinalStatus(parser.get().result_int()))
+            error = http::error::bad_status;
         if (error)
             co_return netErrorFrom(error, true);
         // The system of a process that is killed closes its connections in an orderly way.
--- a/testsuite/support/server_process.py
+++ b/testsuite/support/server_process.py
@@ -13,7 +13,8 @@
 sends the first part, is busy for so long, closes all connections and exits 1.5 s later. `drain_and_end`: it reports that it drains, closes its connections so many seconds later, and exits 1.5 s after that.
 `idle_s`: it closes connections that were idle for so long. `closes_status`: it closes the connection after each status
 answer, and says so; with "draining" only while it drains. `ends_before_limit_s`: it ends an answer so long before the time
-limit of its request. `answers_unread`: it answers a request before it reads the body. `resets_after`: it resets the connection of an
+limit of its request. `answers_unread`: it answers a request before it reads the body. `status`: the status of its answers to runs, as text. `ends_after`: it closes the connection of an answer after so many parts, in an orderly way.
+`reads_before_reset`: before it resets a connection it reads the rest of the request. `resets_after`: it resets the connection of an
 answer after so many parts, and goes on serving. `unlist`: its record is deleted from the store, and it writes no other one.
 Lines of output: `address`, `run`, `end`, `status`.
 
@@ -65,21 +66,30 @@
         self.framing, self.events, self.event_s = "chunked", 60, 0.05
         self.status_delay_s, self.fails = 0, False
         self.idle_s, self.closes_status, self.ends_before_limit_s, self.end_after_head = 60, None, None, None
-        self.answers_unread, self.resets_after = False, None
+        self.answers_unread, self.resets_after, self.ends_after, self.reads_before_reset = False, None, None, False
+        self.status = None
         self.writers, self.busy = set(), set()
 
     def say(self, *words):
         print(*words, flush=True)
 
     async def write_record(self, value):
+        """Returns whether the store has taken it; it may be away."""
+        try:
+            return b" 200 " in await asyncio.wait_for(self.append_record(value), 1)
+        except (OSError, asyncio.TimeoutError):
+            return False
+
+    async def append_record(self, value):
         content = bytes([len(self.name)]) + self.name.encode() + value
         body = struct.pack(">I", len(content)) + content
         host, _, port = self.store.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(b"POST /api/log-append?topic=keyed.servers&part=0 HTTP/1.1\r\nHost: store\r\nContent-Length: %d\r\n\r\n"
                      % len(body) + body)
-        await reader.readline()
+        status = await reader.readline()
         writer.close()
+        return status
 
     async def report(self):
         self.sequence += 1
@@ -96,7 +106,7 @@
                 request = await asyncio.wait_for(fake_platform.read_head(reader), self.idle_s)
                 if not self.answers_unread:
                     request.body = await fake_platform.read_body(reader, request.headers)
-                if not await self.answer(request, writer):
+                if not await self.answer(request, writer, reader):
                     return
                 if self.answers_unread:
                     await fake_platform.read_body(reader, request.headers)
@@ -108,7 +118,7 @@
             self.busy.discard(writer)
             writer.close()
 
-    async def answer(self, request, writer):
+    async def answer(self, request, writer, reader):
         """Returns whether the connection goes on."""
         expected, attempt = request.headers.get("x-expect-instance"), request.headers.get("x-attempt-id")
         identity = {"X-Instance-Id": self.name}
@@ -130,10 +140,10 @@
             writer.write(fake_platform.response(status, body, {"Content-Type": "application/json", **closing, **identity}))
             return not is_last
         else:
-            return await self.run(request, attempt, writer, identity)
+            return await self.run(request, attempt, writer, identity, reader)
         return True
 
-    async def run(self, request, attempt, writer, identity):
+    async def run(self, request, attempt, writer, identity, reader):
         if self.stage:
             first = int(request.headers.get("last-event-id", 0)) + 1
             parts = [event_of(attempt, index, self.tag) for index in range(first, self.events + 1)]
@@ -149,7 +159,7 @@
         headers = {"Content-Type": kind, "X-Attempt-Id": attempt, "X-Server-Seal": f"seal-{attempt}", **identity}
         if framing == "length":
             headers["Content-Length"] = sum(map(len, parts))
-        writer.write(fake_platform.response(500 if self.fails else 200, headers=headers,
+        writer.write(fake_platform.response(self.status or (500 if self.fails else 200), headers=headers,
                                             framing="connection" if framing == "length" else framing))
         await writer.drain()
         ends_at = None
@@ -159,8 +169,12 @@
             await self.write_part_and_end(parts[0], writer)
         for number, part in enumerate(parts):
             if number == self.resets_after:
+                if self.reads_before_reset:
+                    await fake_platform.read_body(reader, request.headers)
                 fake_platform.reset(writer)
                 return False
+            if number == self.ends_after:
+                return False
             if ends_at and time.monotonic() + gap >= ends_at:
                 await asyncio.sleep(ends_at - time.monotonic())
                 return False
@@ -239,7 +253,8 @@
                     asyncio.ensure_future(getattr(self, name)(value))
                 elif name == "unlist":
                     self.is_listed = False
-                    await self.write_record(b"")
+                    while not await self.write_record(b""):
+                        await asyncio.sleep(0.1)
                     self.say("unlisted")
                 else:
                     setattr(self, name, value)
@@ -300,6 +315,7 @@
     def _note_run(self, attempt):
         sent = self.platform.sent.get(attempt)
         self.platform.runs[attempt] += 1
+        self.platform.run_versions[attempt].add(self.version)
         self.platform.run_history[attempt].append((time.monotonic(), self.name))
         if sent is None or (self.platform.runs[attempt] > 1 and not sent.is_repeatable):
             self.platform.report_violation(f"{self.name} ran {attempt} for the {self.platform.runs[attempt]}. time")
