Resume streams only at versions that are shown, with versions on record in the store

Cause: an absence of knowledge was taken for knowledge. An entry that had just started, or had lost the store, knew one version and took it for the only one; and a server's record in the list was taken for the process that answers, which may have started again under its name at another version. Change: a resumable stream begins only at versions that are on record in `keyed.peridotgrade.versions`, which entries read when they start and after each listing of the servers, and a version is put on record 3.5 s after it was listed, so an entry whose list is at most 3 s old knows all versions that streams may have. Before events of a resumable stream are delivered, the server has to state that it is the incarnation in the list (a report, once for each connection); another one gets no run, and a stream whose version is not shown is not resumed beside several versions. A stream that is not on record goes on only if all versions known are one, the list is current, and its route has one service; without `Resumes` it goes on at the one origin that equal requests (tenant, method, host, target, body, model, prompt) have on record. Origins are kept for 120 s, after the end of the stream too, and those of routes with several services are always published.

--- a/src/include/peridotgrade/core/serving/engine_report.h
+++ b/src/include/peridotgrade/core/serving/engine_report.h
@@ -11,6 +11,8 @@
     ServerRole role = ServerRole::None;
     bool isCommandInProgress = false;
     std::uint64_t acceptedCommands = 0;
+    /// Start of the incarnation that reports; zero if it does not state it.
+    WallTime startedAt {};
 };
 
 } // namespace peridotgrade
--- a/src/include/peridotgrade/core/serving/stream_origins.h
+++ b/src/include/peridotgrade/core/serving/stream_origins.h
@@ -18,28 +18,35 @@
 /// An origin, and how an entry knows it.
 struct KnownOrigin {
     StreamOrigin origin;
+    Fingerprint content;
     /// The entry began the stream itself.
     bool isOwn = false;
     /// When the stream began, or its record was read.
     TimePoint knownSince {};
+    /// It is published also while its service has one version.
+    bool isAlwaysPublished = false;
+    /// It was delivered completely; its caller may still have lost the end of it.
+    bool isComplete = false;
 };
 
-/// Holds the origins of this entry's incomplete streams, and of those that other entries have published.
-/// Tells which of its own are still to be published. Not thread safe.
+/// Holds the origins of this entry's streams, and of those that other entries have published. Tells which of
+/// its own are still to be published. Not thread safe.
 class StreamOrigins {
 public:
-    /// Callers resume a stream within their own time limit.
-    static constexpr std::chrono::seconds Lifetime { 30 };
+    /// Longer than callers resume a stream.
+    static constexpr std::chrono::seconds Lifetime { 120 };
     /// Bounds the memory at some megabytes. The oldest are dropped first.
     static constexpr std::size_t MaxStreams = 20'000;
 
     /// A stream of this entry has delivered its first event.
-    void noteBegun(const std::string& attempt, const StreamOrigin& origin, TimePoint now);
-    /// The stream was delivered completely, so its caller will not resume it.
+    void noteBegun(const StreamOriginRecord& record, TimePoint now, bool isAlwaysPublished = false);
+    /// The stream was delivered completely, so it need not be published.
     void noteCompleted(const std::string& attempt);
     /// Another entry has published the origin of its stream.
     void notePublished(const StreamOriginRecord& record, TimePoint now);
     std::optional<KnownOrigin> find(const std::string& attempt) const;
+    /// The different origins of the streams of equal requests.
+    std::vector<StreamOrigin> originsOf(Fingerprint content) const;
 
     /// Takes the unpublished streams of the services that `isWanted` names.
     template <std::predicate<const ServiceId&> Predicate>
@@ -49,10 +56,11 @@
         std::deque<std::string> kept;
         for (std::string& attempt : this->unpublished) {
             auto found = this->streams.find(attempt);
-            if (found == this->streams.end())
+            if (found == this->streams.end() || found->second.isComplete)
                 continue;
-            if (isWanted(found->second.origin.service))
-                taken.push_back({ attempt, found->second.origin });
+            const KnownOrigin& stream = found->second;
+            if (stream.isAlwaysPublished || isWanted(stream.origin.service))
+                taken.push_back({ attempt, stream.origin, stream.content });
             else
                 kept.push_back(std::move(attempt));
         }
@@ -73,11 +81,12 @@
     };
 
     void add(const std::string& attempt, KnownOrigin stream);
+    bool isIncomplete(const std::string& attempt) const;
 
     std::unordered_map<std::string, KnownOrigin> streams;
-    /// In order of time. Invariant: has each of `streams`; streams that were removed before have no effect.
+    /// In order of time. Invariant: has each of `streams`.
     std::deque<Expiry> expiries;
-    /// Attempts of own streams; some may have been removed from `streams`.
+    /// Attempts of own streams; some may be complete, or no longer among `streams`.
     std::deque<std::string> unpublished;
 };
 
--- a/src/include/peridotgrade/gateway/gateway_request.h
+++ b/src/include/peridotgrade/gateway/gateway_request.h
@@ -51,6 +51,9 @@
     /// How long the caller waits, counted from when it sent the request.
     std::optional<std::chrono::milliseconds> callerTimeout;
     std::optional<GenerationSize> size;
+    /// Equal for every attempt with the same `content`, model and prompt: what tells the streams of a caller
+    /// apart that resumes one without naming its first attempt.
+    Fingerprint streamContent;
     /// Id of the last event that the caller has, if it resumes a stream.
     std::optional<std::uint64_t> lastEvent;
     /// Id of the attempt that brought the stream's first event, if the caller resumes a stream.
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -141,6 +141,8 @@
     boost::asio::awaitable<bool> isBrokenOff(
         std::shared_ptr<ServerLiveness> watch, const GatewayRequest& request, const EndCheckTimes& times);
     void onDirectoryChanges(const std::vector<DirectoryChange>& changes);
+    /// The software version of all resumable streams of a service, if they are known to be of one.
+    std::optional<SoftwareVersion> onlyVersion(const ServiceId& service);
 
     boost::asio::any_io_executor executor;
     GatewaySettings settings;
@@ -162,8 +164,15 @@
     ServerDirectory directory;
     /// Software versions of the servers of each service.
     std::map<ServiceId, VersionHistory> versions;
+    /// True while all versions at which streams may have begun are among `versions`, but for those that the
+    /// list of servers has shown since it was last read.
+    bool areVersionsKnown = false;
     /// Called when the versions of a service have changed and are several.
     std::function<void()> onMixedVersions;
+    /// Called when the versions of a service may have changed.
+    std::function<void()> onVersionsChanged;
+    /// Called when the servers have been listed: what the list has shown before and since may lack some.
+    std::function<void()> onServersListed;
     /// Called when the address of a server refuses connections, also if no request was lost there.
     std::function<void(const ServerCrash&)> onServerEnded;
     /// Asks for the right to a trial of a request, which one entry gets at a time.
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -22,6 +22,8 @@
 
 private:
     enum class Next : std::uint8_t { Done, Retry, GiveUp };
+    /// Whether the server that answers is the incarnation in the list, whose version is known.
+    enum class Incarnation : std::uint8_t { Listed, Other, Unknown };
 
     /// Prefill, hand-over and the first event at a busy engine take about this long after a reservation is
     /// granted. Where the prompt or the wait for prefill engines makes it longer, `onTimeUntil` follows that.
@@ -33,6 +35,14 @@
     boost::asio::awaitable<std::optional<KvLocation>> prefillAt(ServerId server, TimePoint due);
     /// Decode engines at which the stream may go on, or begin.
     std::vector<const ServerRecord*> decodeEngines();
+    /// True if the stream may go on, or begin, at engines of the version.
+    bool mayServe(const SoftwareVersion& candidate);
+    /// Finds out which incarnation of a server has sent the head of an answer. A server may start again under
+    /// its name and address at another version, and the list shows that later.
+    boost::asio::awaitable<Incarnation> incarnationOf(
+        const ServerAnswer& answer, std::shared_ptr<ServerClient> client);
+    /// The same for a resumable stream. Returns false if the answer must not be delivered.
+    boost::asio::awaitable<bool> checkIncarnation(ServerAnswer& answer, std::shared_ptr<ServerClient> client);
     /// The role of which no engine may be called before the request's due time, if there is one.
     std::optional<ServerRole> closedRole() const;
     /// False if the retry budget has too little left for the prefill and the run of the next round: the
@@ -124,6 +134,10 @@
     std::optional<SoftwareVersion> version;
     /// Version of the engine of the current run.
     SoftwareVersion runVersion;
+    /// The current run is shown to be of `runVersion`.
+    bool isRunVersionShown = false;
+    /// The events that the caller has are shown to be of `version`.
+    bool isOriginShown = false;
     std::uint32_t rounds = 0;
     /// Runs that an engine may have started.
     std::uint32_t runs = 0;
--- a/src/include/peridotgrade/gateway/plain_call.h
+++ b/src/include/peridotgrade/gateway/plain_call.h
@@ -22,6 +22,8 @@
     enum class Next : std::uint8_t { Done, TryOther };
 
     const ServerRecord* chooseServer();
+    /// True if the request may run at servers of the version.
+    bool mayServe(const SoftwareVersion& candidate) const;
     /// Requests at the server, by its reports or at least this entry's own.
     double requestsAt(const ServerRecord& server) const;
     /// Expected time of a call there, in requests of an average server.
--- a/src/include/peridotgrade/gateway/store_watch.h
+++ b/src/include/peridotgrade/gateway/store_watch.h
@@ -40,8 +40,8 @@
         std::function<void()> onBack;
         /// The store has come back from an older copy; a listing of that copy follows.
         std::function<void()> onNewEra;
-        /// The topic is up to date as of now.
-        std::function<void()> onRead;
+        /// The topic is up to date as of the time at which it was asked for.
+        std::function<void(TimePoint asked)> onRead;
     };
 
     StoreWatch(GatewayState& state, StoreClient& store, WatchedTopic topic, Callbacks callbacks);
@@ -61,7 +61,7 @@
     std::chrono::milliseconds pause() const;
     void noteFailure(const StoreError& error, TimePoint began);
     void noteSuccess();
-    void noteCurrent();
+    void noteCurrent(TimePoint asked);
 
     GatewayState& state;
     StoreClient& store;
--- a/src/include/peridotgrade/gateway/stream_origin_log.h
+++ b/src/include/peridotgrade/gateway/stream_origin_log.h
@@ -1,6 +1,7 @@
 // Shares the origins of streams with the other entries through a topic of the store.
 #pragma once
 
+#include "peridotgrade/core/serving/routing_configuration.h"
 #include "peridotgrade/core/serving/stream_origins.h"
 #include "peridotgrade/gateway/gateway_request.h"
 #include "peridotgrade/gateway/gateway_state.h"
@@ -14,22 +15,22 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
 
 namespace peridotgrade {
 
 /// Finds the origin of a stream that a caller resumes, whichever entry began it and whether that one still
-/// runs. While servers of several software versions may have begun streams, an entry appends the origins of
+/// runs. A stream goes on only where its origin is known: this entry or a record in the store names it, or
+/// all streams of its service are known to be of one version (core/serving/version_history.h). While streams
+/// may have begun at several versions, or their route has several services, an entry appends the origins of
 /// its own to a topic, several at once; entries read the topic only when a caller resumes a stream that they
-/// do not know. Nothing is written while all servers of a service have one version. Runs on the gateway's
-/// thread.
+/// do not know. Runs on the gateway's thread.
 class StreamOriginLog {
 public:
     /// What is known of the stream that a request resumes.
     struct Finding {
         /// Nothing if the stream must not go on.
         std::optional<StreamOrigin> origin;
-        /// `own`, `published`, `only_version`, `not_recorded` or `store_unavailable`.
+        /// `own`, `published`, `content`, `only_version`, `ambiguous`, `not_recorded` or `store_unavailable`.
         std::string_view evidence;
         /// How long the origin has been known; nothing if it is on no record.
         std::optional<Duration> age;
@@ -37,30 +38,29 @@
 
     StreamOriginLog(GatewayState& state, StoreClient& store);
 
-    /// A resumable stream has delivered its first event.
-    void noteBegun(const std::string& attempt, const StreamOrigin& origin);
+    /// A resumable stream has delivered its first event here.
+    void noteBegun(const GatewayRequest& request, const ServiceRoute& route, const StreamOrigin& origin);
     /// A stream was delivered completely.
     void noteCompleted(const GatewayRequest& request);
-    /// The origin of the stream that the request resumes. A stream of which nothing is on record is one of
-    /// the only version of `service`; if there are several versions, or the list of servers may be out of
-    /// date, nothing is returned and the stream must not go on.
-    boost::asio::awaitable<Finding> originOf(const GatewayRequest& request, ServiceId service);
+    /// The origin of the stream that the request resumes. A caller that does not name the attempt which began
+    /// its stream resumes the only one that an equal request has begun.
+    boost::asio::awaitable<Finding> originOf(const GatewayRequest& request, const ServiceRoute& route);
 
 private:
     struct Reading;
-    enum class Missing : std::uint8_t {
-        /// The topic was read and has no record of the stream.
-        NotRecorded,
-        /// The topic could not be read.
-        StoreUnavailable,
-    };
 
-    boost::asio::awaitable<std::variant<KnownOrigin, Missing>> find(const std::string& attempt, bool isMixed);
+    /// The origin of a stream that is on no record; nothing if streams of the route may have several.
+    std::optional<StreamOrigin> onlyOrigin(const ServiceRoute& route) const;
+    /// What is known of a stream whose first attempt is not named, by the records of equal requests.
+    Finding findByContent(const GatewayRequest& request, bool wasRead) const;
+    Finding noteFinding(Finding finding);
     /// Reads the topic to its end in a read that begins after this call. Calls at the same time share one
     /// read.
     boost::asio::awaitable<bool> refresh();
     boost::asio::awaitable<bool> readToEnd();
     bool isMixed(const ServiceId& service) const;
+    /// True if a stream of the route can be resumed at other entries only if it is on record.
+    bool needsRecords(const ServiceRoute& route) const;
     std::chrono::milliseconds publishInterval() const;
     void publishSoon();
     boost::asio::awaitable<void> publish();
--- a/src/include/peridotgrade/net/http_channel.h
+++ b/src/include/peridotgrade/net/http_channel.h
@@ -65,6 +65,8 @@
     /// True if the connection had carried another request before the current one. If it then ends before the
     /// first byte of the response, the server may merely have closed an idle connection.
     virtual bool isReused() const = 0;
+    /// When the connection was opened.
+    virtual TimePoint openedAt() const = 0;
     /// False until a byte of the current response has arrived.
     virtual bool hasAnswerBegun() const = 0;
 };
--- a/src/libperidotgrade/core/serving/admission_queue.cpp
+++ b/src/libperidotgrade/core/serving/admission_queue.cpp
@@ -206,7 +206,7 @@
         bool mayAskKept = kept.empty() || request->version || this->large.isLarge(*request)
             || this->shares.isStarved(request->priority, now);
         auto engine = this->load.chooseFrom(*open, request->tokens, random, [&](const ServerRecord& each) {
-            return (!request->version || each.softwareVersion == *request->version)
+            return request->mayBeServedAt(each.softwareVersion)
                 && (mayAskKept || std::find(kept.begin(), kept.end(), &each) == kept.end());
         });
         if (!engine) {
--- a/src/libperidotgrade/core/serving/stream_origins.cpp
+++ b/src/libperidotgrade/core/serving/stream_origins.cpp
@@ -1,22 +1,29 @@
 // Storage and expiry of stream origins.
 #include "peridotgrade/core/serving/stream_origins.h"
 
+#include <algorithm>
+
 namespace peridotgrade {
 
-void StreamOrigins::noteBegun(const std::string& attempt, const StreamOrigin& origin, TimePoint now)
+void StreamOrigins::noteBegun(const StreamOriginRecord& record, TimePoint now, bool isAlwaysPublished)
 {
-    this->add(attempt, { origin, true, now });
-    this->unpublished.push_back(attempt);
+    this->add(record.attempt, { record.origin, record.content, true, now, isAlwaysPublished });
+    this->unpublished.push_back(record.attempt);
 }
 
-void StreamOrigins::noteCompleted(const std::string& attempt) { this->streams.erase(attempt); }
+void StreamOrigins::noteCompleted(const std::string& attempt)
+{
+    auto found = this->streams.find(attempt);
+    if (found != this->streams.end())
+        found->second.isComplete = true;
+}
 
 void StreamOrigins::notePublished(const StreamOriginRecord& record, TimePoint now)
 {
     auto found = this->streams.find(record.attempt);
     // An entry reads its own records too.
     if (found == this->streams.end())
-        this->add(record.attempt, { record.origin, false, now });
+        this->add(record.attempt, { record.origin, record.content, false, now });
 }
 
 std::optional<KnownOrigin> StreamOrigins::find(const std::string& attempt) const
@@ -25,6 +32,17 @@
     return found == this->streams.end() ? std::nullopt : std::optional { found->second };
 }
 
+std::vector<StreamOrigin> StreamOrigins::originsOf(Fingerprint content) const
+{
+    std::vector<StreamOrigin> origins;
+    for (const auto& [attempt, stream] : this->streams) {
+        bool isEqual = stream.content == content;
+        if (isEqual && std::find(origins.begin(), origins.end(), stream.origin) == origins.end())
+            origins.push_back(stream.origin);
+    }
+    return origins;
+}
+
 void StreamOrigins::returnUnpublished(const std::vector<StreamOriginRecord>& records)
 {
     for (const StreamOriginRecord& record : records)
@@ -40,6 +58,12 @@
     }
 }
 
+bool StreamOrigins::isIncomplete(const std::string& attempt) const
+{
+    auto found = this->streams.find(attempt);
+    return found != this->streams.end() && !found->second.isComplete;
+}
+
 void StreamOrigins::add(const std::string& attempt, KnownOrigin stream)
 {
     TimePoint now = stream.knownSince;
@@ -49,7 +73,7 @@
         this->expiries.pop_front();
     }
     // While all servers have one version, nothing is taken out of the list otherwise.
-    while (!this->unpublished.empty() && !this->streams.contains(this->unpublished.front()))
+    while (!this->unpublished.empty() && !this->isIncomplete(this->unpublished.front()))
         this->unpublished.pop_front();
     this->streams.insert_or_assign(attempt, std::move(stream));
     this->expiries.push_back({ now + Lifetime, attempt });
--- a/src/libperidotgrade/gateway/crash_log.cpp
+++ b/src/libperidotgrade/gateway/crash_log.cpp
@@ -93,7 +93,7 @@
           { [this](const StoreListing& listing) { this->apply(listing.records); },
               [this](const std::vector<StoreRecord>& records) { this->apply(records); },
               [this] { this->hasFailed = true; }, [] {}, [this] { this->republish(); },
-              [this] { this->hasRead = true; } })
+              [this](TimePoint) { this->hasRead = true; } })
 {
     this->state.crashes.setCallbacks({ [this](const CrashRecord& record) {
                                           this->publishSoon({ {}, keyOf(record), valueOf(record) });
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -15,6 +15,7 @@
 #include "peridotgrade/gateway/quota_service.h"
 #include "peridotgrade/gateway/store_follower.h"
 #include "peridotgrade/gateway/stream_origin_log.h"
+#include "peridotgrade/gateway/version_log.h"
 #include "platform/caller_protocol.h"
 
 #include <boost/asio/io_context.hpp>
@@ -112,6 +113,7 @@
         , notices(this->state, this->peerSocket, this->registry)
         , groupMember(this->state, this->store, this->quotas, this->notices)
         , originLog(this->state, this->store)
+        , versionLog(this->state, this->store)
         , crashLog(this->state, this->store)
         , signals(this->context, SIGTERM, SIGINT, SIGHUP)
         , callers(this->context.get_executor(), this->callerSettings(),
@@ -148,6 +150,7 @@
         this->notices.start();
         this->groupMember.start();
         this->crashLog.start();
+        this->versionLog.start();
         this->awaitSignal();
         return std::nullopt;
     }
@@ -245,7 +248,7 @@
         request.clientAddress = exchange.clientAddress();
         checked.caller.applyTo(request.message);
         request.body = std::make_shared<const std::string>(exchange.takeBody());
-        if (!configuration || !this->state.hasServers || !this->crashLog.isStarted()) {
+        if (!configuration || !this->hasReadStore()) {
             // The store is unavailable, mostly for seconds. The Retry-After delay is the same as after any
             // other rejection, and spread.
             auto retryAfter
@@ -313,7 +316,7 @@
         const GatewayRequest& request = context.request;
         if (context.route.kind != CallKind::Streaming || !request.isResumption())
             co_return true;
-        auto found = co_await this->originLog.originOf(request, context.service);
+        auto found = co_await this->originLog.originOf(request, context.route);
         const auto& origin = found.origin;
         TimePoint now = this->state.now();
         const VersionHistory& versions = this->state.versions[origin ? origin->service : context.service];
@@ -370,10 +373,15 @@
         return broker;
     }
 
+    /// True once what the entry needs beside the configuration has been read.
+    bool hasReadStore() const
+    {
+        return this->state.hasServers && this->crashLog.isStarted() && this->versionLog.isStarted();
+    }
+
     bool isReady() const
     {
-        return !this->state.isStopping && this->state.configuration && this->state.hasServers
-            && this->crashLog.isStarted();
+        return !this->state.isStopping && this->state.configuration && this->hasReadStore();
     }
 
     asio::awaitable<void> answerReadiness(HttpExchange& exchange)
@@ -472,6 +480,7 @@
     PeerNotices notices;
     GroupMember groupMember;
     StreamOriginLog originLog;
+    VersionLog versionLog;
     CrashLog crashLog;
     std::map<ServiceId, std::shared_ptr<ReservationBroker>> brokers;
     asio::signal_set signals;
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -480,8 +480,19 @@
     }
     VersionHistory& history = this->versions[service];
     history.update(serving, this->now());
+    if (this->onVersionsChanged)
+        this->onVersionsChanged();
     if (history.isMixed(this->now()) && this->onMixedVersions)
         this->onMixedVersions();
 }
 
+std::optional<SoftwareVersion> GatewayState::onlyVersion(const ServiceId& service)
+{
+    TimePoint now = this->now();
+    bool isListCurrent = now - this->serversReadAt <= VersionHistory::MaxListAge;
+    if (!this->areVersionsKnown || !isListCurrent)
+        return std::nullopt;
+    return this->versions[service].onlyVersion(now);
+}
+
 } // namespace peridotgrade
--- a/src/libperidotgrade/gateway/generation_admission.cpp
+++ b/src/libperidotgrade/gateway/generation_admission.cpp
@@ -75,6 +75,8 @@
     request.due = this->reservationDue();
     request.tokens = this->tokensNeeded();
     request.version = this->version;
+    if (this->context.route.isResumable)
+        request.versions = this->state.versions[this->context.service].recorded();
     request.onTimeUntil = this->onTimeUntil();
     if (this->context.request.urgency) {
         request.priority = this->context.priority;
--- a/src/libperidotgrade/gateway/generation_call.cpp
+++ b/src/libperidotgrade/gateway/generation_call.cpp
@@ -13,6 +13,8 @@
 namespace {
     // Rounds of reservation, prefill and stream of one request.
     constexpr std::uint32_t MaxRounds = 3;
+    // Why a resumable stream is not begun while all engines are of versions that have just been listed.
+    constexpr std::string_view VersionNotRecorded = "version_not_recorded";
 } // namespace
 
 GenerationCall::GenerationCall(GatewayState& state, RequestContext& context, const EngineSpec& engine,
@@ -25,14 +27,16 @@
     , framer(context.route.isResumable ? EventFramer::EventIds::Growing : EventFramer::EventIds::Any,
           context.request.lastEvent)
     , version(context.version)
+    , isOriginShown(context.version.has_value())
     , retryAccounting(state.retryBudgetOf(context.service), this->urgency())
 {
 }
 
 bool GenerationCall::canResume() const
 {
-    return this->context.route.isResumable && this->runs < this->context.route.maxAttempts
-        && (this->framer.lastId().has_value() || !this->hasBegun);
+    if (!this->context.route.isResumable || this->runs >= this->context.route.maxAttempts)
+        return false;
+    return !this->hasBegun || (this->framer.lastId() && this->isOriginShown);
 }
 
 asio::awaitable<void> GenerationCall::serve()
@@ -121,6 +125,9 @@
     for (ServerRole role : { ServerRole::Decode, ServerRole::Prefill })
         retryAfter = notBefore(
             this->state.now(), this->state.allClosedUntil(this->context.service, role), retryAfter);
+    if (reason == VersionNotRecorded)
+        retryAfter = notBefore(
+            this->state.now(), this->state.versions[this->context.service].nextSettledAt(), retryAfter);
     co_await answerNotRun(this->state, this->context, reason, retryAfter, this->lastServer);
 }
 
@@ -135,10 +142,14 @@
     }
     this->failure = "no_capacity";
     auto candidates = this->decodeEngines();
-    if (this->version && candidates.empty()) {
-        this->failure = "no_server_of_version";
+    bool isVersionMissing = candidates.empty()
+        && !this->state.healthyServers(this->context.service, ServerRole::Decode).empty();
+    if (candidates.empty() && (this->version || isVersionMissing)) {
+        this->failure = this->version ? "no_server_of_version" : VersionNotRecorded;
         this->context.trace.addFailure(began, "rejected_early",
-            { { "reason", "no_server_of_version" }, { "version", this->version->raw() } });
+            { { "reason", std::string { this->failure } },
+                { "version", this->version ? this->version->raw() : "" },
+                { "versions", this->state.versions[this->context.service].text(began) } });
         co_return Next::GiveUp;
     }
     this->context.trace.add(began, "reservation_asked",
@@ -188,12 +199,19 @@
 std::vector<const ServerRecord*> GenerationCall::decodeEngines()
 {
     auto engines = this->state.healthyServers(this->context.service, ServerRole::Decode);
-    if (this->version)
-        std::erase_if(
-            engines, [this](const ServerRecord* each) { return each->softwareVersion != *this->version; });
+    std::erase_if(
+        engines, [this](const ServerRecord* each) { return !this->mayServe(each->softwareVersion); });
     return engines;
 }
 
+bool GenerationCall::mayServe(const SoftwareVersion& candidate)
+{
+    if (this->version)
+        return candidate == *this->version;
+    return !this->context.route.isResumable
+        || this->state.versions[this->context.service].isRecorded(candidate);
+}
+
 std::optional<ServerRole> GenerationCall::closedRole() const
 {
     TimePoint due = this->reservationDue();
@@ -224,6 +242,8 @@
     const ServerRecord* listed = this->state.directory.find(engine.id);
     if (listed == nullptr || listed->startedAt != engine.startedAt)
         return "the engine leaves";
+    if (!this->mayServe(engine.softwareVersion))
+        return "the version of the engine is not on record";
     return {};
 }
 
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -16,6 +16,8 @@
     // A stream is resumed at another engine after a silence of this many times its route's longest pause.
     constexpr int StallGapCount = 5;
     constexpr std::uint16_t Success = 200;
+    // The caller waits for its first event meanwhile. A report takes one round trip.
+    constexpr std::chrono::milliseconds ReportTimeout { 250 };
     // The caller has all events, so the check whether the stream is complete may take longer than that of a
     // plain answer.
     constexpr std::chrono::milliseconds SettleTime { 1000 };
@@ -38,6 +40,8 @@
         this->lastDetail = "status " + std::to_string(answer.head().response.status) + " on resuming";
         co_return Next::Retry;
     }
+    if (this->context.route.isResumable && !co_await this->checkIncarnation(answer, client))
+        co_return Next::Retry;
     auto watch = this->state.watchServer(client, answer.framing());
     bool isEmpty = true;
     this->progressAt = this->state.now();
@@ -139,6 +143,47 @@
     return output;
 }
 
+asio::awaitable<GenerationCall::Incarnation> GenerationCall::incarnationOf(
+    const ServerAnswer& answer, std::shared_ptr<ServerClient> client)
+{
+    auto confirmedAt = client->confirmedAt();
+    if (client->record().startedAt == WallTime {}
+        || (confirmedAt && answer.head().connectedAt < *confirmedAt))
+        co_return Incarnation::Listed;
+    if (!this->state.mayCall(client->record()))
+        co_return Incarnation::Unknown;
+    auto result = co_await client->report(ReportTimeout);
+    if (const auto* report = std::get_if<EngineReport>(&result)) {
+        if (report->startedAt == WallTime {})
+            co_return Incarnation::Unknown;
+        co_return report->startedAt == client->record().startedAt ? Incarnation::Listed : Incarnation::Other;
+    }
+    co_return std::get<CallFailure>(result).isMisdirected ? Incarnation::Other : Incarnation::Unknown;
+}
+
+asio::awaitable<bool> GenerationCall::checkIncarnation(
+    ServerAnswer& answer, std::shared_ptr<ServerClient> client)
+{
+    const ServerId server = client->record().id;
+    Incarnation incarnation = co_await this->incarnationOf(answer, client);
+    this->isRunVersionShown = incarnation == Incarnation::Listed;
+    if (this->context.cancellation.isCancelled())
+        co_return false;
+    if (incarnation == Incarnation::Other) {
+        this->noteBrokenStream(answer, server, "the server has started again");
+        this->state.health.record(server, ServerCallResult::Superseded, this->state.now());
+        co_return false;
+    }
+    // Where all streams are of one version, so is this one.
+    bool isOnlyVersion = this->state.onlyVersion(this->context.service) == this->runVersion;
+    this->isRunVersionShown = this->isRunVersionShown || isOnlyVersion;
+    if (this->version && !this->isRunVersionShown) {
+        this->noteBrokenStream(answer, server, "the server has not stated its start");
+        co_return false;
+    }
+    co_return true;
+}
+
 asio::awaitable<bool> GenerationCall::deliver(ServerAnswer& answer, std::string bytes)
 {
     TimePoint now = this->state.now();
@@ -184,11 +229,13 @@
 
 void GenerationCall::noteBegun()
 {
-    if (this->version)
-        return;
-    this->version = this->runVersion;
-    if (this->context.route.isResumable)
-        this->originLog.noteBegun(this->context.request.attempt, { this->context.service, this->runVersion });
+    if (!this->version) {
+        this->version = this->runVersion;
+        this->isOriginShown = this->isRunVersionShown;
+    }
+    if (this->context.route.isResumable && this->isOriginShown)
+        this->originLog.noteBegun(
+            this->context.request, this->context.route, { this->context.service, *this->version });
 }
 
 void GenerationCall::noteBrokenStream(ServerAnswer& answer, const ServerId& server, std::string detail)
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -126,8 +126,7 @@
     const ServerRecord* best = nullptr;
     double bestCost = 0;
     for (const ServerRecord* server : this->state.healthyServers(this->context.service, ServerRole::None)) {
-        bool isOtherVersion = this->context.version && server->softwareVersion != *this->context.version;
-        if (isOtherVersion || this->tried.contains(server->id))
+        if (!this->mayServe(server->softwareVersion) || this->tried.contains(server->id))
             continue;
         double cost = this->expectedTime(*server)
             + FailureWeight * this->state.health.failureShare(server->id) + this->state.random.unit() / 2;
@@ -141,6 +140,14 @@
     return best;
 }
 
+bool PlainCall::mayServe(const SoftwareVersion& candidate) const
+{
+    if (this->context.version)
+        return candidate == *this->context.version;
+    bool isResumable = this->context.route.kind == CallKind::Streaming && this->context.route.isResumable;
+    return !isResumable || this->state.versions[this->context.service].isRecorded(candidate);
+}
+
 double PlainCall::requestsAt(const ServerRecord& server) const
 {
     auto own = static_cast<double>(this->state.reservedLoad.tokensAt(server.id));
--- a/src/libperidotgrade/gateway/store_follower.cpp
+++ b/src/libperidotgrade/gateway/store_follower.cpp
@@ -48,7 +48,7 @@
               std::chrono::milliseconds { 0 } },
           { [this](const StoreListing& listing) { this->applyConfiguration(listing.records); },
               [this](const std::vector<StoreRecord>& records) { this->applyConfiguration(records); }, [] {},
-              [] {}, [] {}, [] {} })
+              [] {}, [] {}, [](TimePoint) {} })
     , serverWatch(state, store,
           { std::string { wire_names::ServersTopic }, std::chrono::milliseconds { 0 }, ServersInterval },
           { [this](const StoreListing& listing) { this->replaceServers(listing); },
@@ -56,7 +56,7 @@
               [this] { this->state.directory.noteStoreLost(this->state.now()); },
               [this] { this->state.directory.noteStoreBack(this->state.now()); },
               [this] { this->state.directory.startEra(this->state.now()); },
-              [this] { this->state.serversReadAt = this->state.now(); } })
+              [this](TimePoint asked) { this->state.serversReadAt = asked; } })
 {
 }
 
@@ -108,6 +108,8 @@
     this->state.hasServers = true;
     this->state.onDirectoryChanges(
         this->state.directory.replace(listedFrom(listing.records), listing.end, this->state.now()));
+    if (this->state.onServersListed)
+        this->state.onServersListed();
 }
 
 void StoreFollower::expireLater()
--- a/src/libperidotgrade/gateway/store_watch.cpp
+++ b/src/libperidotgrade/gateway/store_watch.cpp
@@ -60,7 +60,7 @@
         co_return false;
     }
     this->noteSuccess();
-    this->noteCurrent();
+    this->noteCurrent(began);
     this->enterEra(std::get<StoreListing>(listing).era);
     this->next = std::get<StoreListing>(listing).end;
     this->callbacks.onListing(std::get<StoreListing>(listing));
@@ -91,7 +91,7 @@
     }
     this->noteSuccess();
     if (!this->isBehind && isSameEra)
-        this->noteCurrent();
+        this->noteCurrent(began);
     if (!isSameEra) {
         // The offset that was read from belongs to other records now.
         this->next.reset();
@@ -127,10 +127,10 @@
     this->era = newEra;
 }
 
-void StoreWatch::noteCurrent()
+void StoreWatch::noteCurrent(TimePoint asked)
 {
     this->previousCurrentAt = std::exchange(this->currentAt, this->state.now());
-    this->callbacks.onRead();
+    this->callbacks.onRead(asked);
 }
 
 void StoreWatch::noteFailure(const StoreError& error, TimePoint began)
--- a/src/libperidotgrade/gateway/stream_origin_log.cpp
+++ b/src/libperidotgrade/gateway/stream_origin_log.cpp
@@ -1,8 +1,11 @@
 // Publication and search of stream origins.
 #include "peridotgrade/gateway/stream_origin_log.h"
 
+#include "peridotgrade/core/quarantine/request_content.h"
+#include "peridotgrade/core/quarantine/suspect.h"
 #include "peridotgrade/net/sleep.h"
 
+#include <boost/algorithm/string/split.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -30,25 +33,28 @@
     // this.
     constexpr std::chrono::milliseconds SearchMargin { 250 };
     constexpr std::chrono::milliseconds SearchInterval { 60 };
-    // The list of servers is read every 1.4 s; one that is older than two reads may lack a new version.
-    constexpr std::chrono::milliseconds MaxListAge { 3000 };
     // The length of a key is one byte.
     constexpr std::size_t MaxKeyBytes = 255;
     constexpr char Separator = '\n';
 
     StoreRecord recordOf(const StreamOriginRecord& record)
     {
-        return { {}, record.attempt, record.origin.version.raw() + Separator + record.origin.service.raw() };
+        return { {}, record.attempt,
+            record.origin.version.raw() + Separator + record.origin.service.raw() + Separator
+                + textOf(record.content) };
     }
 
+    /// Records of earlier versions of this program have no content.
     std::optional<StreamOriginRecord> originFrom(const StoreRecord& record)
     {
-        std::size_t end = record.value ? record.value->find(Separator) : std::string::npos;
-        if (end == std::string::npos)
+        std::vector<std::string> parts;
+        if (record.value)
+            boost::algorithm::split(parts, *record.value, [](char each) { return each == Separator; });
+        if (parts.size() < 2)
             return std::nullopt;
-        return StreamOriginRecord { record.key,
-            { ServiceId { record.value->substr(end + 1) },
-                SoftwareVersion { record.value->substr(0, end) } } };
+        auto content = parts.size() > 2 ? suspectFrom(parts[2]) : std::nullopt;
+        return StreamOriginRecord { record.key, { ServiceId { parts[1] }, SoftwareVersion { parts[0] } },
+            content ? content->content : Fingerprint {} };
     }
 
 } // namespace
@@ -74,10 +80,15 @@
     this->state.onMixedVersions = [this] { this->publishSoon(); };
 }
 
-void StreamOriginLog::noteBegun(const std::string& attempt, const StreamOrigin& origin)
+void StreamOriginLog::noteBegun(
+    const GatewayRequest& request, const ServiceRoute& route, const StreamOrigin& origin)
 {
-    this->origins.noteBegun(attempt, origin, this->state.now());
-    if (this->isMixed(origin.service))
+    const std::string& attempt = request.resumedAttempt ? *request.resumedAttempt : request.attempt;
+    if (this->origins.find(attempt))
+        return;
+    this->origins.noteBegun(
+        { attempt, origin, request.streamContent }, this->state.now(), route.services.size() > 1);
+    if (this->needsRecords(route))
         this->publishSoon();
 }
 
@@ -94,47 +105,68 @@
     return found != this->state.versions.end() && found->second.isMixed(this->state.now());
 }
 
-asio::awaitable<StreamOriginLog::Finding> StreamOriginLog::originOf(
-    const GatewayRequest& request, ServiceId service)
+bool StreamOriginLog::needsRecords(const ServiceRoute& route) const
 {
-    Missing missing = Missing::NotRecorded;
-    if (request.resumedAttempt) {
-        auto found = co_await this->find(*request.resumedAttempt, this->isMixed(service));
-        if (auto* known = std::get_if<KnownOrigin>(&found)) {
-            this->state.metrics.countResumption("recorded");
-            co_return Finding { std::move(known->origin), known->isOwn ? "own" : "published",
-                this->state.now() - known->knownSince };
-        }
-        missing = std::get<Missing>(found);
-    }
-    auto only = this->state.versions[service].onlyVersion(this->state.now());
-    bool isListCurrent = this->state.now() - this->state.serversReadAt <= MaxListAge;
-    if (only && (missing == Missing::NotRecorded || isListCurrent)) {
-        this->state.metrics.countResumption("only_version");
-        co_return Finding { StreamOrigin { std::move(service), std::move(*only) }, "only_version",
-            std::nullopt };
-    }
-    std::string_view evidence = missing == Missing::NotRecorded ? "not_recorded" : "store_unavailable";
-    this->state.metrics.countResumption(std::string { evidence });
-    co_return Finding { std::nullopt, evidence, std::nullopt };
+    return route.services.size() > 1 || this->isMixed(route.services.front().service);
 }
 
-asio::awaitable<std::variant<KnownOrigin, StreamOriginLog::Missing>> StreamOriginLog::find(
-    const std::string& attempt, bool isMixed)
+std::optional<StreamOrigin> StreamOriginLog::onlyOrigin(const ServiceRoute& route) const
+{
+    if (route.services.size() > 1)
+        return std::nullopt;
+    const ServiceId& service = route.services.front().service;
+    auto version = this->state.onlyVersion(service);
+    return version ? std::optional { StreamOrigin { service, std::move(*version) } } : std::nullopt;
+}
+
+StreamOriginLog::Finding StreamOriginLog::noteFinding(Finding finding)
+{
+    this->state.metrics.countResumption(std::string { finding.evidence });
+    return finding;
+}
+
+asio::awaitable<StreamOriginLog::Finding> StreamOriginLog::originOf(
+    const GatewayRequest& request, const ServiceRoute& route)
 {
     TimePoint end = this->state.now() + this->publishInterval() + SearchMargin;
     bool wasRead = false;
+    auto named
+        = [&] { return request.resumedAttempt ? this->origins.find(*request.resumedAttempt) : std::nullopt; };
     while (true) {
-        if (auto origin = this->origins.find(attempt))
-            co_return std::move(*origin);
+        if (auto known = named()) {
+            Duration age = this->state.now() - known->knownSince;
+            std::string_view evidence = known->isOwn ? "own" : "published";
+            co_return this->noteFinding({ std::move(known->origin), evidence, age });
+        }
+        if (auto only = this->onlyOrigin(route))
+            co_return this->noteFinding({ std::move(only), "only_version", std::nullopt });
+        if (this->state.now() >= end)
+            break;
         // While there is one version, entries publish nothing that could still arrive.
-        if (this->state.now() >= end || (wasRead && !isMixed))
-            co_return wasRead ? Missing::NotRecorded : Missing::StoreUnavailable;
-        bool isRead = co_await this->refresh();
-        wasRead = wasRead || isRead;
-        if (!this->origins.find(attempt) && (isMixed || !isRead))
+        if (this->needsRecords(route)) {
+            bool isRead = co_await this->refresh();
+            wasRead = wasRead || isRead;
+        }
+        if (!named())
             co_await sleepFor(this->state.executor, SearchInterval);
     }
+    if (!request.resumedAttempt)
+        co_return this->noteFinding(this->findByContent(request, wasRead));
+    co_return this->noteFinding(
+        { std::nullopt, wasRead ? "not_recorded" : "store_unavailable", std::nullopt });
+}
+
+StreamOriginLog::Finding StreamOriginLog::findByContent(const GatewayRequest& request, bool wasRead) const
+{
+    auto origins = this->origins.originsOf(request.streamContent);
+    std::string_view problem;
+    if (!wasRead)
+        problem = "store_unavailable";
+    else if (origins.size() != 1)
+        problem = origins.empty() ? "not_recorded" : "ambiguous";
+    if (!problem.empty())
+        return { std::nullopt, problem, std::nullopt };
+    return { std::move(origins.front()), "content", std::nullopt };
 }
 
 asio::awaitable<bool> StreamOriginLog::refresh()
--- a/src/libperidotgrade/net/http_channel.cpp
+++ b/src/libperidotgrade/net/http_channel.cpp
@@ -184,6 +184,7 @@
         void forbidReuse() override { this->isLast = true; }
 
         bool isReused() const override { return this->isConnectionReused; }
+        TimePoint openedAt() const override { return this->opened; }
         bool hasAnswerBegun() const override { return this->hasBegun; }
 
         bool isReusable() const override
@@ -245,6 +246,7 @@
         std::optional<http::request<http::span_body<const char>>> outgoing;
         std::optional<http::response_parser<http::buffer_body>> parser;
         std::optional<std::chrono::seconds> keepAliveTimeout;
+        const TimePoint opened = TimerDriver::now();
         TimePoint idleSince {};
         std::uint32_t exchanges = 0;
         bool isHead = false;
--- a/testsuite/gateway_streams_joined_over_releases/case.py
+++ b/testsuite/gateway_streams_joined_over_releases/case.py
@@ -1,6 +1,7 @@
 """A stream that its caller resumes has events of one software version, whichever entries and servers were replaced meanwhile."""
 import concurrent.futures
 import contextlib
+import functools
 import pathlib
 import sys
 import tempfile
@@ -19,6 +20,8 @@
 BYTES_OF_SOME_EVENTS = 500
 # The list of servers is read every 1.4 s.
 LIST_S = 2
+# Streams begin at a version this long after it was listed.
+SETTLE_S = 3.5
 
 
 def at_once(call, values):
@@ -159,11 +162,11 @@
     with site(build) as place:
         place.links[1].is_stalled = True
         old = list(place.engines)
-        place.engines = [place.start_engine(f"i-{index:08x}02", "v2").wait_listening() for index in range(4)]
+        place.engines = [place.start_engine(f"i-v2{index:08x}", "v2").wait_listening() for index in range(4)]
         for engine in old:
             engine.order(unlist=True)
             assert engine.is_unlisted.wait(5)
-        time.sleep(2 * LIST_S)
+        time.sleep(LIST_S + SETTLE_S)
         begun = place.begin_some(0, 8)
         place.resume_all(1, begun, names_stream)
         place.engines += old
@@ -173,8 +176,8 @@
 def check_equal_requests_of_one_caller(build):
     """Equal requests at two versions are not told apart without the attempt's id; others go on."""
     with site(build) as place:
-        place.engines += [place.start_engine(f"i-{index:08x}02", "v2").wait_listening() for index in range(4)]
-        time.sleep(3 * LIST_S)
+        place.engines += [place.start_engine(f"i-v2{index:08x}", "v2").wait_listening() for index in range(4)]
+        time.sleep(LIST_S + SETTLE_S)
         streams = at_once(lambda number: place.begin(0, number, parts="5c1e:200,7:2800"), range(10))
         versions = {version for each in streams for version in each.versions}
         assert versions == {"v1", "v2"}, versions
@@ -208,12 +211,12 @@
         place.check(f"one version, {names_stream=}")
 
 
-CHECKS = [lambda build: check_entry_started_after_the_release(build, True),
-          lambda build: check_entry_started_after_the_release(build, False),
+CHECKS = [functools.partial(check_entry_started_after_the_release, names_stream=True),
+          functools.partial(check_entry_started_after_the_release, names_stream=False),
           check_servers_started_again_under_their_names, check_server_started_again_within_one_answer,
-          lambda build: check_entry_without_the_store(build, True),
-          lambda build: check_entry_without_the_store(build, False), check_equal_requests_of_one_caller,
-          lambda build: check_one_version(build, True), lambda build: check_one_version(build, False)]
+          functools.partial(check_entry_without_the_store, names_stream=True),
+          functools.partial(check_entry_without_the_store, names_stream=False), check_equal_requests_of_one_caller,
+          functools.partial(check_one_version, names_stream=True), functools.partial(check_one_version, names_stream=False)]
 
 
 def run(build):
@@ -222,6 +225,6 @@
         try:
             check(build)
         except AssertionError as problem:
-            problems.append(str(problem))
-            print(f"  {str(problem)[:300]}", flush=True)
+            problems.append(f"{check}: {problem}")
+            print(f"  {problems[-1][:400]}", flush=True)
     assert not problems, f"{len(problems)} of {len(CHECKS)} checks failed"
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -184,6 +184,8 @@
         self.reads_of_owners = 0
         # Fields of the answers to reads and listings.
         self.fields = {}
+        # Calls of entries and bytes of their answers to these, by topic.
+        self.calls, self.sent_bytes = collections.Counter(), collections.Counter()
 
     def restore(self, age_s):
         """Loses what was written in the last `age_s` seconds. Calls that wait get no answer."""
@@ -211,6 +213,9 @@
             self.changed.notify_all()
 
     async def serve(self, request, writer, reader):
+        topic = request.query.get("topic", "")
+        self.calls[topic if topic != "keyed.servers" or request.method == "GET" else "heartbeats"] += 1
+        self.sent_bytes[topic] += len(request.body)
         if self.mode == "silent" or request.query.get("topic") in self.silent_topics:
             await asyncio.sleep(3600)
         if self.mode == "refusing":
@@ -714,6 +719,8 @@
         self.urgencies = collections.defaultdict(set)
         # Software versions of the events of each stream, by the attempt that began it.
         self.stream_versions = collections.defaultdict(set)
+        # Versions of the server processes that ran each attempt.
+        self.run_versions = collections.defaultdict(set)
         # The same of the events that callers got, where these are tagged.
         self.caller_versions = collections.defaultdict(set)
         self.draining_since = {}
