--- a/src/libperidotgrade/net/http_test.cpp
+++ b/src/libperidotgrade/net/http_test.cpp
@@ -241,6 +241,20 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(status_outside_the_protocol_is_an_error_of_the_response)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        for (const char* status : { "000", "101", "700" }) {
+            ScriptedServer scripted(this->context,
+                { "HTTP/1.1 " + std::string { status } + " Status\r\nContent-Length: 2\r\n\r\nno" });
+            HttpClient client(this->context.get_executor(), scripted.endpoint());
+            auto refused = co_await client.send(makeRequest("GET", "/"), 5s);
+            BOOST_REQUIRE_MESSAGE(std::holds_alternative<NetError>(refused), status);
+            BOOST_TEST(std::get<NetError>(refused).mayHaveArrived);
+        }
+    });
+}
+
 BOOST_AUTO_TEST_CASE(refused_connection_is_reported_as_not_arrived)
 {
     this->run([&]() -> asio::awaitable<void> {
