Show the incarnation of a server, and the absence of other versions, also where answers are late or missing

A start that was not stated was taken for the listed one where one version was known; one read of the list closed a gap of any length; a version that an entry had read anew from its record counted as settled; the records of equal requests were taken for all of them. A failed record of a version is followed by a listing, with growing pauses. The run is ended at once when its caller leaves during a report.

--- a/src/include/peridotgrade/core/serving/version_history.h
+++ b/src/include/peridotgrade/core/serving/version_history.h
@@ -27,6 +27,9 @@
     static constexpr std::chrono::milliseconds MaxListAge { 3000 };
     static constexpr std::chrono::milliseconds SettleTime { 3500 };
     static_assert(SettleTime > MaxListAge);
+    /// A version that is listed again after a longer absence has to settle again: other entries may have
+    /// stopped to count it.
+    static constexpr std::chrono::seconds MaxAbsence { 60 };
 
     /// Sets the versions that are listed now.
     void update(const std::set<SoftwareVersion>& listed, TimePoint now);
@@ -61,6 +64,7 @@
         std::optional<TimePoint> goneAt;
         /// Valid while it is listed.
         TimePoint listedSince {};
+        bool wasListed = false;
         bool isRecorded = false;
 
         bool countsAt(TimePoint now) const { return !this->goneAt || now < *this->goneAt + Memory; }
--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -141,6 +141,11 @@
     boost::asio::awaitable<bool> isBrokenOff(
         std::shared_ptr<ServerLiveness> watch, const GatewayRequest& request, const EndCheckTimes& times);
     void onDirectoryChanges(const std::vector<DirectoryChange>& changes);
+    /// The list of servers has been read; it was asked for at `asked`, on the clock that advances while the
+    /// machine is suspended.
+    void noteServersRead(TimePoint asked);
+    /// True if the list shows every version at which streams may begin by now.
+    bool isListCurrent() const;
     /// The software version of all resumable streams of a service, if they are known to be of one.
     std::optional<SoftwareVersion> onlyVersion(const ServiceId& service);
 
@@ -158,6 +163,8 @@
     bool hasServers = false;
     /// When the list of servers was last read.
     TimePoint serversReadAt {};
+    /// When it had been asked for, on the clock that advances while the machine is suspended.
+    TimePoint serversAskedAt {};
     bool isStopping = false;
     /// When a server of a service last appeared, began to drain, disappeared or was kept in an outage.
     std::map<ServiceId, TimePoint> serversChangedAt;
--- a/src/include/peridotgrade/gateway/generation_call.h
+++ b/src/include/peridotgrade/gateway/generation_call.h
@@ -23,7 +23,14 @@
 private:
     enum class Next : std::uint8_t { Done, Retry, GiveUp };
     /// Whether the server that answers is the incarnation in the list, whose version is known.
-    enum class Incarnation : std::uint8_t { Listed, Other, Unknown };
+    enum class Incarnation : std::uint8_t {
+        Listed,
+        Other,
+        /// It does not state its start, or not in time.
+        Unknown,
+        /// It wants no calls now.
+        NotAsked,
+    };
 
     /// Prefill, hand-over and the first event at a busy engine take about this long after a reservation is
     /// granted. Where the prompt or the wait for prefill engines makes it longer, `onTimeUntil` follows that.
--- a/src/include/peridotgrade/gateway/store_watch.h
+++ b/src/include/peridotgrade/gateway/store_watch.h
@@ -40,7 +40,7 @@
         std::function<void()> onBack;
         /// The store has come back from an older copy; a listing of that copy follows.
         std::function<void()> onNewEra;
-        /// The topic is up to date as of the time at which it was asked for.
+        /// The topic is up to date as of `asked`, a time of the clock that advances in a suspension.
         std::function<void(TimePoint asked)> onRead;
     };
 
--- a/src/include/peridotgrade/gateway/stream_origin_log.h
+++ b/src/include/peridotgrade/gateway/stream_origin_log.h
@@ -42,8 +42,7 @@
     void noteBegun(const GatewayRequest& request, const ServiceRoute& route, const StreamOrigin& origin);
     /// A stream was delivered completely.
     void noteCompleted(const GatewayRequest& request);
-    /// The origin of the stream that the request resumes. A caller that does not name the attempt which began
-    /// its stream resumes the only one that an equal request has begun.
+    /// The origin of the stream that the request resumes.
     boost::asio::awaitable<Finding> originOf(const GatewayRequest& request, const ServiceRoute& route);
 
 private:
@@ -51,8 +50,10 @@
 
     /// The origin of a stream that is on no record; nothing if streams of the route may have several.
     std::optional<StreamOrigin> onlyOrigin(const ServiceRoute& route) const;
-    /// What is known of a stream whose first attempt is not named, by the records of equal requests.
-    Finding findByContent(const GatewayRequest& request, bool wasRead) const;
+    /// The origin of the streams of equal requests, for a caller that does not name its attempt while the
+    /// store is away and this entry knows one version only. Beside several versions it would not be shown: an
+    /// equal stream may have begun elsewhere that is not on record yet.
+    Finding findByContent(const GatewayRequest& request) const;
     Finding noteFinding(Finding finding);
     /// Reads the topic to its end in a read that begins after this call. Calls at the same time share one
     /// read.
--- a/src/include/peridotgrade/gateway/version_log.h
+++ b/src/include/peridotgrade/gateway/version_log.h
@@ -51,8 +51,8 @@
     StoreClient& store;
     /// Cancelled to resume `run`.
     boost::asio::steady_timer wakeup;
-    /// As listed last, and what was appended since.
-    std::set<Key> recorded;
+    /// As listed last, and what was appended since, with the offset of each record.
+    std::map<Key, LogOffset> recorded;
     /// Of these, what the store has lost by coming back from an older copy.
     std::set<Key> lost;
     /// Since when versions on record have not counted.
@@ -64,6 +64,8 @@
     std::uint64_t serverListings = 0;
     std::optional<std::uint64_t> listedAfter;
     bool hasListed = false;
+    /// Failed calls in a row.
+    std::uint32_t failures = 0;
 };
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -488,11 +488,24 @@
 
 std::optional<SoftwareVersion> GatewayState::onlyVersion(const ServiceId& service)
 {
-    TimePoint now = this->now();
-    bool isListCurrent = now - this->serversReadAt <= VersionHistory::MaxListAge;
-    if (!this->areVersionsKnown || !isListCurrent)
+    if (!this->areVersionsKnown || !this->isListCurrent())
         return std::nullopt;
-    return this->versions[service].onlyVersion(now);
+    return this->versions[service].onlyVersion(this->now());
+}
+
+bool GatewayState::isListCurrent() const
+{
+    return TimerDriver::bootNow() - this->serversAskedAt <= VersionHistory::MaxListAge;
+}
+
+void GatewayState::noteServersRead(TimePoint asked)
+{
+    // Versions may have come and gone between two reads that are further apart.
+    bool isGap = asked - this->serversAskedAt > VersionHistory::MaxListAge;
+    this->serversReadAt = this->now();
+    this->serversAskedAt = asked;
+    if (isGap && this->onServersListed)
+        this->onServersListed();
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -5,6 +5,8 @@
 #include "peridotgrade/net/whole_body.h"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
 #include <utility>
 
 namespace peridotgrade {
@@ -16,8 +18,10 @@
     // A stream is resumed at another engine after a silence of this many times its route's longest pause.
     constexpr int StallGapCount = 5;
     constexpr std::uint16_t Success = 200;
-    // The caller waits for its first event meanwhile. A report takes one round trip.
-    constexpr std::chrono::milliseconds ReportTimeout { 250 };
+    // Of one report after the other, while the caller waits for its first event. A report takes one round
+    // trip; a lost packet or a busy server delays it.
+    constexpr std::array<std::chrono::milliseconds, 2> ReportTimeouts { std::chrono::milliseconds { 400 },
+        std::chrono::milliseconds { 1200 } };
     // The caller has all events, so the check whether the stream is complete may take longer than that of a
     // plain answer.
     constexpr std::chrono::milliseconds SettleTime { 1000 };
@@ -150,22 +154,31 @@
     if (client->record().startedAt == WallTime {}
         || (confirmedAt && answer.head().connectedAt < *confirmedAt))
         co_return Incarnation::Listed;
-    if (!this->state.mayCall(client->record()))
-        co_return Incarnation::Unknown;
-    auto result = co_await client->report(ReportTimeout);
-    if (const auto* report = std::get_if<EngineReport>(&result)) {
-        if (report->startedAt == WallTime {})
-            co_return Incarnation::Unknown;
-        co_return report->startedAt == client->record().startedAt ? Incarnation::Listed : Incarnation::Other;
+    for (auto timeout : ReportTimeouts) {
+        if (this->context.cancellation.isCancelled())
+            break;
+        if (!this->state.mayCall(client->record()))
+            co_return Incarnation::NotAsked;
+        auto result = co_await client->report(timeout);
+        if (const auto* report = std::get_if<EngineReport>(&result)) {
+            if (report->startedAt == WallTime {})
+                co_return Incarnation::Unknown;
+            co_return report->startedAt == client->record().startedAt ? Incarnation::Listed
+                                                                      : Incarnation::Other;
+        }
+        if (std::get<CallFailure>(result).isMisdirected)
+            co_return Incarnation::Other;
     }
-    co_return std::get<CallFailure>(result).isMisdirected ? Incarnation::Other : Incarnation::Unknown;
+    co_return Incarnation::Unknown;
 }
 
 asio::awaitable<bool> GenerationCall::checkIncarnation(
     ServerAnswer& answer, std::shared_ptr<ServerClient> client)
 {
     const ServerId server = client->record().id;
+    this->context.cancellation.setHandler([&answer] { answer.abort(); });
     Incarnation incarnation = co_await this->incarnationOf(answer, client);
+    this->context.cancellation.clearHandler();
     this->isRunVersionShown = incarnation == Incarnation::Listed;
     if (this->context.cancellation.isCancelled())
         co_return false;
@@ -174,14 +187,11 @@
         this->state.health.record(server, ServerCallResult::Superseded, this->state.now());
         co_return false;
     }
-    // Where all streams are of one version, so is this one.
-    bool isOnlyVersion = this->state.onlyVersion(this->context.service) == this->runVersion;
-    this->isRunVersionShown = this->isRunVersionShown || isOnlyVersion;
-    if (this->version && !this->isRunVersionShown) {
+    // A server that may not be asked now begins a stream that is not resumed here.
+    bool isDeliverable = this->isRunVersionShown || (incarnation == Incarnation::NotAsked && !this->version);
+    if (!isDeliverable)
         this->noteBrokenStream(answer, server, "the server has not stated its start");
-        co_return false;
-    }
-    co_return true;
+    co_return isDeliverable;
 }
 
 asio::awaitable<bool> GenerationCall::deliver(ServerAnswer& answer, std::string bytes)
--- a/src/libperidotgrade/gateway/store_follower.cpp
+++ b/src/libperidotgrade/gateway/store_follower.cpp
@@ -56,7 +56,7 @@
               [this] { this->state.directory.noteStoreLost(this->state.now()); },
               [this] { this->state.directory.noteStoreBack(this->state.now()); },
               [this] { this->state.directory.startEra(this->state.now()); },
-              [this](TimePoint asked) { this->state.serversReadAt = asked; } })
+              [this](TimePoint asked) { this->state.noteServersRead(asked); } })
 {
 }
 
--- a/src/libperidotgrade/gateway/store_watch.cpp
+++ b/src/libperidotgrade/gateway/store_watch.cpp
@@ -54,13 +54,14 @@
     this->hasReadRecords = false;
     this->isBehind = false;
     TimePoint began = this->state.now();
+    TimePoint asked = TimerDriver::bootNow();
     auto listing = co_await this->store.list(this->topic.name, CallTimeout);
     if (auto* error = std::get_if<StoreError>(&listing)) {
         this->noteFailure(*error, began);
         co_return false;
     }
     this->noteSuccess();
-    this->noteCurrent(began);
+    this->noteCurrent(asked);
     this->enterEra(std::get<StoreListing>(listing).era);
     this->next = std::get<StoreListing>(listing).end;
     this->callbacks.onListing(std::get<StoreListing>(listing));
@@ -72,6 +73,7 @@
     this->hasReadRecords = false;
     auto wait = this->readWait();
     TimePoint began = this->state.now();
+    TimePoint asked = TimerDriver::bootNow();
     auto batch = co_await this->store.read(
         this->topic.name, *this->next, wait, wait + CallTimeout, StoreClient::BodyTime::WhileItArrives);
     if (auto* error = std::get_if<StoreError>(&batch)) {
@@ -91,7 +93,7 @@
     }
     this->noteSuccess();
     if (!this->isBehind && isSameEra)
-        this->noteCurrent(began);
+        this->noteCurrent(asked);
     if (!isSameEra) {
         // The offset that was read from belongs to other records now.
         this->next.reset();
--- a/src/libperidotgrade/gateway/stream_origin_log.cpp
+++ b/src/libperidotgrade/gateway/stream_origin_log.cpp
@@ -150,22 +150,17 @@
         if (!named())
             co_await sleepFor(this->state.executor, SearchInterval);
     }
-    if (!request.resumedAttempt)
-        co_return this->noteFinding(this->findByContent(request, wasRead));
+    if (!request.resumedAttempt && !this->needsRecords(route))
+        co_return this->noteFinding(this->findByContent(request));
     co_return this->noteFinding(
         { std::nullopt, wasRead ? "not_recorded" : "store_unavailable", std::nullopt });
 }
 
-StreamOriginLog::Finding StreamOriginLog::findByContent(const GatewayRequest& request, bool wasRead) const
+StreamOriginLog::Finding StreamOriginLog::findByContent(const GatewayRequest& request) const
 {
     auto origins = this->origins.originsOf(request.streamContent);
-    std::string_view problem;
-    if (!wasRead)
-        problem = "store_unavailable";
-    else if (origins.size() != 1)
-        problem = origins.empty() ? "not_recorded" : "ambiguous";
-    if (!problem.empty())
-        return { std::nullopt, problem, std::nullopt };
+    if (origins.size() != 1)
+        return { std::nullopt, origins.empty() ? "store_unavailable" : "ambiguous", std::nullopt };
     return { std::move(origins.front()), "content", std::nullopt };
 }
 
--- a/src/libperidotgrade/gateway/version_log.cpp
+++ b/src/libperidotgrade/gateway/version_log.cpp
@@ -21,7 +21,10 @@
 
     constexpr const char* Topic = "keyed.peridotgrade.versions";
     constexpr std::chrono::milliseconds CallTimeout { 500 };
-    constexpr std::chrono::milliseconds RetryDelay { 200 };
+    constexpr std::chrono::milliseconds RetryDelay { 100 };
+    constexpr std::chrono::milliseconds MaxRetryDelay { 1000 };
+    // For a version that cannot be put on record.
+    constexpr std::chrono::milliseconds MinIdleTime { 100 };
     // Entries stop counting a version at about the same time; none may still count it when it is taken off.
     constexpr std::chrono::seconds RetireDelay { 30 };
     // Versions stop counting by the passage of time alone.
@@ -75,8 +78,10 @@
             this->wakeup.expires_after(this->idleTime());
             co_await this->wakeup.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
+        this->failures = isOk ? 0 : this->failures + 1;
         if (!isOk)
-            co_await sleepFor(this->state.executor, RetryDelay);
+            co_await sleepFor(this->state.executor,
+                std::min(RetryDelay * (1 << std::min(this->failures, 4U)), MaxRetryDelay));
     }
 }
 
@@ -87,15 +92,15 @@
     const auto* listing = std::get_if<StoreListing>(&listed);
     if (listing == nullptr)
         co_return false;
-    std::set<Key> before = std::exchange(this->recorded, {});
+    std::map<Key, LogOffset> before = std::exchange(this->recorded, {});
     for (const StoreRecord& record : listing->records) {
         if (auto key = record.value ? keyFrom(record.key) : std::nullopt)
-            this->recorded.insert(std::move(*key));
+            this->recorded.emplace(std::move(*key), record.offset);
     }
     if (this->hasListed && listing->era != this->era) {
         // Streams may have begun at versions that the older copy lacks.
-        for (const Key& key : before) {
-            if (this->recorded.insert(key).second)
+        for (const auto& [key, offset] : before) {
+            if (this->recorded.try_emplace(key, offset).second)
                 this->lost.insert(key);
         }
     }
@@ -104,8 +109,13 @@
     std::map<ServiceId, std::set<SoftwareVersion>> versions;
     for (const auto& [service, history] : this->state.versions)
         versions[service];
-    for (const auto& [service, version] : this->recorded)
-        versions[service].insert(version);
+    for (const auto& [key, offset] : this->recorded) {
+        // A version that has stopped counting here does not count anew by the record of former times.
+        auto known = before.find(key);
+        bool isOld = known != before.end() && known->second == offset;
+        if (!isOld || this->state.versions[key.first].counts(key.second, this->state.now()))
+            versions[key.first].insert(key.second);
+    }
     for (const auto& [service, each] : versions)
         this->state.versions[service].setRecorded(each, this->state.now());
     this->hasListed = true;
@@ -138,11 +148,12 @@
     else
         appended = co_await this->store.append(Topic, records, CallTimeout);
     if (const auto* error = std::get_if<StoreError>(&appended)) {
-        if (error->kind == StoreError::Kind::Conflict)
-            this->listedAfter.reset();
+        // Another entry may have put them on record.
+        this->listedAfter.reset();
         co_return error->kind == StoreError::Kind::Conflict;
     }
     this->end = std::get<StoreAppended>(appended).end;
+    LogOffset offset { this->end.raw() - std::min<std::uint64_t>(this->end.raw(), keys.size()) };
     if (std::get<StoreAppended>(appended).era != this->era)
         this->listedAfter.reset();
     for (Key& key : keys) {
@@ -152,7 +163,8 @@
             { { "service", key.first.raw() }, { "version", key.second.raw() },
                 { "versions", history.text(this->state.now()) } });
         this->lost.erase(key);
-        this->recorded.insert(std::move(key));
+        this->recorded.insert_or_assign(std::move(key), offset);
+        offset = LogOffset { offset.raw() + 1 };
     }
     co_return true;
 }
@@ -161,7 +173,7 @@
 {
     TimePoint now = this->state.now();
     std::optional<Key> due;
-    for (const Key& key : this->recorded) {
+    for (const auto& [key, offset] : this->recorded) {
         auto history = this->state.versions.find(key.first);
         if (history != this->state.versions.end() && history->second.counts(key.second, now)) {
             this->unusedSince.erase(key);
@@ -180,8 +192,7 @@
     this->unusedSince[key] = this->state.now();
     auto listed = co_await this->store.list(Topic, CallTimeout);
     const auto* listing = std::get_if<StoreListing>(&listed);
-    bool isListCurrent = this->state.now() - this->state.serversReadAt <= VersionHistory::MaxListAge;
-    if (listing == nullptr || listing->era != this->era || !isListCurrent
+    if (listing == nullptr || listing->era != this->era || !this->state.isListCurrent()
         || this->state.versions[key.first].counts(key.second, this->state.now()))
         co_return;
     bool isOnRecord = std::any_of(listing->records.begin(), listing->records.end(),
@@ -205,7 +216,7 @@
     TimePoint now = this->state.now();
     for (const auto& [service, history] : this->state.versions) {
         if (auto at = history.nextSettledAt(); at && this->hasListed)
-            idle = std::min<Duration>(idle, std::max<Duration>(*at - now, std::chrono::milliseconds { 1 }));
+            idle = std::min<Duration>(idle, std::max<Duration>(*at - now, MinIdleTime));
     }
     return idle;
 }
