Repeat a failed record of a version with growing pauses

Cause: the listing that follows a failed append succeeded and reset the pause, so an entry whose appends fail repeated each two calls every 0.2 s. Change: the pause grows with the appends that have failed in a row, up to 1 s. Result: `version_log_test` passes; the pause itself has no test.

--- a/src/include/peridotgrade/gateway/version_log.h
+++ b/src/include/peridotgrade/gateway/version_log.h
@@ -64,8 +64,8 @@
     std::uint64_t serverListings = 0;
     std::optional<std::uint64_t> listedAfter;
     bool hasListed = false;
-    /// Failed calls in a row.
-    std::uint32_t failures = 0;
+    /// Appends that have failed in a row.
+    std::uint32_t failedRecords = 0;
 };
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/gateway/version_log.cpp
+++ b/src/libperidotgrade/gateway/version_log.cpp
@@ -78,10 +78,9 @@
             this->wakeup.expires_after(this->idleTime());
             co_await this->wakeup.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
-        this->failures = isOk ? 0 : this->failures + 1;
         if (!isOk)
             co_await sleepFor(this->state.executor,
-                std::min(RetryDelay * (1 << std::min(this->failures, 4U)), MaxRetryDelay));
+                std::min(RetryDelay * (1 << std::min(this->failedRecords, 4U)), MaxRetryDelay));
     }
 }
 
@@ -150,8 +149,12 @@
     if (const auto* error = std::get_if<StoreError>(&appended)) {
         // Another entry may have put them on record.
         this->listedAfter.reset();
-        co_return error->kind == StoreError::Kind::Conflict;
+        if (error->kind == StoreError::Kind::Conflict)
+            co_return true;
+        ++this->failedRecords;
+        co_return false;
     }
+    this->failedRecords = 0;
     this->end = std::get<StoreAppended>(appended).end;
     LogOffset offset { this->end.raw() - std::min<std::uint64_t>(this->end.raw(), keys.size()) };
     if (std::get<StoreAppended>(appended).era != this->era)
