Soak: releases of engines, and callers that resume late

The decode engines of the oldest version are replaced by the next one, one after the other or at once, under a new name (some drain first) or the same, listed at once or up to 1.5 s later; then the prefill engines. More callers leave in the middle of resumable streams; they resume up to twice, at once or up to 3 s later, half of them without `Resumes`, and half of their requests equal no other one. The removal of a crashed server's record spares that of a successor with its name. The check that the events of a stream are of one version moves from what engines send to what callers get: each event of the soak's engines names the version of the process that sends it, and `Caller` compares the versions over all attempts of a stream. What an engine sends is no event of the stream if the entry finds that the engine has started again and rejects its answer before it delivers any of it; the engine sends on until it sees the close. Engines without tags, those of the other cases, are checked as before.

--- a/testsuite/gateway_soak/soak.py
+++ b/testsuite/gateway_soak/soak.py
@@ -47,6 +47,9 @@
         self.version = 10
         self.platform.call(self._configure())
         self.counts = {"sent": 0, "served": 0}
+        self.release_lock = threading.Lock()
+        for engine in self.platform.engines:
+            engine.is_tagged = True
         self.is_over = threading.Event()
         self.locks = [threading.Lock() for _ in range(GATEWAYS)]
 
@@ -169,18 +172,63 @@
         server.framing = framing
         server.is_away = False
 
+    def released(self, _):
+        """The decode engines of the oldest version are replaced by the next one, one after the other or all at once, and then
+        the prefill engines."""
+        if not self.release_lock.acquire(blocking=False):
+            return
+        oldest = min(int(engine.version[1:]) for engine in self.platform.decodes())
+        behind = [engine for engine in self.platform.engines if int(engine.version[1:]) <= oldest]
+        behind.sort(key=lambda engine: engine.role == "prefill")
+        is_at_once = self.releases.random() < 0.5
+        threads = [threading.Thread(target=self._replace, args=(engine, f"v{oldest + 1}", self.releases.random()))
+                   for engine in behind]
+        for thread, engine in zip(threads, behind):
+            thread.start()
+            if not is_at_once or engine.role == "prefill":
+                thread.join()
+        for thread in threads:
+            thread.join()
+        self.release_lock.release()
+
+    def _replace(self, engine, version, seed):
+        choice = random.Random(seed)
+        while getattr(engine, "is_away", False):
+            time.sleep(0.02)
+        engine.is_away = True
+        name = choice.choice([engine.name, None])
+        if name is None and choice.random() < 0.5:
+            self.platform.call(engine.drain())
+            time.sleep(choice.uniform(0, 1))
+        self.platform.call(engine.crash())
+        time.sleep(choice.choice([0, 0.3]))
+        engine.version = version
+        if choice.random() < 0.5:
+            self.platform.call(engine.start(name))
+        else:
+            unlisted_s = choice.uniform(0, 1.5)
+            self.platform.call(engine.start_unlisted(unlisted_s, name))
+            time.sleep(unlisted_s + 0.1)
+        engine.is_away = False
+
     FAULTS = [gateway_killed, gateway_frozen, gateway_stopped, settings_reloaded, store_link_cut, store_link_stalled,
               store_down, server_crashed, server_unresponsive, answers_lost, extra_answers, runs_rejected,
               configuration_changed]
     # Each list is drawn by a generator of its own, so that a seed still plans the faults of the others that it had.
     FURTHER_FAULTS = [streams_broken_off]
     EXITS = [server_exited]
+    RELEASES = [released]
 
     def plan(self):
         further = random.Random(self.random.getstate()[1][0])
         exits = random.Random(self.random.getstate()[1][1])
+        releases = random.Random(self.random.getstate()[1][2])
         steps = self._draw(self.random, self.FAULTS, 1.5) + self._draw(further, self.FURTHER_FAULTS, 3.0)
         steps += self._draw(exits, self.EXITS, 1.5)
+        # The ways in which engines are replaced are drawn later.
+        self.releases = random.Random(releases.random())
+        # A new version gets streams some 5 s after a release.
+        steps += self._draw(releases, self.RELEASES, 6.0)
         return sorted(steps, key=lambda step: step[0])
 
     def _draw(self, generator, faults, longest_gap):
@@ -191,13 +239,17 @@
         return steps
 
     def send_requests(self, number):
-        choice = random.Random(number)
+        choice, late = random.Random(number), random.Random(GATEWAYS + CALLERS + number)
         callers = [Caller(self.platform, gateway) for gateway in self.gateways]
         while not self.is_over.is_set():
             caller = choice.choice(callers)
             path = choice.choice(PATHS)
             method, body = ("GET", b"") if path.startswith("/read/") else ("POST", b'{"n":%d}' % number)
             leave = choice.choice([None] * 9 + [200])
+            if path.startswith("/resume/"):
+                # Many callers leave, and half of the requests equal no other one.
+                leave = leave or late.choice([None, 200])
+                body = late.choice([body, b'{"n":%d,"of":%d}' % (number, late.getrandbits(30))])
             fields = {"Authorization": f"Bearer {choice.choices(KEYS, [4, 5, 1])[0]}", "X-Tenant": "mills"}
             answer = caller.send(path, method, body, deadline_s=4.0, disconnect_after=leave, fields=fields)
             if answer.status in (401, 429):
@@ -205,9 +257,16 @@
                 continue
             self.counts["sent"] += 1
             self.counts["served"] += answer.status == 200
-            if path.startswith("/resume/") and answer.status == 200 and not answer.is_whole and answer.events:
-                # The caller resumes its stream at some entry.
-                choice.choice(callers).send(path, method, body, deadline_s=4.0, resumed=answer, fields=fields)
+            names_stream, last = late.random() < 0.5, answer
+            for _ in range(2):
+                if answer.status == 200:
+                    last = answer
+                if not path.startswith("/resume/") or last.status != 200 or last.is_whole or not last.events:
+                    break
+                # The caller resumes its stream at some entry, at once or late.
+                self.is_over.wait(late.choice([0, late.uniform(0, 3)]))
+                answer = choice.choice(callers).send(path, method, body, deadline_s=4.0, resumed=last, fields=fields,
+                                                     names_stream=names_stream, disconnect_after=late.choice([None, 200]))
             time.sleep(choice.uniform(0, 0.1))
 
     def run(self):
--- a/testsuite/support/fake_platform.py
+++ b/testsuite/support/fake_platform.py
@@ -327,6 +327,8 @@
         self.sequence = 0
         self.state = "ready"
         self.started_ms = 0
+        # Name and start time of its last record in the list.
+        self.listed = None
         self.is_unresponsive = False
         # Says in its answers that it leaves, without a word in the list.
         self.is_leaving = False
@@ -345,9 +347,10 @@
         self.spoiled_seal = None
         self.is_crashing = False
 
-    async def start(self):
-        self.name = f"i-{self.platform.random.getrandbits(40):010x}"
-        self.started_ms = int(time.time() * 1000)
+    async def start(self, name=None):
+        """With the `name` of its predecessor it is known by its start time only."""
+        self.name = name or f"i-{self.platform.random.getrandbits(40):010x}"
+        self.started_ms = max(int(time.time() * 1000), self.started_ms + 1)
         self.sequence = 0
         self.state = "ready"
         self.reset_state()
@@ -357,9 +360,9 @@
     def reset_state(self):
         pass
 
-    async def start_unlisted(self, seconds):
+    async def start_unlisted(self, seconds, name=None):
         """Restarts the server after a crash; its first heartbeat follows `seconds` later."""
-        await self.start()
+        await self.start(name)
         self.heartbeat.cancel()
         asyncio.get_event_loop().call_later(
             seconds, lambda: setattr(self, "heartbeat", asyncio.ensure_future(self._send_heartbeats())))
@@ -380,8 +383,13 @@
         self.heartbeat.cancel()
         await self.stop()
         # The platform removes a server from the list after three missed heartbeats.
-        asyncio.get_event_loop().call_later(1.5, lambda name=self.name: asyncio.ensure_future(
-            self.platform.store.put("keyed.servers", name, None)))
+        asyncio.get_event_loop().call_later(1.5, lambda name=self.name, started_ms=self.started_ms: asyncio.ensure_future(
+            self._unlist(name, started_ms)))
+
+    async def _unlist(self, name, started_ms):
+        """Leaves the record of a successor of the same name alone."""
+        if self.listed is None or self.listed[0] != name or self.listed[1] == started_ms:
+            await self.platform.store.put("keyed.servers", name, None)
 
     def crashes_at(self, request, stage):
         """Ends this server if the request, or a part of its prompt, crashes servers that begin that stage of it. It is
@@ -422,6 +430,7 @@
         if self.role:
             record["stage"] = self.role
         if self.platform.store.mode == "serving":
+            self.listed = self.name, self.started_ms
             await self.platform.store.put("keyed.servers", self.name, json.dumps(record))
 
     async def _send_heartbeats(self):
@@ -556,6 +565,8 @@
         self.reset_state()
         self.reject_runs = False
         self.framing = "chunked"
+        # Its events name the version of the process that sends them.
+        self.is_tagged = False
         # The next run breaks off after this many events: inside the next event, or after the last one. A chunked
         # answer ends as a complete one does, any other one with an orderly close.
         self.break_after = None
@@ -657,6 +668,9 @@
         self.record_run(request)
         if self.crashes_at(request, "run"):
             await asyncio.sleep(3600)
+        # A run that outlasts its process ends with the version of that one.
+        version = self.version
+        tag = f" {version}" if self.is_tagged else ""
         prompt = int(request.headers["x-token-counts"].split(",")[0])
         first = int(request.headers.get("last-event-id", 0)) + 1
         self.used_tokens += prompt
@@ -681,8 +695,10 @@
                 await asyncio.sleep(self.event_s)
                 if writer.transport.is_closing():
                     return
-                event = f"id: {index}\ndata: {attempt} {index}\n\n".encode()
-                self.platform.record_event(attempt, self)
+                event = f"id: {index}\ndata: {attempt} {index}{tag}\n\n".encode()
+                # Callers check tagged events: those that an engine sends before a gateway rejects it are not of the stream.
+                if not self.is_tagged:
+                    self.platform.record_event(attempt, version)
                 self._write_part(writer, event, framing)
                 await writer.drain()
                 if index - first + 1 == self.platform.events // 4 and self.crashes_at(request, "stream"):
@@ -874,13 +890,13 @@
         if worst[0] > extra:
             self.report_violation(f"{worst[0]:.1f} retries beyond the ratio within {window_s} s, {extra} are allowed")
 
-    def record_event(self, attempt, engine):
+    def record_event(self, attempt, version):
         """Checks that all events of a stream are of one software version, over all attempts of its caller."""
         versions = self.stream_versions[self.sent[attempt].stream if attempt in self.sent else attempt]
-        if engine.version not in versions:
-            versions.add(engine.version)
+        if version not in versions:
+            versions.add(version)
             if len(versions) > 1:
-                self.report_violation(f"{attempt} goes on at version {engine.version}, which did not begin its stream")
+                self.report_violation(f"{attempt} goes on at version {version}, which did not begin its stream")
 
     def wait_until_idle(self, seconds=5):
         """Waits until no run, reservation or KV handle is left."""
