Removed guards: those of the records of versions; three entries apply again

Cause: the text of three guards had changed ("a stream that may not be resumed ends with its engine", "a stopping entry finishes what runs", "an accepted connection does not complete an answer"), so the program stopped at them; the guards of streams over releases had no entry. Change: the three texts follow the code; five entries for the guards of versions. "A stream that its caller resumes goes on at its version" applied unchanged.

--- a/testsuite/gateway_soak/removed_guards.py
+++ b/testsuite/gateway_soak/removed_guards.py
@@ -28,7 +28,9 @@
     ("the id on an answer is compared", "platform/server_client.cpp",
      "echoed.empty() || echoed == attempt", "echoed.empty() || !echoed.empty()"),
     ("a stream that may not be resumed ends with its engine", GATEWAY + "generation_call.cpp",
-     "this->context.route.isResumable && this->runs < this->context.route.maxAttempts", "this->runs < 3"),
+     "if (!this->context.route.isResumable || this->runs >= this->context.route.maxAttempts)\n        return false;\n"
+     "    return !this->hasBegun || (this->framer.lastId() && this->isOriginShown);",
+     "return this->runs < 3 && (!this->hasBegun || this->framer.lastId());"),
     ("a resumed stream goes on after its last event", GATEWAY + "generation_call.cpp",
      "options.lastEvent = this->framer.lastId();",
      # Without an id the engine would repeat events, and the check of ids would end the stream.
@@ -42,18 +44,22 @@
      "this->version = this->runVersion;", ""),
     ("a stream that its caller resumes goes on at its version", GATEWAY + "gateway_node.cpp",
      "context.version = origin->version;", ""),
+    ("a resumable stream begins at a version on record", GATEWAY + "generation_call.cpp",
+     "return !this->context.route.isResumable\n"
+     "        || this->state.versions[this->context.service].isRecorded(candidate);", "return true;"),
     ("a stopping entry finishes what runs", GATEWAY + "gateway_node.cpp",
-     "if (!isIdle && this->state.now() < this->stopAt) {", "if (false) {"),
+     "if (isAwaited && this->state.now() < this->stopAt) {", "if (isAwaited && false) {"),
     ("a caller that leaves ends its request", GATEWAY + "gateway_node.cpp",
      "exchange.onClientDisconnect([&cancellation] { cancellation.cancel(); });", ""),
 ]
 
+JOINED = "gateway_streams_joined_over_releases"
 ENDED_SERVERS = "gateway_partial_answers_of_ended_servers"
 
 # The same, with the case that has to notice.
 CASE_GUARDS = [
     ("an accepted connection does not complete an answer", GATEWAY + "gateway_state.cpp",
-     "check = co_await watch->check(times.settleTime, times.timeout);",
+     "check = co_await watch->check(times.settleTime, times.timeout, times.newConnectionAllowance);",
      "{}\n    auto probe = co_await this->endProbe.run(this->clients.clientFor(watch->record()));\n"
      "    check.liveness = probe.isRefused || times.timeout <= times.timeout.zero() ? Liveness::Ended : Liveness::Alive;",
      ENDED_SERVERS),
@@ -105,6 +111,15 @@
      "if (answer.head().isUnsigned && !answer.head().isNotRun) {", "if (false) {", "gateway_successes_without_seal"),
     ("a stream without a signature is broken", GATEWAY + "generation_stream.cpp",
      "if (answer.head().isUnsigned) {", "if (false) {", "gateway_successes_without_seal"),
+    ("the only version is that of a current list", GATEWAY + "gateway_state.cpp",
+     "now - this->serversReadAt <= VersionHistory::MaxListAge;", "now >= this->serversReadAt;", JOINED),
+    ("the only version is known with those on record", GATEWAY + "gateway_state.cpp",
+     "if (!this->areVersionsKnown || !isListCurrent)", "if (!isListCurrent)", JOINED),
+    ("versions on record are read", GATEWAY + "version_log.cpp",
+     "record.value ? keyFrom(record.key)", "record.value && record.key.empty() ? keyFrom(record.key)", JOINED),
+    ("a server that has started again has the events of no stream", GATEWAY + "generation_stream.cpp",
+     "Incarnation incarnation = co_await this->incarnationOf(answer, client);",
+     "Incarnation incarnation = Incarnation::Listed;", JOINED),
 ]
 
 
