Count a run that ends before its server has stated its start as lost

Cause: a server that crashes after the head of its answer is asked for its start; the run was then broken off without a look whether the server has ended, so the crash was not counted for the request and the parts of its prompt. Change: such a run is a lost run. A report whose connection is refused or lost is not repeated.

--- a/src/include/peridotgrade/gateway/gateway_state.h
+++ b/src/include/peridotgrade/gateway/gateway_state.h
@@ -171,8 +171,8 @@
     ServerDirectory directory;
     /// Software versions of the servers of each service.
     std::map<ServiceId, VersionHistory> versions;
-    /// True while all versions at which streams may have begun are among `versions`, but for those that the
-    /// list of servers has shown since it was last read.
+    /// True while `versions` has all versions on record: from a reading of the records to the next gap in the
+    /// list of servers, in which a version may have come and gone.
     bool areVersionsKnown = false;
     /// Called when the versions of a service have changed and are several.
     std::function<void()> onMixedVersions;
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -166,8 +166,11 @@
             co_return report->startedAt == client->record().startedAt ? Incarnation::Listed
                                                                       : Incarnation::Other;
         }
-        if (std::get<CallFailure>(result).isMisdirected)
+        const auto& failure = std::get<CallFailure>(result);
+        if (failure.isMisdirected)
             co_return Incarnation::Other;
+        if (failure.isConnectionRefused || failure.isConnectionLost)
+            break;
     }
     co_return Incarnation::Unknown;
 }
@@ -182,16 +185,17 @@
     this->isRunVersionShown = incarnation == Incarnation::Listed;
     if (this->context.cancellation.isCancelled())
         co_return false;
-    if (incarnation == Incarnation::Other) {
-        this->noteBrokenStream(answer, server, "the server has started again");
-        this->state.health.record(server, ServerCallResult::Superseded, this->state.now());
-        co_return false;
-    }
     // A server that may not be asked now begins a stream that is not resumed here.
-    bool isDeliverable = this->isRunVersionShown || (incarnation == Incarnation::NotAsked && !this->version);
-    if (!isDeliverable)
-        this->noteBrokenStream(answer, server, "the server has not stated its start");
-    co_return isDeliverable;
+    if (this->isRunVersionShown || (incarnation == Incarnation::NotAsked && !this->version))
+        co_return true;
+    bool isOther = incarnation == Incarnation::Other;
+    this->noteBrokenStream(
+        answer, server, isOther ? "the server has started again" : "the server has not stated its start");
+    // The run may be what has ended its server.
+    co_await this->state.noteLostRun(server, this->context.request);
+    if (isOther)
+        this->state.health.record(server, ServerCallResult::Superseded, this->state.now());
+    co_return false;
 }
 
 asio::awaitable<bool> GenerationCall::deliver(ServerAnswer& answer, std::string bytes)
