Log requests that are dropped, and the steps of a gateway's stop

`request_dropped` and `peridot_gateway_requests_dropped_total` count connections that are ended after bytes of a request had been read and without a response; `connections_closing` and `port_closed` are the steps between `stopping` and `stopped`. No behaviour changes.

--- a/src/include/peridotgrade/gateway/gateway_metrics.h
+++ b/src/include/peridotgrade/gateway/gateway_metrics.h
@@ -22,6 +22,7 @@
     void countRefusal(const std::string& reason);
     /// `urgency` is 0 to 9.
     void countRefusalByPriority(std::uint32_t urgency);
+    void countDroppedRequest(bool isClosing);
     void countReservation(const std::string& result);
     void countRetry(const std::string& service);
     void countResumption(const std::string& origin);
--- a/src/include/peridotgrade/net/http_server.h
+++ b/src/include/peridotgrade/net/http_server.h
@@ -50,6 +50,16 @@
     virtual boost::asio::any_io_executor executor() = 0;
 };
 
+/// Bytes of a request that a connection had read when the server ended it without a response. The client
+/// cannot tell it from a request that was handled.
+struct DroppedRequest {
+    std::string client;
+    /// Bytes that were read and not parsed.
+    std::size_t bytes;
+    /// The server was closing its connections.
+    bool isClosing;
+};
+
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
 
 struct HttpServerSettings {
@@ -78,6 +88,8 @@
     std::function<HttpResponse(const HttpRequest&)> noMemoryResponse;
     /// Added to the responses to requests that reach no handler: malformed, too large or too slow ones.
     std::vector<HttpField> refusalFields;
+    /// Called on the strand of the connection for each request that is dropped; may be empty.
+    std::function<void(const DroppedRequest&)> onRequestDropped;
 };
 
 /// Accepts connections and calls the handler for each request, one at a time for each connection. Requests
@@ -97,6 +109,7 @@
     void disableKeepAlive();
     /// Does the same and stops accepting connections; exchanges in progress are completed.
     void stopAccepting();
+    std::size_t openConnections() const;
     std::size_t openExchanges() const;
     /// Requests of which the first byte has arrived and not the last one, and new connections of a server
     /// that stops, which have half a second for their first byte.
--- a/src/libperidotgrade/gateway/gateway_metrics.cpp
+++ b/src/libperidotgrade/gateway/gateway_metrics.cpp
@@ -67,6 +67,15 @@
     this->registry.counter({ "peridot_gateway_refusals_total", "Rejected requests", "reason", reason }).add();
 }
 
+void GatewayMetrics::countDroppedRequest(bool isClosing)
+{
+    this->registry
+        .counter({ "peridot_gateway_requests_dropped_total",
+            "Requests of which bytes were read and whose connection was ended without a response", "phase",
+            isClosing ? "closing" : "open" })
+        .add();
+}
+
 void GatewayMetrics::countRefusalByPriority(std::uint32_t urgency)
 {
     this->registry
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -168,6 +168,7 @@
             = serverSettings(this->state.settings.callersListen, this->state.memoryBudgets);
         settings.bodyMemory = this->state.requestMemory;
         settings.noMemoryResponse = [this](const HttpRequest& request) { return this->refuseBody(request); };
+        settings.onRequestDropped = [this](const DroppedRequest& dropped) { this->noteDropped(dropped); };
         return settings;
     }
 
@@ -178,6 +179,14 @@
         return settings;
     }
 
+    void noteDropped(const DroppedRequest& dropped)
+    {
+        this->state.metrics.countDroppedRequest(dropped.isClosing);
+        this->state.log.write(LogLevel::Warn, "request_dropped",
+            { { "client", dropped.client }, { "bytes", std::to_string(dropped.bytes) },
+                { "closing", dropped.isClosing ? "true" : "false" } });
+    }
+
     void addMemoryMetrics()
     {
         auto add = [this](const char* kind, const BodyMemory* memory) {
@@ -442,17 +451,28 @@
             { { "open_requests", std::to_string(this->callers.openExchanges()) } });
         this->state.subscribeAfter(ServeAfterSignal, [this] {
             this->isRejecting = true;
+            this->logStopStep("connections_closing");
             this->callers.disableKeepAlive();
             this->finishWhenIdle();
         });
     }
 
+    void logStopStep(std::string_view event)
+    {
+        this->state.log.write(LogLevel::Info, event,
+            { { "open_connections", std::to_string(this->callers.openConnections()) },
+                { "open_requests", std::to_string(this->callers.openExchanges()) },
+                { "open_generations", std::to_string(this->openGenerations) },
+                { "arriving_requests", std::to_string(this->callers.arrivingRequests()) } });
+    }
+
     void finishWhenIdle()
     {
         // If no other entry is ready, callers are still sent here, so the port stays open as long as it can.
         bool hasClosedBefore = this->isClosed;
         if (!this->isClosed && (this->openGenerations == 0 || this->state.now() >= this->stopAt)) {
             this->isClosed = true;
+            this->logStopStep("port_closed");
             this->callers.stopAccepting();
         }
         // Requests that were sent just before the port closed are seen at the next check.
@@ -465,7 +485,9 @@
         this->hasDrained = isIdle;
         this->state.log.write(LogLevel::Info, "stopped",
             { { "whole", isIdle ? "true" : "false" },
-                { "open_requests", std::to_string(this->callers.openExchanges()) } });
+                { "open_requests", std::to_string(this->callers.openExchanges()) },
+                { "arriving_requests", std::to_string(this->callers.arrivingRequests()) },
+                { "open_connections", std::to_string(this->callers.openConnections()) } });
         this->context.stop();
     }
 
--- a/src/libperidotgrade/net/http_server.cpp
+++ b/src/libperidotgrade/net/http_server.cpp
@@ -65,6 +65,7 @@
     }
 
     std::size_t arrivingRequests() const { return this->shared->arrivingRequests.load(); }
+    std::size_t openConnections() const { return this->shared->openConnections.load(); }
     std::size_t openExchanges() const { return this->shared->openExchanges.load(); }
 
 private:
@@ -126,6 +127,8 @@
 
 std::size_t HttpServer::arrivingRequests() const { return this->impl->arrivingRequests(); }
 
+std::size_t HttpServer::openConnections() const { return this->impl->openConnections(); }
+
 std::size_t HttpServer::openExchanges() const { return this->impl->openExchanges(); }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -126,6 +126,7 @@
                 if (!this->keepAlive || this->shared->isClosing)
                     break;
             }
+            this->reportDropped();
             this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         }
 
@@ -238,6 +239,15 @@
                 callback();
         }
 
+        void reportDropped()
+        {
+            bool wasTold = !this->keepAlive || this->isDisconnected;
+            if (this->buffer.size() == 0 || wasTold || !this->shared->settings.onRequestDropped)
+                return;
+            this->shared->settings.onRequestDropped(
+                { this->client, this->buffer.size(), this->shared->isClosing });
+        }
+
         /// Waits for the next request. False at the end of the connection.
         asio::awaitable<bool> readRequest()
         {
