End idle connections of a stopping server without reading them again

Cause: g++ 12.2 evaluates the right side of `co_return hasArrived && !co_await readFirstBytes(...)` also when `hasArrived` is false. A connection on which nothing had arrived when it was to be closed was read for another half second; what came was kept in the buffer, the result was false, and the connection ended.

--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -312,7 +312,10 @@
                 co_return co_await this->waitForLastRequest();
             // A request may have arrived just before the connection was to be closed.
             bool hasArrived = this->stream.socket().available(error) > 0;
-            co_return hasArrived && !co_await this->readFirstBytes(LastRequestTime);
+            if (!hasArrived)
+                co_return false;
+            error = co_await this->readFirstBytes(LastRequestTime);
+            co_return !error;
         }
 
         /// A client that has just connected is about to send a request.
--- a/src/libperidotgrade/net/http_stop_test.cpp
+++ b/src/libperidotgrade/net/http_stop_test.cpp
@@ -32,10 +32,11 @@
     {
     }
 
-    static HttpServerSettings settings()
+    HttpServerSettings settings()
     {
         HttpServerSettings result;
         result.listen = { "127.0.0.1", 0 };
+        result.onRequestDropped = [this](const DroppedRequest&) { ++this->droppedRequests; };
         return result;
     }
 
@@ -72,6 +73,7 @@
     }
 
     asio::io_context context;
+    std::size_t droppedRequests = 0;
     HttpServer server;
     Endpoint endpoint;
 };
@@ -137,4 +139,22 @@
     });
 }
 
+// Guards against requests on kept connections that a stopping server reads and drops.
+BOOST_AUTO_TEST_CASE(requestAfterIdleConnectionsWereClosedIsNotReadAndDropped)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        tcp::socket kept = this->connect();
+        asio::write(kept, asio::buffer(Request));
+        BOOST_TEST(co_await this->readStatus(kept) == "HTTP/1.1 200");
+        co_await sleepFor(this->context.get_executor(), 20ms);
+        this->server.disableKeepAlive();
+        co_await sleepFor(this->context.get_executor(), 100ms);
+        BOOST_TEST(this->server.openConnections() == 0U);
+        boost::system::error_code ignored;
+        asio::write(kept, asio::buffer(Request), ignored);
+        BOOST_TEST((co_await this->readStatus(kept)).empty());
+        BOOST_TEST(this->droppedRequests == 0U);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
