Keep co_await out of operands and conditions, and check for it

The cause of the requests that a stopping gateway dropped is a class: g++ 12.2 evaluates an awaited operand that is not to be evaluated, frees the operands of a conditional operator twice, or miscompiles a body that has no local variable and awaits in a condition.

In the tree 16 more places had such an operand or condition. All of them are of forms that are right today: variables that are initialized and conditions in functions with local variables. `quota_service.cpp` had the conditional operator with a QuotaResult, which frees nothing; a string in it would have been freed twice. They are written as statements of their own.

--- a/src/include/peridotgrade/gateway/group_member.h
+++ b/src/include/peridotgrade/gateway/group_member.h
@@ -34,6 +34,8 @@
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> join();
+    /// True if this entry may act as the leader, if need be after the store has confirmed its membership.
+    boost::asio::awaitable<bool> confirmLeadership();
     /// Reads who owns the partitions, if that may have changed since they were last read.
     boost::asio::awaitable<void> readOwners();
     /// Ends the memberships of earlier processes at this place, which hold partitions until they expire.
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -303,20 +303,29 @@
         } else if (!mayGoOn) {
             auto retryAfter = chooseRetryAfter(timeLeft(this->state, context), this->state.random);
             co_await answerNotRun(this->state, context, "unknown_stream", retryAfter);
-        } else if (auto overQuota = co_await this->quotas.charge(context)) {
+        } else {
+            co_await this->serveWithinQuota(context, isGeneration ? &*service->engine : nullptr);
+        }
+        exchange.onClientDisconnect(nullptr);
+    }
+
+    /// `engine` is null for a plain service.
+    asio::awaitable<void> serveWithinQuota(RequestContext& context, const EngineSpec* engine)
+    {
+        auto overQuota = co_await this->quotas.charge(context);
+        if (overQuota) {
             co_await answerOverQuota(this->state, context, *overQuota);
-        } else if (isGeneration) {
+        } else if (engine != nullptr) {
             OpenCount counted(this->openGenerations);
             auto broker = this->brokerOf(context.service);
-            if (service->engine->maxReservation.count() > 0)
-                broker->setLifetime(service->engine->maxReservation);
-            GenerationCall call(this->state, context, *service->engine, broker, this->originLog);
+            if (engine->maxReservation.count() > 0)
+                broker->setLifetime(engine->maxReservation);
+            GenerationCall call(this->state, context, *engine, broker, this->originLog);
             co_await call.serve();
         } else {
             PlainCall call(this->state, context);
             co_await call.serve();
         }
-        exchange.onClientDisconnect(nullptr);
     }
 
     /// Finds where the stream that the request resumes may go on. Returns false if it is not known.
--- a/src/libperidotgrade/gateway/gateway_state.cpp
+++ b/src/libperidotgrade/gateway/gateway_state.cpp
@@ -273,7 +273,10 @@
 boost::asio::awaitable<void> GatewayState::tryProbation(GatewayRequest& request)
 {
     auto trial = this->crashes.beginTrial(request.fingerprint, this->now());
-    if (!trial || !this->claimTrial || !co_await this->claimTrial(request.fingerprint))
+    if (!trial || !this->claimTrial)
+        co_return;
+    bool isClaimed = co_await this->claimTrial(request.fingerprint);
+    if (!isClaimed)
         co_return;
     request.trial = std::move(trial);
     this->log.write(LogLevel::Info, "trial_begun",
--- a/src/libperidotgrade/gateway/generation_stream.cpp
+++ b/src/libperidotgrade/gateway/generation_stream.cpp
@@ -44,8 +44,11 @@
         this->lastDetail = "status " + std::to_string(answer.head().response.status) + " on resuming";
         co_return Next::Retry;
     }
-    if (this->context.route.isResumable && !co_await this->checkIncarnation(answer, client))
-        co_return Next::Retry;
+    if (this->context.route.isResumable) {
+        bool isListedIncarnation = co_await this->checkIncarnation(answer, client);
+        if (!isListedIncarnation)
+            co_return Next::Retry;
+    }
     auto watch = this->state.watchServer(client, answer.framing());
     bool isEmpty = true;
     this->progressAt = this->state.now();
@@ -81,7 +84,8 @@
             break;
         isEmpty = false;
         auto lastId = this->framer.lastId();
-        if (!co_await this->deliver(answer, std::move(bytes)))
+        bool isDelivered = co_await this->deliver(answer, std::move(bytes));
+        if (!isDelivered)
             co_return Next::Retry;
         this->recordEvents(record, waitBegan);
         // The time that the caller took is not the engine's.
--- a/src/libperidotgrade/gateway/group_member.cpp
+++ b/src/libperidotgrade/gateway/group_member.cpp
@@ -301,7 +301,10 @@
         co_return;
     for (const ServiceSpec& service : configuration->services) {
         bool isStable = now - this->state.serversChangedAt[service.name] >= ServerListStableTime;
-        if (service.engine && isStable && !co_await this->assignRolesOf(service.name, *service.engine))
+        if (!service.engine || !isStable)
+            continue;
+        bool isLeader = co_await this->assignRolesOf(service.name, *service.engine);
+        if (!isLeader)
             co_return;
     }
 }
@@ -347,13 +350,22 @@
             [&](const ServerRecord& record) { return record.id == assignment->server; });
         at->role = assignment->role;
         ++changing;
-        if (!this->mayAct() && !(co_await this->join() && this->mayAct()))
+        bool isLeader = co_await this->confirmLeadership();
+        if (!isLeader)
             co_return false;
         co_await this->changeRoleOf(service, *assignment, engine.roleSwitchTime);
     }
     co_return true;
 }
 
+boost::asio::awaitable<bool> GroupMember::confirmLeadership()
+{
+    if (this->mayAct())
+        co_return true;
+    bool hasJoined = co_await this->join();
+    co_return hasJoined&& this->mayAct();
+}
+
 EngineSpeeds GroupMember::speedsOf(const std::vector<const ServerRecord*>& engines) const
 {
     EngineSpeeds speeds;
@@ -391,7 +403,7 @@
         this->changes.begin(assignment.server, assignment.role, this->state.now());
         co_return;
     }
-    bool isConfirmed = this->mayAct() || (co_await this->join() && this->mayAct());
+    bool isConfirmed = co_await this->confirmLeadership();
     if (!isConfirmed || !this->state.mayCall(client->record()))
         co_return;
     this->changes.begin(assignment.server, assignment.role, this->state.now());
--- a/src/libperidotgrade/gateway/plain_call.cpp
+++ b/src/libperidotgrade/gateway/plain_call.cpp
@@ -58,7 +58,8 @@
             co_await this->giveUp();
             co_return;
         }
-        if (co_await this->attempt(*record) == Next::Done)
+        Next next = co_await this->attempt(*record);
+        if (next == Next::Done)
             co_return;
     }
 }
@@ -344,7 +345,9 @@
             std::string { GatewayState::EndedWithAnswer });
         co_return;
     }
-    if (!isOk || !co_await this->context.exchange.endStream()) {
+    if (isOk)
+        isOk = co_await this->context.exchange.endStream();
+    if (!isOk) {
         answer.abort();
         noteCallerDisconnected(this->state, this->context, "reading the answer");
         co_return;
--- a/src/libperidotgrade/gateway/quota_service.cpp
+++ b/src/libperidotgrade/gateway/quota_service.cpp
@@ -99,8 +99,11 @@
     std::optional<QuotaRefusal> early;
     if (!isFirstAttempt(context))
         early = this->accountOf(tenant, now).balance.refuseRetry(now);
-    QuotaResult result
-        = early ? QuotaResult { *early } : co_await this->admit(tenant, tokens, context.priority);
+    QuotaResult result;
+    if (early)
+        result = *early;
+    else
+        result = co_await this->admit(tenant, tokens, context.priority);
     now = TimerDriver::bootNow();
     if (const auto* refusal = std::get_if<QuotaRefusal>(&result)) {
         this->noteRefusal(this->accountOf(tenant, now), tokens, *refusal);
--- a/src/libperidotgrade/gateway/server_liveness.cpp
+++ b/src/libperidotgrade/gateway/server_liveness.cpp
@@ -166,9 +166,11 @@
     if (!found && this->isKeptSince(endedAt, newConnectionAllowance)
         && this->isSlowAsBefore(TimerDriver::now()))
         found = Liveness::Alive;
-    if (found == Liveness::Alive
-        && co_await this->client->refusesConnections(RefusalTimeout, Duration::zero()))
-        found = Liveness::NotListening;
+    if (found == Liveness::Alive) {
+        bool isRefusing = co_await this->client->refusesConnections(RefusalTimeout, Duration::zero());
+        if (isRefusing)
+            found = Liveness::NotListening;
+    }
     this->removeWantedCall(due);
     this->removeWantedCall(unkeptDue);
     check.liveness = found.value_or(Liveness::Unknown);
--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -117,7 +117,8 @@
             auto sendBuffer = static_cast<int>(this->shared->settings.sendBufferBytes);
             if (sendBuffer > 0)
                 this->stream.socket().set_option(asio::socket_base::send_buffer_size(sendBuffer), ignored);
-            while (co_await this->readRequest()) {
+            bool hasRequest = co_await this->readRequest();
+            while (hasRequest) {
                 ++this->shared->openExchanges;
                 co_await this->serve();
                 --this->shared->openExchanges;
@@ -125,6 +126,7 @@
                 this->bodyShare.release();
                 if (!this->keepAlive || this->shared->isClosing)
                     break;
+                hasRequest = co_await this->readRequest();
             }
             this->reportDropped();
             this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -251,8 +253,11 @@
         /// Waits for the next request. False at the end of the connection.
         asio::awaitable<bool> readRequest()
         {
-            if (this->buffer.size() == 0 && !co_await this->waitForFirstByte())
-                co_return false;
+            if (this->buffer.size() == 0) {
+                bool hasBegun = co_await this->waitForFirstByte();
+                if (!hasBegun)
+                    co_return false;
+            }
             ScopedCount arriving(this->shared->arrivingRequests);
             this->stream.expires_never();
             this->parser.emplace();
@@ -388,7 +393,8 @@
         asio::awaitable<void> respondUnread(HttpResponse response)
         {
             this->parser.reset();
-            if (!co_await this->respond(std::move(response)))
+            bool isSent = co_await this->respond(std::move(response));
+            if (!isSent)
                 co_return;
             boost::system::error_code error;
             this->stream.socket().shutdown(tcp::socket::shutdown_send, error);
--- a/src/libperidotgrade/services/engine_calls.cpp
+++ b/src/libperidotgrade/services/engine_calls.cpp
@@ -230,7 +230,8 @@
         co_await this->checkState();
         if (call->isLost)
             co_return;
-        if (co_await this->freeAtEngine(call->stream))
+        bool isFreed = co_await this->freeAtEngine(call->stream);
+        if (isFreed)
             break;
         co_await this->pause(FreeRetryDelay);
     }
--- a/src/standins/platform/weight_store.cpp
+++ b/src/standins/platform/weight_store.cpp
@@ -35,10 +35,9 @@
     }
     HttpResponse head;
     head.contentType = "application/octet-stream";
-    if (!co_await exchange.beginStream(std::move(head)))
-        co_return;
+    bool isConnected = co_await exchange.beginStream(std::move(head));
     std::uint64_t bytesLeft = this->weightBytes;
-    while (bytesLeft > 0) {
+    while (isConnected && bytesLeft > 0) {
         std::uint64_t size = std::min(bytesLeft, ChunkBytes);
         std::chrono::nanoseconds cost { size * NanosPerSecond
             / std::max<std::uint64_t>(1, this->bytesPerSecond) };
@@ -46,11 +45,11 @@
         this->linkFreeAt = std::max(now, this->linkFreeAt) + cost;
         co_await pause(exchange.executor(), this->linkFreeAt - now);
         std::string chunk(size, '\0');
-        if (!co_await exchange.writeChunk(std::move(chunk)))
-            co_return;
+        isConnected = co_await exchange.writeChunk(std::move(chunk));
         bytesLeft -= size;
     }
-    co_await exchange.endStream();
+    if (isConnected)
+        co_await exchange.endStream();
 }
 
 } // namespace peridotgrade::standins
--- a/tools/check_style.sh
+++ b/tools/check_style.sh
@@ -12,6 +12,7 @@
 for file in "${files[@]}"; do
   head -1 "$file" | grep -q '^// ' || { echo "$file: line 1 is not a head comment"; status=1; }
 done
+./tools/check_coroutines.py "${files[@]}" || status=1
 core=(src/include/peridotgrade/core src/libperidotgrade/core)
 if grep -rnE '#include *<(boost/(asio|beast)|thrift|log4cplus)|(steady|system)_clock::now|random_device|<(thread|mutex)>' "${core[@]}"; then
   echo "the core must not do I/O, lock, or read clocks and random devices"
