Answer requests in pieces before a stopping gateway ends

Cause: the port was closed and the process ended in the same step, 0.3 s before SIGKILL. A request whose first bytes had been read then was given up with its connection, and so was one that had been read in the last milliseconds.

The port is closed half a second before that step, so that requests which arrive as it is closed are answered, and 0.1 s before it those that have arrived in part get 503 (`stopping`), which is true: they were never read to their end. The end of a wait no longer cancels the read of a request that has begun meanwhile. The waits that a server can end are in SessionWaits.

--- a/src/include/peridotgrade/net/http_server.h
+++ b/src/include/peridotgrade/net/http_server.h
@@ -60,6 +60,9 @@
     bool isClosing;
 };
 
+/// Why a request is not read to its end.
+enum class UnreadReason : std::uint8_t { NoMemory, Stopping };
+
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
 
 struct HttpServerSettings {
@@ -83,9 +86,10 @@
     /// Memory for the bodies of all requests, from before a body is read to the end of its exchange; null for
     /// no limit on their sum.
     std::shared_ptr<BodyMemory> bodyMemory;
-    /// Makes the response to a request whose body finds no memory and is not read. It gets the request
-    /// without its body. Empty for 503 with a Retry-After of a second.
-    std::function<HttpResponse(const HttpRequest&)> noMemoryResponse;
+    /// Makes the response to a request that is not read to its end for no fault of its own. It gets the
+    /// request without its body; one whose header is not complete either has no fields. Empty for 503 with a
+    /// Retry-After of a second.
+    std::function<HttpResponse(const HttpRequest&, UnreadReason)> unreadResponse;
     /// Added to the responses to requests that reach no handler: malformed, too large or too slow ones.
     std::vector<HttpField> refusalFields;
     /// Called on the strand of the connection for each request that is dropped; may be empty.
@@ -109,6 +113,9 @@
     void disableKeepAlive();
     /// Does the same and stops accepting connections; exchanges in progress are completed.
     void stopAccepting();
+    /// To be called after `stopAccepting`, when no more time is left for requests: those that have arrived in
+    /// part get `unreadResponse`, and connections without a byte of one are closed.
+    void refuseArriving();
     std::size_t openConnections() const;
     std::size_t openExchanges() const;
     /// Requests of which the first byte has arrived and not the last one, and new connections of a server
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -38,6 +38,10 @@
     constexpr std::chrono::milliseconds ServeAfterSignal { 3000 };
     // Running requests are given up this long before the process is killed.
     constexpr std::chrono::milliseconds StopMargin { 300 };
+    // Before running requests are given up: the time for requests that arrive as the port is closed, and the
+    // last part of it, in which those that are still incomplete get their answers.
+    constexpr std::chrono::milliseconds LastRequestsTime { 500 };
+    constexpr std::chrono::milliseconds RefusalTime { 100 };
     constexpr std::chrono::milliseconds StopCheckInterval { 50 };
     // Time-out of a caller that states none; about that of the shortest calls.
     constexpr std::chrono::milliseconds DefaultCallerTimeout { 1500 };
@@ -167,7 +171,9 @@
         HttpServerSettings settings
             = serverSettings(this->state.settings.callersListen, this->state.memoryBudgets);
         settings.bodyMemory = this->state.requestMemory;
-        settings.noMemoryResponse = [this](const HttpRequest& request) { return this->refuseBody(request); };
+        settings.unreadResponse = [this](const HttpRequest& request, UnreadReason reason) {
+            return this->refuseUnread(request, reason);
+        };
         settings.onRequestDropped = [this](const DroppedRequest& dropped) { this->noteDropped(dropped); };
         return settings;
     }
@@ -198,21 +204,24 @@
         add("answer", &this->state.answerMemory);
     }
 
-    HttpResponse refuseBody(const HttpRequest& request)
+    HttpResponse refuseUnread(const HttpRequest& request, UnreadReason reason)
     {
-        if (auto unauthorized = this->checkKey(request).rejection)
+        // The header of a request that is cut short by the stop may be incomplete, which says nothing of its
+        // key.
+        bool isStopping = reason == UnreadReason::Stopping;
+        if (auto unauthorized = isStopping ? std::nullopt : this->checkKey(request).rejection)
             return std::move(*unauthorized);
-        constexpr std::string_view Reason = "no_memory";
+        std::string_view reasonName = isStopping ? "stopping" : "no_memory";
         auto parsed = parseCallerRequest(request, {}, this->state.now());
         const auto* read = std::get_if<GatewayRequest>(&parsed);
         auto timeout = read != nullptr ? read->callerTimeout : std::nullopt;
         auto retryAfter = chooseRetryAfter(timeout.value_or(DefaultCallerTimeout), this->state.random);
-        this->state.metrics.countRefusal(std::string { Reason });
+        this->state.metrics.countRefusal(std::string { reasonName });
         this->state.log.write(LogLevel::Info, "request_ended",
             { { "request", read != nullptr ? read->attempt : "" }, { "outcome", "not_run" },
-                { "reason", std::string { Reason } },
+                { "reason", std::string { reasonName } },
                 { "held_bytes", std::to_string(this->state.requestMemory->used()) } });
-        return notRunResponse(Reason, retryAfter);
+        return notRunResponse(reasonName, retryAfter);
     }
 
     /// Finds the route of a request and checks its caller's key.
@@ -468,35 +477,35 @@
 
     void logStopStep(std::string_view event)
     {
+        std::size_t requests = this->callers.openExchanges();
         this->state.log.write(LogLevel::Info, event,
-            { { "open_connections", std::to_string(this->callers.openConnections()) },
-                { "open_requests", std::to_string(this->callers.openExchanges()) },
+            { { "whole", requests == 0 ? "true" : "false" }, { "open_requests", std::to_string(requests) },
                 { "open_generations", std::to_string(this->openGenerations) },
-                { "arriving_requests", std::to_string(this->callers.arrivingRequests()) } });
+                { "arriving_requests", std::to_string(this->callers.arrivingRequests()) },
+                { "open_connections", std::to_string(this->callers.openConnections()) } });
     }
 
     void finishWhenIdle()
     {
+        TimePoint now = this->state.now();
         // If no other entry is ready, callers are still sent here, so the port stays open as long as it can.
         bool hasClosedBefore = this->isClosed;
-        if (!this->isClosed && (this->openGenerations == 0 || this->state.now() >= this->stopAt)) {
+        if (!this->isClosed && (this->openGenerations == 0 || now >= this->stopAt - LastRequestsTime)) {
             this->isClosed = true;
             this->logStopStep("port_closed");
             this->callers.stopAccepting();
         }
+        if (this->isClosed && now >= this->stopAt - RefusalTime)
+            this->callers.refuseArriving();
         // Requests that were sent just before the port closed are seen at the next check.
         bool isIdle = this->callers.openExchanges() == 0;
         bool isAwaited = !isIdle || !hasClosedBefore || this->callers.arrivingRequests() > 0;
-        if (isAwaited && this->state.now() < this->stopAt) {
+        if (isAwaited && now < this->stopAt) {
             this->state.subscribeAfter(StopCheckInterval, [this] { this->finishWhenIdle(); });
             return;
         }
         this->hasDrained = isIdle;
-        this->state.log.write(LogLevel::Info, "stopped",
-            { { "whole", isIdle ? "true" : "false" },
-                { "open_requests", std::to_string(this->callers.openExchanges()) },
-                { "arriving_requests", std::to_string(this->callers.arrivingRequests()) },
-                { "open_connections", std::to_string(this->callers.openConnections()) } });
+        this->logStopStep("stopped");
         this->context.stop();
     }
 
--- a/src/libperidotgrade/net/http_server.cpp
+++ b/src/libperidotgrade/net/http_server.cpp
@@ -49,7 +49,7 @@
     void disableKeepAlive()
     {
         this->shared->isClosing = true;
-        this->shared->closeIdle();
+        this->shared->idle.endAll();
     }
 
     void stopAccepting()
@@ -61,10 +61,12 @@
             boost::system::error_code ignored;
             self->acceptor.close(ignored);
         });
-        this->shared->closeIdle();
+        this->shared->idle.endAll();
     }
 
-    std::size_t arrivingRequests() const { return this->shared->arrivingRequests.load(); }
+    void refuseArriving() { this->shared->arriving.endAll(); }
+
+    std::size_t arrivingRequests() const { return this->shared->arriving.count(); }
     std::size_t openConnections() const { return this->shared->openConnections.load(); }
     std::size_t openExchanges() const { return this->shared->openExchanges.load(); }
 
@@ -125,6 +127,8 @@
 
 void HttpServer::stopAccepting() { this->impl->stopAccepting(); }
 
+void HttpServer::refuseArriving() { this->impl->refuseArriving(); }
+
 std::size_t HttpServer::arrivingRequests() const { return this->impl->arrivingRequests(); }
 
 std::size_t HttpServer::openConnections() const { return this->impl->openConnections(); }
--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -27,14 +27,6 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-void HttpSessionShared::closeIdle()
-{
-    std::lock_guard lock(this->mutex);
-    for (auto& [key, closer] : this->idle)
-        closer();
-    this->idle.clear();
-}
-
 namespace {
 
     std::uint16_t statusFor(const NetError& error)
@@ -78,22 +70,6 @@
         return framed;
     }
 
-    /// Counts one for its own lifetime.
-    class ScopedCount {
-    public:
-        explicit ScopedCount(std::atomic<std::size_t>& count)
-            : count(count)
-        {
-            ++this->count;
-        }
-        ~ScopedCount() { --this->count; }
-        ScopedCount(const ScopedCount&) = delete;
-        ScopedCount& operator=(const ScopedCount&) = delete;
-
-    private:
-        std::atomic<std::size_t>& count;
-    };
-
     class HttpSession final : public HttpExchange, public std::enable_shared_from_this<HttpSession> {
     public:
         HttpSession(tcp::socket socket, std::shared_ptr<HttpSessionShared> shared)
@@ -205,7 +181,14 @@
         asio::any_io_executor executor() override { return this->stream.get_executor(); }
 
     private:
-        enum class ReadState : std::uint8_t { Reading, TimedOut, Done };
+        /// `Stopped`: the server no longer waits for the rest of the request.
+        enum class ReadEnd : std::uint8_t { Complete, Failed, NoMemory, Stopped };
+
+        struct MessageRead {
+            ReadEnd end;
+            /// Why it has failed.
+            boost::system::error_code error;
+        };
 
         /// Most chunks fit into the socket's buffer, so this takes one system call and no timer for each
         /// token.
@@ -258,21 +241,43 @@
                 if (!hasBegun)
                     co_return false;
             }
-            ScopedCount arriving(this->shared->arrivingRequests);
+            auto [end, error] = co_await this->readMessage();
+            if (end == ReadEnd::Complete) {
+                this->parseRequest();
+                co_return true;
+            }
+            if (end == ReadEnd::Failed)
+                co_await this->refuse(error);
+            else
+                co_await this->refuseUnread(
+                    end == ReadEnd::Stopped ? UnreadReason::Stopping : UnreadReason::NoMemory);
+            co_return false;
+        }
+
+        asio::awaitable<MessageRead> readMessage()
+        {
             this->stream.expires_never();
             this->parser.emplace();
             this->parser->header_limit(this->shared->settings.maxHeaderBytes);
             this->parser->body_limit(this->shared->settings.maxBodyBytes);
+            auto end = std::make_shared<std::optional<ReadEnd>>();
             // A time-out of the stream itself would close the socket, and the client would get no status.
-            auto reading = std::make_shared<ReadState>(ReadState::Reading);
-            asio::steady_timer limit(this->stream.get_executor(), this->shared->settings.readTimeout);
-            limit.async_wait(
-                [self = this->shared_from_this(), reading](const boost::system::error_code& aborted) {
-                    if (aborted || *reading != ReadState::Reading)
+            auto cancelFor = [end](ReadEnd reason) {
+                return [end, reason](HttpSession& self) {
+                    if (end->has_value())
                         return;
-                    *reading = ReadState::TimedOut;
-                    self->stream.cancel();
-                });
+                    *end = reason;
+                    self.stream.cancel();
+                };
+            };
+            SessionWaits::Member arriving(
+                this->shared->arriving, this->onStrand(cancelFor(ReadEnd::Stopped)));
+            asio::steady_timer limit(this->stream.get_executor(), this->shared->settings.readTimeout);
+            limit.async_wait([self = this->shared_from_this(), cancel = cancelFor(ReadEnd::Failed)](
+                                 const boost::system::error_code& aborted) {
+                if (!aborted)
+                    cancel(*self);
+            });
             boost::system::error_code error;
             co_await http::async_read_header(
                 this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, error));
@@ -287,18 +292,13 @@
                 if (this->parser->chunked())
                     hasMemory = this->bodyShare.tryAdd(this->parser->get().body().capacity() - before);
             }
-            bool isTimedOut = std::exchange(*reading, ReadState::Done) == ReadState::TimedOut;
             limit.cancel();
-            if (error) {
-                co_await this->refuse(isTimedOut ? beast::error::timeout : error);
-                co_return false;
-            }
-            if (!hasMemory) {
-                co_await this->refuseForMemory();
-                co_return false;
-            }
-            this->parseRequest();
-            co_return true;
+            auto cancelled = std::exchange(*end, ReadEnd::Complete);
+            if (error && cancelled == ReadEnd::Failed)
+                error = beast::error::timeout;
+            if (error)
+                co_return MessageRead { cancelled.value_or(ReadEnd::Failed), error };
+            co_return MessageRead { hasMemory ? ReadEnd::Complete : ReadEnd::NoMemory, error };
         }
 
         asio::awaitable<bool> waitForFirstByte()
@@ -306,10 +306,8 @@
             bool isNew = std::exchange(this->isFirstRequest, false);
             if (isNew && this->shared->isStopping)
                 co_return co_await this->waitForLastRequest();
-            std::uint64_t key = this->registerIdle();
             boost::system::error_code error
-                = co_await this->readFirstBytes(this->shared->settings.idleTimeout);
-            this->unregisterIdle(key);
+                = co_await this->readFirstBytes(this->shared->settings.idleTimeout, this->shared->idle);
             bool isEnding = error == asio::error::operation_aborted && this->shared->isClosing;
             if (!isEnding)
                 co_return !error;
@@ -319,46 +317,46 @@
             bool hasArrived = this->stream.socket().available(error) > 0;
             if (!hasArrived)
                 co_return false;
-            error = co_await this->readFirstBytes(LastRequestTime);
+            error = co_await this->readFirstBytes(LastRequestTime, this->shared->arriving);
             co_return !error;
         }
 
         /// A client that has just connected is about to send a request.
         asio::awaitable<bool> waitForLastRequest()
         {
-            ScopedCount arriving(this->shared->arrivingRequests);
-            co_return !co_await this->readFirstBytes(LastRequestTime);
+            auto error = co_await this->readFirstBytes(LastRequestTime, this->shared->arriving);
+            co_return !error;
         }
 
-        asio::awaitable<boost::system::error_code> readFirstBytes(std::chrono::milliseconds timeout)
+        asio::awaitable<boost::system::error_code> readFirstBytes(
+            std::chrono::milliseconds timeout, SessionWaits& waits)
         {
+            auto isWaiting = std::make_shared<bool>(true);
+            SessionWaits::Member member(waits, this->onStrand([isWaiting](HttpSession& self) {
+                // A request may have begun to arrive since; its read must not be cancelled.
+                if (*isWaiting)
+                    self.stream.cancel();
+            }));
             this->stream.expires_after(timeout);
             boost::system::error_code error;
             auto space = this->buffer.prepare(ReadSize);
             std::size_t size = co_await this->stream.async_read_some(
                 space, asio::redirect_error(asio::use_awaitable, error));
+            *isWaiting = false;
             this->buffer.commit(size);
             co_return error;
         }
 
-        std::uint64_t registerIdle()
+        /// A function for any thread that calls `action` on the strand, if the session still exists.
+        std::function<void()> onStrand(std::function<void(HttpSession&)> action)
         {
-            std::lock_guard lock(this->shared->mutex);
-            std::uint64_t key = ++this->shared->lastKey;
             std::weak_ptr<HttpSession> weak = this->shared_from_this();
-            this->shared->idle[key] = [weak, executor = this->stream.get_executor()] {
-                asio::post(executor, [weak] {
+            return [weak, executor = this->stream.get_executor(), action = std::move(action)] {
+                asio::post(executor, [weak, action] {
                     if (auto self = weak.lock())
-                        self->stream.cancel();
+                        action(*self);
                 });
             };
-            return key;
-        }
-
-        void unregisterIdle(std::uint64_t key)
-        {
-            std::lock_guard lock(this->shared->mutex);
-            this->shared->idle.erase(key);
         }
 
         asio::awaitable<void> refuse(const boost::system::error_code& error)
@@ -374,16 +372,16 @@
             co_await this->respondUnread(std::move(response));
         }
 
-        asio::awaitable<void> refuseForMemory()
+        asio::awaitable<void> refuseUnread(UnreadReason reason)
         {
             this->parseRequest();
             this->keepAlive = false;
             this->current.body = {};
             this->bodyShare.release();
-            HttpResponse response = errorResponse(503, "no memory for the body");
+            HttpResponse response = errorResponse(503, "the request was not read");
             response.fields.push_back({ "Retry-After", "1" });
-            if (this->shared->settings.noMemoryResponse)
-                response = this->shared->settings.noMemoryResponse(this->current);
+            if (this->shared->settings.unreadResponse)
+                response = this->shared->settings.unreadResponse(this->current, reason);
             co_await this->respondUnread(std::move(response));
         }
 
--- a/src/libperidotgrade/net/http_session.h
+++ b/src/libperidotgrade/net/http_session.h
@@ -2,13 +2,12 @@
 #pragma once
 
 #include "peridotgrade/net/http_server.h"
+#include "session_waits.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
 #include <memory>
-#include <mutex>
-#include <unordered_map>
 
 namespace peridotgrade {
 
@@ -20,9 +19,6 @@
     {
     }
 
-    /// Closes the connections that wait for a request.
-    void closeIdle();
-
     const HttpServerSettings settings;
     const HttpHandler handler;
     /// No more connections are accepted.
@@ -31,12 +27,11 @@
     std::atomic<bool> isClosing = false;
     std::atomic<std::size_t> openConnections = 0;
     std::atomic<std::size_t> openExchanges = 0;
-    std::atomic<std::size_t> arrivingRequests = 0;
-
-    std::mutex mutex;
-    std::uint64_t lastKey = 0;
-    /// Functions that close the connections that are idle now. Guarded by `mutex`.
-    std::unordered_map<std::uint64_t, std::function<void()>> idle;
+    /// Connections without a byte of a request.
+    SessionWaits idle;
+    /// Requests of which the first byte has arrived and not the last one, and new connections of a server
+    /// that stops.
+    SessionWaits arriving;
 };
 
 /// Serves the connection until it ends. The socket's executor must be a strand.
--- a/src/libperidotgrade/net/http_stop_test.cpp
+++ b/src/libperidotgrade/net/http_stop_test.cpp
@@ -157,4 +157,25 @@
     });
 }
 
+// Guards against requests in two pieces whose connection is ended without an answer as the process stops.
+BOOST_AUTO_TEST_CASE(requestThatHasArrivedInPartIsAnsweredWhenNoTimeIsLeft)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        tcp::socket inHeader = this->connect();
+        tcp::socket inBody = this->connect();
+        tcp::socket silent = this->connect();
+        asio::write(inHeader, asio::buffer("GET / HTTP/1.1\r\nHo", 18));
+        asio::write(inBody, asio::buffer(std::string { "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf" }));
+        co_await sleepFor(this->context.get_executor(), 20ms);
+        this->server.stopAccepting();
+        co_await sleepFor(this->context.get_executor(), 20ms);
+        BOOST_TEST(this->server.arrivingRequests() == 3U);
+        this->server.refuseArriving();
+        BOOST_TEST(co_await this->readStatus(inHeader) == "HTTP/1.1 503");
+        BOOST_TEST(co_await this->readStatus(inBody) == "HTTP/1.1 503");
+        BOOST_TEST((co_await this->readStatus(silent)).empty());
+        BOOST_TEST(this->server.arrivingRequests() == 0U);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
