End a stopped gateway without joining the threads of the logging library

Callers saw: connections of a gateway that has logged `stopped` stay open until SIGKILL, up to 3.5 s later; a request on one of them gets no answer and no end of the connection in that time.

The program ends with quick_exit: lines are written as they are logged, so nothing is lost, and the kernel closes the connections.

--- a/src/peridot-gateway/main.cpp
+++ b/src/peridot-gateway/main.cpp
@@ -6,6 +6,7 @@
 #include <CLI/CLI.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <malloc.h>
 
@@ -36,7 +37,10 @@
                   << "; free the address or change it in the settings\n";
         return exit_status::AddressInUse;
     }
-    return node.run() ? exit_status::Success : exit_status::Failure;
+    int status = node.run() ? exit_status::Success : exit_status::Failure;
+    // The logging library joins its threads as it is destroyed, and connections of callers would stay open
+    // until then. No log line is buffered.
+    std::quick_exit(status);
 }
 
 } // namespace
