Count and log the answers that the gateway makes itself

`peridot_gateway_own_answers_total` counts them by status, and `request_refused` has those of the HTTP server: malformed requests, too large or too slow ones, and those that are not read. No behaviour changes.

--- a/src/include/peridotgrade/gateway/gateway_metrics.h
+++ b/src/include/peridotgrade/gateway/gateway_metrics.h
@@ -23,6 +23,8 @@
     /// `urgency` is 0 to 9.
     void countRefusalByPriority(std::uint32_t urgency);
     void countDroppedRequest(bool isClosing);
+    /// A response to a caller that no server has made.
+    void countOwnAnswer(std::uint16_t status);
     void countReservation(const std::string& result);
     void countRetry(const std::string& service);
     void countResumption(const std::string& origin);
--- a/src/include/peridotgrade/net/http_server.h
+++ b/src/include/peridotgrade/net/http_server.h
@@ -60,6 +60,14 @@
     bool isClosing;
 };
 
+/// A request that gets an error status from the server and reaches no handler: malformed, too large, too
+/// slow, or not read.
+struct RefusedRequest {
+    std::string client;
+    std::uint16_t status;
+    std::string detail;
+};
+
 /// Why a request is not read to its end.
 enum class UnreadReason : std::uint8_t { NoMemory, Stopping };
 
@@ -92,6 +100,8 @@
     std::function<HttpResponse(const HttpRequest&, UnreadReason)> unreadResponse;
     /// Added to the responses to requests that reach no handler: malformed, too large or too slow ones.
     std::vector<HttpField> refusalFields;
+    /// Called on the strand of the connection for each refused request; may be empty.
+    std::function<void(const RefusedRequest&)> onRequestRefused;
     /// Called on the strand of the connection for each request that is dropped; may be empty.
     std::function<void(const DroppedRequest&)> onRequestDropped;
 };
--- a/src/libperidotgrade/gateway/final_answer.cpp
+++ b/src/libperidotgrade/gateway/final_answer.cpp
@@ -41,6 +41,14 @@
                 { "detail", std::string { detail } } });
     }
 
+    /// Sends a response that no server has made.
+    boost::asio::awaitable<void> respondItself(
+        GatewayState& state, RequestContext& context, HttpResponse response)
+    {
+        state.metrics.countOwnAnswer(response.status);
+        co_await context.exchange.respond(std::move(response));
+    }
+
 } // namespace
 
 std::chrono::milliseconds timeLeft(const GatewayState& state, const RequestContext& context)
@@ -58,7 +66,7 @@
         state.metrics.countRefusalByPriority(*context.request.urgency);
     std::string detail = retryAfter ? "retry_after_ms " + std::to_string(retryAfter->count()) : "";
     logEnd(state, context, "not_run", reason, server, detail);
-    co_await context.exchange.respond(notRunResponse(reason, retryAfter));
+    co_await respondItself(state, context, notRunResponse(reason, retryAfter));
 }
 
 boost::asio::awaitable<void> answerQuarantined(GatewayState& state, RequestContext& context)
@@ -82,14 +90,14 @@
     state.metrics.countRefusal("over_quota");
     logEnd(
         state, context, "not_run", "over_quota", {}, "retry_after_ms " + std::to_string(retryAfter.count()));
-    co_await context.exchange.respond(overQuotaResponse(retryAfter));
+    co_await respondItself(state, context, overQuotaResponse(retryAfter));
 }
 
 boost::asio::awaitable<void> answerFailed(GatewayState& state, RequestContext& context, std::uint16_t status,
     std::string_view reason, std::string_view server, std::string_view detail)
 {
     logEnd(state, context, "unknown", reason, server, detail);
-    co_await context.exchange.respond(failureResponse(status, reason));
+    co_await respondItself(state, context, failureResponse(status, reason));
 }
 
 void abortStream(GatewayState& state, RequestContext& context, std::string_view reason,
--- a/src/libperidotgrade/gateway/gateway_metrics.cpp
+++ b/src/libperidotgrade/gateway/gateway_metrics.cpp
@@ -76,6 +76,14 @@
         .add();
 }
 
+void GatewayMetrics::countOwnAnswer(std::uint16_t status)
+{
+    this->registry
+        .counter({ "peridot_gateway_own_answers_total",
+            "Responses to callers that this process made, and no server", "status", std::to_string(status) })
+        .add();
+}
+
 void GatewayMetrics::countRefusalByPriority(std::uint32_t urgency)
 {
     this->registry
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -174,6 +174,7 @@
         settings.unreadResponse = [this](const HttpRequest& request, UnreadReason reason) {
             return this->refuseUnread(request, reason);
         };
+        settings.onRequestRefused = [this](const RefusedRequest& refused) { this->noteRefused(refused); };
         settings.onRequestDropped = [this](const DroppedRequest& dropped) { this->noteDropped(dropped); };
         return settings;
     }
@@ -185,6 +186,21 @@
         return settings;
     }
 
+    void noteRefused(const RefusedRequest& refused)
+    {
+        this->state.metrics.countOwnAnswer(refused.status);
+        this->state.log.write(LogLevel::Warn, "request_refused",
+            { { "client", refused.client }, { "status", std::to_string(refused.status) },
+                { "detail", refused.detail } });
+    }
+
+    /// Sends a response that no server has made.
+    asio::awaitable<void> answer(HttpExchange& exchange, HttpResponse response)
+    {
+        this->state.metrics.countOwnAnswer(response.status);
+        co_await exchange.respond(std::move(response));
+    }
+
     void noteDropped(const DroppedRequest& dropped)
     {
         this->state.metrics.countDroppedRequest(dropped.isClosing);
@@ -243,13 +259,14 @@
     asio::awaitable<void> serveCaller(HttpExchange& exchange)
     {
         if (isReadinessProbe(exchange.request())) {
+            this->state.metrics.countOwnAnswer(this->isReady() ? 200 : 503);
             co_await this->answerReadiness(exchange);
             co_return;
         }
         // Keys are checked before anything is spent on the request, also by an entry that is not ready yet.
         KeyCheck checked = this->checkKey(exchange.request());
         if (checked.rejection) {
-            co_await exchange.respond(std::move(*checked.rejection));
+            co_await this->answer(exchange, std::move(*checked.rejection));
             co_return;
         }
         const auto& configuration = checked.configuration;
@@ -259,7 +276,7 @@
             tenant != nullptr ? tenant->name.raw() : std::string_view {}, this->state.now());
         if (auto* problem = std::get_if<std::string>(&parsed)) {
             this->state.log.write(LogLevel::Warn, "request_malformed", { { "detail", *problem } });
-            co_await exchange.respond(rejectionResponse(400, *problem));
+            co_await this->answer(exchange, rejectionResponse(400, *problem));
             co_return;
         }
         auto& request = std::get<GatewayRequest>(parsed);
@@ -278,7 +295,7 @@
             this->state.log.write(LogLevel::Info, "request_ended",
                 { { "request", request.attempt }, { "outcome", "no_route" }, { "host", request.host },
                     { "config", std::to_string(configuration->version.raw()) } });
-            co_await exchange.respond(rejectionResponse(404, "no route"));
+            co_await this->answer(exchange, rejectionResponse(404, "no route"));
             co_return;
         }
         co_await this->serveRoute(exchange, std::move(request), configuration, *route, tenant);
@@ -375,7 +392,7 @@
         this->state.log.write(LogLevel::Info, "request_ended",
             { { "request", request.attempt }, { "outcome", "not_run" },
                 { "reason", std::string { reason } } });
-        co_await exchange.respond(notRunResponse(reason, retryAfter));
+        co_await this->answer(exchange, notRunResponse(reason, retryAfter));
     }
 
     ServiceId pickService(const ServiceRoute& route)
--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -224,6 +224,12 @@
                 callback();
         }
 
+        void reportRefused(std::uint16_t status, const std::string& detail) const
+        {
+            if (this->shared->settings.onRequestRefused)
+                this->shared->settings.onRequestRefused({ this->client, status, detail });
+        }
+
         void reportDropped()
         {
             bool wasTold = !this->keepAlive || this->isDisconnected;
@@ -367,6 +373,7 @@
             bool isHeader = error == http::error::header_limit || error == http::error::buffer_overflow;
             std::uint16_t status = isHeader ? 431 : statusFor(netError);
             this->keepAlive = false;
+            this->reportRefused(status, netError.detail);
             HttpResponse response = errorResponse(status, netError.detail);
             response.fields = this->shared->settings.refusalFields;
             co_await this->respondUnread(std::move(response));
@@ -382,6 +389,7 @@
             response.fields.push_back({ "Retry-After", "1" });
             if (this->shared->settings.unreadResponse)
                 response = this->shared->settings.unreadResponse(this->current, reason);
+            this->reportRefused(response.status, reason == UnreadReason::Stopping ? "stopping" : "no memory");
             co_await this->respondUnread(std::move(response));
         }
 
@@ -430,8 +438,11 @@
             this->isWatching = false;
             boost::system::error_code ignored;
             this->stream.socket().cancel(ignored);
-            if (!this->isAnswered && !this->isDisconnected)
-                co_await this->respond(errorResponse(500, "the request was not handled"));
+            if (!this->isAnswered && !this->isDisconnected) {
+                constexpr std::uint16_t InternalError = 500;
+                this->reportRefused(InternalError, "the handler has failed");
+                co_await this->respond(errorResponse(InternalError, "the request was not handled"));
+            }
         }
 
         /// Detects a disconnect of the client while the handler runs.
