Leave all paths of the callers' port to the configuration

Cause: serveCaller answered the platform's readiness probe before it looked for a route or checked the key. The platform asks the address for readiness, which has a port and a handler of its own.

Evidence: peridot_gateway_own_answers_total has one 200 for one such request, with the version in force.

--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -258,11 +258,6 @@
 
     asio::awaitable<void> serveCaller(HttpExchange& exchange)
     {
-        if (isReadinessProbe(exchange.request())) {
-            this->state.metrics.countOwnAnswer(this->isReady() ? 200 : 503);
-            co_await this->answerReadiness(exchange);
-            co_return;
-        }
         // Keys are checked before anything is spent on the request, also by an entry that is not ready yet.
         KeyCheck checked = this->checkKey(exchange.request());
         if (checked.rejection) {
