End answers to HEAD with their header

Cause: HttpSession wrote the body of each response whatever the method of its request was.

Evidence: answers_to_head_have_no_body failed in four of four answers before: of a handler, chunked, 413 and 400.

--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -119,13 +119,20 @@
             message.keep_alive(this->keepAlive && !this->shared->isClosing);
             message.body() = std::move(response.body);
             message.prepare_payload();
+            // The length that a body would have is not known from a server's own answer to HEAD.
+            bool isHead = this->isHead();
+            if (isHead && message.body().empty())
+                message.erase(http::field::content_length);
             this->isAnswered = true;
             http::response_serializer<http::string_body> serializer { message };
             auto& socket = this->stream.socket();
             co_return this->finishWrite(co_await writeSteadily(
                 socket, this->shared->settings.writeTimeout, [&](boost::system::error_code& error) {
-                    http::write_some(socket, serializer, error);
-                    return serializer.is_done();
+                    if (isHead)
+                        http::write_header(socket, serializer, error);
+                    else
+                        http::write_some(socket, serializer, error);
+                    return isHead ? serializer.is_header_done() : serializer.is_done();
                 }));
         }
 
@@ -152,7 +159,7 @@
         {
             if (this->isDisconnected)
                 co_return false;
-            if (chunk.empty())
+            if (chunk.empty() || this->isHead())
                 co_return true;
             co_return co_await this->writeBytes(chunkOf(std::exchange(chunk, {})));
         }
@@ -161,6 +168,8 @@
         {
             if (this->isDisconnected)
                 co_return false;
+            if (this->isHead())
+                co_return true;
             co_return co_await this->writeBytes("0\r\n\r\n");
         }
 
@@ -203,6 +212,9 @@
                 }));
         }
 
+        /// An answer to HEAD ends with its header.
+        bool isHead() const { return this->current.method == "HEAD"; }
+
         bool finishWrite(const boost::system::error_code& error)
         {
             if (!error)
@@ -373,6 +385,7 @@
             bool isHeader = error == http::error::header_limit || error == http::error::buffer_overflow;
             std::uint16_t status = isHeader ? 431 : statusFor(netError);
             this->keepAlive = false;
+            this->current.method = std::string { this->parser->get().method_string() };
             this->reportRefused(status, netError.detail);
             HttpResponse response = errorResponse(status, netError.detail);
             response.fields = this->shared->settings.refusalFields;
--- a/src/libperidotgrade/net/http_test.cpp
+++ b/src/libperidotgrade/net/http_test.cpp
@@ -189,6 +189,25 @@
     });
 }
 
+// Guards against bytes behind the answer to HEAD, which a client takes for the beginning of its next answer.
+BOOST_AUTO_TEST_CASE(answers_to_head_have_no_body)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        for (std::string path : { "/x", "/stream" }) {
+            std::string both = co_await this->sendRaw(
+                "HEAD " + path + " HTTP/1.1\r\n\r\nGET " + path + " HTTP/1.1\r\nConnection: close\r\n\r\n");
+            std::string behind = both.substr(both.find("\r\n\r\n") + 4);
+            BOOST_TEST(behind.starts_with("HTTP/1.1 200"), path << ": " << both);
+            BOOST_TEST(behind.find("\r\n\r\n") + 4 < behind.size());
+        }
+        for (std::string refused : { "Content-Length: 5000", "Transfer-Encoding: unknown" }) {
+            std::string answer = co_await this->sendRaw("HEAD /x HTTP/1.1\r\n" + refused + "\r\n\r\n");
+            BOOST_TEST(answer.starts_with("HTTP/1.1 4"), answer);
+            BOOST_TEST(answer.ends_with("\r\n\r\n"), answer);
+        }
+    });
+}
+
 BOOST_AUTO_TEST_CASE(handler_is_notified_when_the_client_disconnects)
 {
     this->run([&]() -> asio::awaitable<void> {
