Accept request targets in absolute form

Callers saw: `GET http://HOST/read/x` gets 404 (no route), where `GET /read/x` is served.

Cause: the whole target was taken for the path. HTTP asks servers to accept the form (RFC 9112, 3.2.2).

The HTTP server takes it apart: the host goes before that of the Host field, path and query stay as they are, and servers get the path as before.

--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -49,6 +49,21 @@
         return coding == request.end() || beast::iequals(coding->value(), "chunked");
     }
 
+    /// Turns a target in absolute form, as a client sends it to a proxy, into its path and query. Returns the
+    /// host, which goes before that of the field (RFC 9112, 3.2.2); nothing if it is a path already.
+    std::optional<std::string> takeAuthority(std::string& target)
+    {
+        constexpr std::string_view Scheme = "http://";
+        if (!beast::iequals(std::string_view { target }.substr(0, Scheme.size()), Scheme))
+            return std::nullopt;
+        std::size_t end = std::min(target.find_first_of("/?", Scheme.size()), target.size());
+        std::string host = target.substr(Scheme.size(), end - Scheme.size());
+        target.erase(0, end);
+        if (!target.starts_with('/'))
+            target.insert(0, "/");
+        return host;
+    }
+
     HttpResponse errorResponse(std::uint16_t status, const std::string& detail)
     {
         HttpResponse response;
@@ -433,6 +448,8 @@
             this->current = HttpRequest {};
             this->current.method = std::string { message.method_string() };
             this->current.target = std::string { message.target() };
+            if (auto host = takeAuthority(this->current.target))
+                message.set(http::field::host, *host);
             this->current.fields = fieldsFrom(message);
             this->current.body = std::move(message.body());
             this->isAnswered = false;
--- a/src/libperidotgrade/net/http_test.cpp
+++ b/src/libperidotgrade/net/http_test.cpp
@@ -189,6 +189,21 @@
     });
 }
 
+// Guards against a route that is not found for a target that names its host.
+BOOST_AUTO_TEST_CASE(target_in_absolute_form_is_that_of_its_path)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        for (std::string target : { "http://site.example/x?q=7", "HTTP://site.example:80/x?q=7" }) {
+            std::string answer = co_await this->sendRaw(
+                "GET " + target + " HTTP/1.1\r\nHost: other\r\nConnection: close\r\n\r\n");
+            BOOST_TEST(answer.ends_with("GET 7 "), answer);
+        }
+        std::string answer = co_await this->sendRaw(
+            "GET http://site.example?q=7 HTTP/1.1\r\nHost: other\r\nConnection: close\r\n\r\n");
+        BOOST_TEST(answer.ends_with("GET 7 "), answer);
+    });
+}
+
 // Guards against bytes behind the answer to HEAD, which a client takes for the beginning of its next answer.
 BOOST_AUTO_TEST_CASE(answers_to_head_have_no_body)
 {
--- a/testsuite/gateway_routes_with_names_of_its_own/case.py
+++ b/testsuite/gateway_routes_with_names_of_its_own/case.py
@@ -1,7 +1,10 @@
 """Routes of a configuration whose paths are those of the gateway's other ports are served by their servers, also while it stops."""
+import socket
 import time
+import uuid
 
-from support.gateway import Caller, platform_site
+from support.fake_platform import HOST
+from support.gateway import Caller, SentRequest, platform_site
 
 PATHS = ("/api/ready", "/api/ready?of=7", "/api/ready/", "/api/report", "/metrics/", "/quarantine/a")
 
@@ -12,6 +15,15 @@
     assert answer.status == 200 and answer.headers.get("X-Server-Seal"), (path, answer.__dict__)
 
 
+def status_of_absolute_target(platform, gateway, path):
+    attempt = uuid.uuid4().hex[:16]
+    platform.sent[attempt] = SentRequest(("GET", path, b""), True, 2.0, attempt)
+    with socket.create_connection((gateway.host, gateway.port), timeout=3) as connection:
+        connection.sendall(f"GET http://{HOST}{path} HTTP/1.1\r\nHost: other\r\nX-Attempt-Id: {attempt}\r\n"
+                           "X-Deadline-Ms: 2000\r\n\r\n".encode())
+        return connection.recv(4096).split()[1]
+
+
 def run(build):
     with platform_site(build, stop_within=6) as (platform, (gateway,)):
         caller = Caller(platform, gateway)
@@ -24,6 +36,7 @@
             assert_served(caller, path)
         assert 'own_answers_total{status="404"}' in gateway.metrics()
         assert 'own_answers_total{status="200"}' not in gateway.metrics()
+        assert status_of_absolute_target(platform, gateway, "/api/ready") == b"200"
         assert gateway.is_ready()
         gateway.terminate()
         time.sleep(0.3)
