Report neither clients that leave inside a request nor a refusal twice

Operators saw, since requests that are dropped are logged: a caller that closes its connection inside its request counts as one whose request was dropped, and a request without memory for its body has two lines.

Cause: the end of the connection by the client was not noted before the session looked for bytes that nobody had answered; refusals that the gateway makes and logs itself were reported once more by the HTTP server.

clientThatLeavesInsideItsRequestIsNotReported failed before (2 reported) and passes. `whole` is back in `stopped` only, where it has a meaning.

--- a/src/include/peridotgrade/net/http_server.h
+++ b/src/include/peridotgrade/net/http_server.h
@@ -60,8 +60,8 @@
     bool isClosing;
 };
 
-/// A request that gets an error status from the server and reaches no handler: malformed, too large, too
-/// slow, or not read.
+/// A request to which the server itself responds with an error status: it is malformed, too large or too
+/// slow, or its handler has failed.
 struct RefusedRequest {
     std::string client;
     std::uint16_t status;
--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -225,19 +225,25 @@
         // The header of a request that is cut short by the stop may be incomplete, which says nothing of its
         // key.
         bool isStopping = reason == UnreadReason::Stopping;
-        if (auto unauthorized = isStopping ? std::nullopt : this->checkKey(request).rejection)
-            return std::move(*unauthorized);
-        std::string_view reasonName = isStopping ? "stopping" : "no_memory";
+        auto unauthorized = isStopping ? std::nullopt : this->checkKey(request).rejection;
+        HttpResponse response
+            = unauthorized ? std::move(*unauthorized) : this->rejectUnread(request, isStopping);
+        this->state.metrics.countOwnAnswer(response.status);
+        return response;
+    }
+
+    HttpResponse rejectUnread(const HttpRequest& request, bool isStopping)
+    {
+        std::string reason = isStopping ? "stopping" : "no_memory";
         auto parsed = parseCallerRequest(request, {}, this->state.now());
         const auto* read = std::get_if<GatewayRequest>(&parsed);
         auto timeout = read != nullptr ? read->callerTimeout : std::nullopt;
         auto retryAfter = chooseRetryAfter(timeout.value_or(DefaultCallerTimeout), this->state.random);
-        this->state.metrics.countRefusal(std::string { reasonName });
+        this->state.metrics.countRefusal(reason);
         this->state.log.write(LogLevel::Info, "request_ended",
             { { "request", read != nullptr ? read->attempt : "" }, { "outcome", "not_run" },
-                { "reason", std::string { reasonName } },
-                { "held_bytes", std::to_string(this->state.requestMemory->used()) } });
-        return notRunResponse(reasonName, retryAfter);
+                { "reason", reason }, { "held_bytes", std::to_string(this->state.requestMemory->used()) } });
+        return notRunResponse(reason, retryAfter);
     }
 
     /// Finds the route of a request and checks its caller's key.
@@ -489,9 +495,8 @@
 
     void logStopStep(std::string_view event)
     {
-        std::size_t requests = this->callers.openExchanges();
         this->state.log.write(LogLevel::Info, event,
-            { { "whole", requests == 0 ? "true" : "false" }, { "open_requests", std::to_string(requests) },
+            { { "open_requests", std::to_string(this->callers.openExchanges()) },
                 { "open_generations", std::to_string(this->openGenerations) },
                 { "arriving_requests", std::to_string(this->callers.arrivingRequests()) },
                 { "open_connections", std::to_string(this->callers.openConnections()) } });
@@ -517,7 +522,9 @@
             return;
         }
         this->hasDrained = isIdle;
-        this->logStopStep("stopped");
+        this->state.log.write(LogLevel::Info, "stopped",
+            { { "whole", isIdle ? "true" : "false" },
+                { "open_requests", std::to_string(this->callers.openExchanges()) } });
         this->context.stop();
     }
 
--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -395,8 +395,10 @@
         asio::awaitable<void> refuse(const boost::system::error_code& error)
         {
             NetError netError = netErrorFrom(error, true);
-            if (netError.kind == NetErrorKind::Closed)
+            if (netError.kind == NetErrorKind::Closed) {
+                this->markDisconnected();
                 co_return;
+            }
             bool isHeader = error == http::error::header_limit || error == http::error::buffer_overflow;
             std::uint16_t status = isHeader ? 431 : statusFor(netError);
             this->keepAlive = false;
@@ -417,7 +419,6 @@
             response.fields.push_back({ "Retry-After", "1" });
             if (this->shared->settings.unreadResponse)
                 response = this->shared->settings.unreadResponse(this->current, reason);
-            this->reportRefused(response.status, reason == UnreadReason::Stopping ? "stopping" : "no memory");
             co_await this->respondUnread(std::move(response));
         }
 
--- a/src/libperidotgrade/net/http_stop_test.cpp
+++ b/src/libperidotgrade/net/http_stop_test.cpp
@@ -157,6 +157,22 @@
     });
 }
 
+// Guards against clients that leave inside a request being reported as dropped ones.
+BOOST_AUTO_TEST_CASE(clientThatLeavesInsideItsRequestIsNotReported)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        for (std::string part : { "GET / HT", "GET / HTTP/1.1\r\nHost: a\r\n" }) {
+            tcp::socket leaving = this->connect();
+            asio::write(leaving, asio::buffer(part));
+            co_await sleepFor(this->context.get_executor(), 10ms);
+            leaving.close();
+            co_await sleepFor(this->context.get_executor(), 10ms);
+        }
+        BOOST_TEST(this->server.openConnections() == 0U);
+        BOOST_TEST(this->droppedRequests == 0U);
+    });
+}
+
 // Guards against requests in two pieces whose connection is ended without an answer as the process stops.
 BOOST_AUTO_TEST_CASE(requestThatHasArrivedInPartIsAnsweredWhenNoTimeIsLeft)
 {
