--- a/tools/check_coroutines.py
+++ b/tools/check_coroutines.py
@@ -47,6 +47,7 @@
 
 def problem_at(tokens, at):
     """Reads backwards to the beginning of the statement, leaving out what is in brackets of its own."""
+    # With `is_target`, what is read now is assigned to, such as the declaration of a reference (`auto&&`).
     depth, is_target = 0, False
     for index in range(at - 1, -1, -1):
         token = tokens[index]
