Reject requests in part also where bodies are not bounded

Cause: the line of such a rejection states the memory that bodies hold, which nobody counts without that setting (undefined-behaviour sanitizer: member call on null pointer). Before, only a lack of that memory led there.

gateway_stop sends a request cut at each of its bytes, with and without the setting: it ended with SIGSEGV before and gives 503 for each now.

--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -240,9 +240,12 @@
         auto timeout = read != nullptr ? read->callerTimeout : std::nullopt;
         auto retryAfter = chooseRetryAfter(timeout.value_or(DefaultCallerTimeout), this->state.random);
         this->state.metrics.countRefusal(reason);
+        // Null where the bodies of requests are not bounded.
+        const BodyMemory* memory = this->state.requestMemory.get();
         this->state.log.write(LogLevel::Info, "request_ended",
             { { "request", read != nullptr ? read->attempt : "" }, { "outcome", "not_run" },
-                { "reason", reason }, { "held_bytes", std::to_string(this->state.requestMemory->used()) } });
+                { "reason", reason },
+                { "held_bytes", memory != nullptr ? std::to_string(memory->used()) : "" } });
         return notRunResponse(reason, retryAfter);
     }
 
--- a/testsuite/gateway_soak/removed_guards.py
+++ b/testsuite/gateway_soak/removed_guards.py
@@ -59,7 +59,8 @@
 # The same, with the case that has to notice.
 CASE_GUARDS = [
     ("an idle connection is not read again as it is closed", "src/libperidotgrade/net/http_session.cpp",
-     "if (!hasArrived)\n                co_return false;", "", "gateway_stop_open_connections"),
+     "if (!hasArrived)\n                co_return false;", "if (!hasArrived && error)\n                co_return false;",
+     "gateway_stop_open_connections"),
     ("an accepted connection does not complete an answer", GATEWAY + "gateway_state.cpp",
      "check = co_await watch->check(times.settleTime, times.timeout, times.newConnectionAllowance);",
      "{}\n    auto probe = co_await this->endProbe.run(this->clients.clientFor(watch->record()));\n"
--- a/testsuite/gateway_stop/case.py
+++ b/testsuite/gateway_stop/case.py
@@ -1,9 +1,11 @@
 """After SIGTERM a gateway is not ready at once, serves new requests for a while, cuts off no answer and exits with 0.
 SIGHUP has no effect on callers."""
 import signal
+import socket
 import threading
 import time
 
+from support.fake_platform import HOST
 from support.gateway import Caller, platform_site
 
 
@@ -25,7 +27,24 @@
         assert gateway.wait_exit(3) == 0, gateway.log_tail()
 
 
+def stop_beside_requests_in_part(build, memory_mb):
+    """A request that has arrived up to any of its bytes, and no further, is answered before the process ends."""
+    request = (f"POST /act/a HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {'0' * 16}\r\nX-Deadline-Ms: 2000\r\n"
+               "Content-Length: 2\r\n\r\n{}").encode()
+    with platform_site(build, stop_within=5, memory_mb=memory_mb) as (_, (gateway,)):
+        gateway.terminate()
+        connections = []
+        for size in range(1, len(request)):
+            connections.append(socket.create_connection((gateway.host, gateway.port), timeout=6))
+            connections[-1].sendall(request[:size])
+        status = gateway.wait_exit(6)
+        answers = [connection.recv(12) for connection in connections]
+        assert status == 0 and set(answers) == {b"HTTP/1.1 503"}, (status, set(answers), gateway.log_tail())
+
+
 def run(build):
+    for memory_mb in (None, 128):
+        stop_beside_requests_in_part(build, memory_mb)
     stop_beside_a_long_stream(build)
     with platform_site(build, events=150, stop_within=8) as (platform, (gateway,)):
         gateway.send_signal(signal.SIGHUP)
