--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -2,7 +2,9 @@
 #include "http_session.h"
 
 #include "beast_convert.h"
-#include "steady_write.h"
+#include "client_watch.h"
+#include "response_writer.h"
+#include "session_messages.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,13 +13,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/write.hpp>
 
-#include <charconv>
 #include <optional>
 
 namespace peridotgrade {
@@ -29,67 +27,13 @@
 
 namespace {
 
-    std::uint16_t statusFor(const NetError& error)
-    {
-        switch (error.kind) {
-        case NetErrorKind::TimedOut:
-            return 408;
-        case NetErrorKind::TooLarge:
-            return 413;
-        default:
-            return 400;
-        }
-    }
-
-    /// False for a body whose end this server and the one behind it could see at different places (request
-    /// smuggling): Beast treats a request with an unknown transfer coding as one without a body.
-    bool hasUnambiguousFraming(const http::request<http::string_body>& request)
-    {
-        auto coding = request.find(http::field::transfer_encoding);
-        return coding == request.end() || beast::iequals(coding->value(), "chunked");
-    }
-
-    /// Turns a target in absolute form, as a client sends it to a proxy, into its path and query. Returns the
-    /// host, which goes before that of the field (RFC 9112, 3.2.2); nothing if it is a path already.
-    std::optional<std::string> takeAuthority(std::string& target)
-    {
-        constexpr std::string_view Scheme = "http://";
-        if (!beast::iequals(std::string_view { target }.substr(0, Scheme.size()), Scheme))
-            return std::nullopt;
-        std::size_t end = std::min(target.find_first_of("/?", Scheme.size()), target.size());
-        std::string host = target.substr(Scheme.size(), end - Scheme.size());
-        target.erase(0, end);
-        if (!target.starts_with('/'))
-            target.insert(0, "/");
-        return host;
-    }
-
-    HttpResponse errorResponse(std::uint16_t status, const std::string& detail)
-    {
-        HttpResponse response;
-        response.status = status;
-        response.body = R"({"error":{"type":"invalid_request_error","message":")" + detail + R"("}})";
-        return response;
-    }
-
-    /// One chunk of a chunked body. The data must not be empty, since an empty chunk would end the body.
-    std::string chunkOf(const std::string& data)
-    {
-        constexpr std::string_view LineEnd = "\r\n";
-        constexpr int Hexadecimal = 16;
-        char digits[16];
-        auto [end, status] = std::to_chars(digits, digits + sizeof(digits), data.size(), Hexadecimal);
-        std::string framed;
-        framed.reserve(data.size() + sizeof(digits) + 2 * LineEnd.size());
-        framed.append(digits, end).append(LineEnd).append(data).append(LineEnd);
-        return framed;
-    }
-
     class HttpSession final : public HttpExchange, public std::enable_shared_from_this<HttpSession> {
     public:
         HttpSession(tcp::socket socket, std::shared_ptr<HttpSessionShared> shared)
             : stream(std::move(socket))
             , shared(std::move(shared))
+            , writer(this->stream.socket(), this->shared->settings.writeTimeout)
+            , watch(this->stream.socket())
             , bodyShare(this->shared->settings.bodyMemory.get())
         {
             ++this->shared->openConnections;
@@ -129,63 +73,30 @@
 
         asio::awaitable<bool> respond(HttpResponse response) override
         {
-            http::response<http::string_body> message;
-            fillHead(message, response);
-            message.keep_alive(this->keepAlive && !this->shared->isClosing);
-            message.body() = std::move(response.body);
-            message.prepare_payload();
-            // The length that a body would have is not known from a server's own answer to HEAD.
-            bool isHead = this->isHead();
-            if (isHead && message.body().empty())
-                message.erase(http::field::content_length);
             this->isAnswered = true;
-            http::response_serializer<http::string_body> serializer { message };
-            auto& socket = this->stream.socket();
-            co_return this->finishWrite(co_await writeSteadily(
-                socket, this->shared->settings.writeTimeout, [&](boost::system::error_code& error) {
-                    if (isHead)
-                        http::write_header(socket, serializer, error);
-                    else
-                        http::write_some(socket, serializer, error);
-                    return isHead ? serializer.is_header_done() : serializer.is_done();
-                }));
+            co_return this->finishWrite(
+                co_await this->writer.write(std::move(response), this->responseContext()));
         }
 
         asio::awaitable<bool> beginStream(HttpResponse response) override
         {
-            http::response<http::empty_body> message;
-            fillHead(message, response);
-            message.keep_alive(this->keepAlive && !this->shared->isClosing);
-            message.chunked(true);
-            http::response_serializer<http::empty_body> serializer { message };
             this->isAnswered = true;
-            auto& socket = this->stream.socket();
-            bool isOk = this->finishWrite(co_await writeSteadily(
-                socket, this->shared->settings.writeTimeout, [&](boost::system::error_code& error) {
-                    http::write_header(socket, serializer, error);
-                    return serializer.is_header_done();
-                }));
-            if (isOk && !response.body.empty())
-                isOk = co_await this->writeChunk(std::move(response.body));
-            co_return isOk;
+            co_return this->finishWrite(
+                co_await this->writer.begin(std::move(response), this->responseContext()));
         }
 
         asio::awaitable<bool> writeChunk(std::string chunk) override
         {
             if (this->isDisconnected)
                 co_return false;
-            if (chunk.empty() || this->isHead())
-                co_return true;
-            co_return co_await this->writeBytes(chunkOf(std::exchange(chunk, {})));
+            co_return this->finishWrite(co_await this->writer.writeChunk(std::move(chunk)));
         }
 
         asio::awaitable<bool> endStream() override
         {
             if (this->isDisconnected)
                 co_return false;
-            if (this->isHead())
-                co_return true;
-            co_return co_await this->writeBytes("0\r\n\r\n");
+            co_return this->finishWrite(co_await this->writer.end());
         }
 
         void abort() override
@@ -214,22 +125,11 @@
             boost::system::error_code error;
         };
 
-        /// Most chunks fit into the socket's buffer, so this takes one system call and no timer for each
-        /// token.
-        asio::awaitable<bool> writeBytes(std::string bytes)
+        ResponseContext responseContext() const
         {
-            auto& socket = this->stream.socket();
-            std::size_t written = 0;
-            co_return this->finishWrite(co_await writeSteadily(
-                socket, this->shared->settings.writeTimeout, [&](boost::system::error_code& error) {
-                    written += socket.write_some(asio::buffer(bytes) + written, error);
-                    return written == bytes.size();
-                }));
+            return { this->current.method == "HEAD", this->keepAlive && !this->shared->isClosing };
         }
 
-        /// An answer to HEAD ends with its header.
-        bool isHead() const { return this->current.method == "HEAD"; }
-
         bool finishWrite(const boost::system::error_code& error)
         {
             if (!error)
@@ -446,29 +346,21 @@
         {
             auto message = this->parser->release();
             this->keepAlive = message.keep_alive();
-            this->current = HttpRequest {};
-            this->current.method = std::string { message.method_string() };
-            this->current.target = std::string { message.target() };
-            if (auto host = takeAuthority(this->current.target))
-                message.set(http::field::host, *host);
-            this->current.fields = fieldsFrom(message);
-            this->current.body = std::move(message.body());
+            this->current = requestFrom(std::move(message));
             this->isAnswered = false;
             this->disconnectCallback = nullptr;
         }
 
         asio::awaitable<void> serve()
         {
-            this->watchClient();
+            this->watch.begin(this->shared_from_this(), [this] { this->markDisconnected(); });
             try {
                 co_await this->shared->handler(*this);
             } catch (const std::exception&) {
                 this->keepAlive = false;
             }
             this->disconnectCallback = nullptr;
-            this->isWatching = false;
-            boost::system::error_code ignored;
-            this->stream.socket().cancel(ignored);
+            this->watch.end();
             if (!this->isAnswered && !this->isDisconnected) {
                 constexpr std::uint16_t InternalError = 500;
                 this->reportRefused(InternalError, "the handler has failed");
@@ -476,42 +368,14 @@
             }
         }
 
-        /// Detects a disconnect of the client while the handler runs.
-        void watchClient()
-        {
-            this->isWatching = true;
-            this->waitReadable();
-        }
-
-        void waitReadable()
-        {
-            this->stream.socket().async_wait(tcp::socket::wait_read,
-                [self = this->shared_from_this()](const boost::system::error_code& error) {
-                    if (!error && self->isWatching)
-                        self->onReadable();
-                });
-        }
-
-        void onReadable()
-        {
-            // With several threads the wait also ends for bytes that were read before it began, so only the
-            // socket itself shows whether the client has closed it.
-            char next = 0;
-            boost::system::error_code error;
-            this->stream.socket().non_blocking(true, error);
-            this->stream.socket().receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
-            if (error == asio::error::would_block)
-                this->waitReadable();
-            else if (error)
-                this->markDisconnected();
-        }
-
         static constexpr std::size_t ReadSize = 4096;
         // A client sends its request within a round trip after it has connected.
         static constexpr std::chrono::milliseconds LastRequestTime { 500 };
 
         beast::tcp_stream stream;
         std::shared_ptr<HttpSessionShared> shared;
+        ResponseWriter writer;
+        ClientWatch watch;
         beast::flat_buffer buffer;
         std::optional<http::request_parser<http::string_body>> parser;
         HttpRequest current;
@@ -523,7 +387,6 @@
         bool isFirstRequest = true;
         bool isAnswered = false;
         bool isDisconnected = false;
-        bool isWatching = false;
     };
 
 } // namespace
