Answer requests behind a stream that outlasts the close

Callers saw: a request that was sent on a kept connection behind a stream which began before a gateway closes its connections (3 s after SIGTERM) is read with the stream's request, or waits in the socket, and its connection ends without an answer as the stream does.

Cause: the session ended its connection after any response once the server was closing, also where the client had not been told `Connection: close`.

requestBehindAStreamThatOutlastsTheCloseIsAnswered failed before: neither request was answered, one was reported as dropped. The session goes by what the client was told: another request that has arrived is answered, with `Connection: close`. net_test passes.

--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -59,7 +59,7 @@
                 --this->shared->openExchanges;
                 this->current = HttpRequest {};
                 this->bodyShare.release();
-                if (!this->keepAlive || this->shared->isClosing)
+                if (!this->keepAlive)
                     break;
                 hasRequest = co_await this->readRequest();
             }
@@ -125,9 +125,11 @@
             boost::system::error_code error;
         };
 
-        ResponseContext responseContext() const
+        /// Of the response that begins now. Afterwards `keepAlive` is what the client is told.
+        ResponseContext responseContext()
         {
-            return { this->current.method == "HEAD", this->keepAlive && !this->shared->isClosing };
+            this->keepAlive = this->keepAlive && !this->shared->isClosing;
+            return { this->current.method == "HEAD", this->keepAlive };
         }
 
         bool finishWrite(const boost::system::error_code& error)
@@ -239,6 +241,8 @@
             bool isNew = std::exchange(this->isFirstRequest, false);
             if (isNew && this->shared->isStopping)
                 co_return co_await this->waitForLastRequest();
+            if (!isNew && this->shared->isClosing)
+                co_return co_await this->readArrived();
             boost::system::error_code error
                 = co_await this->readFirstBytes(this->shared->settings.idleTimeout, this->shared->idle);
             bool isEnding = error == asio::error::operation_aborted && this->shared->isClosing;
@@ -246,7 +250,13 @@
                 co_return !error;
             if (isNew)
                 co_return co_await this->waitForLastRequest();
-            // A request may have arrived just before the connection was to be closed.
+            co_return co_await this->readArrived();
+        }
+
+        /// A request may have arrived just before the connection is closed.
+        asio::awaitable<bool> readArrived()
+        {
+            boost::system::error_code error;
             bool hasArrived = this->stream.socket().available(error) > 0;
             if (!hasArrived)
                 co_return false;
--- a/src/libperidotgrade/net/http_stop_test.cpp
+++ b/src/libperidotgrade/net/http_stop_test.cpp
@@ -26,7 +26,14 @@
         : server(context.get_executor(), settings(),
             [](HttpExchange& exchange) -> asio::awaitable<void> {
                 HttpResponse response;
-                co_await exchange.respond(std::move(response));
+                bool isStream = exchange.request().path() == "/stream";
+                if (!isStream) {
+                    co_await exchange.respond(std::move(response));
+                    co_return;
+                }
+                co_await exchange.beginStream(std::move(response));
+                co_await sleepFor(exchange.executor(), 100ms);
+                co_await exchange.endStream();
             })
         , endpoint(std::get<Endpoint>(this->server.start()))
     {
@@ -72,6 +79,16 @@
         co_return answer.substr(0, 12);
     }
 
+    /// All that the server sends until it closes.
+    asio::awaitable<std::string> readAll(tcp::socket& socket)
+    {
+        std::string answers;
+        boost::system::error_code ignored;
+        co_await asio::async_read(
+            socket, asio::dynamic_buffer(answers), asio::redirect_error(asio::use_awaitable, ignored));
+        co_return answers;
+    }
+
     asio::io_context context;
     std::size_t droppedRequests = 0;
     HttpServer server;
@@ -157,6 +174,28 @@
     });
 }
 
+// Guards against a request that was sent behind a stream being read and dropped, as the connection closes
+// after it.
+BOOST_AUTO_TEST_CASE(requestBehindAStreamThatOutlastsTheCloseIsAnswered)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        tcp::socket readWithTheStream = this->connect();
+        tcp::socket sentDuringTheStream = this->connect();
+        const std::string stream = "GET /stream HTTP/1.1\r\n\r\n";
+        asio::write(readWithTheStream, asio::buffer(stream + Request));
+        asio::write(sentDuringTheStream, asio::buffer(stream));
+        co_await sleepFor(this->context.get_executor(), 30ms);
+        asio::write(sentDuringTheStream, asio::buffer(Request));
+        this->server.disableKeepAlive();
+        for (tcp::socket* socket : { &readWithTheStream, &sentDuringTheStream }) {
+            std::string answers = co_await this->readAll(*socket);
+            BOOST_TEST(answers.find("HTTP/1.1 200", 12) != std::string::npos, answers);
+            BOOST_TEST(answers.find("Connection: close") != std::string::npos, answers);
+        }
+        BOOST_TEST(this->droppedRequests == 0U);
+    });
+}
+
 // Guards against clients that leave inside a request being reported as dropped ones.
 BOOST_AUTO_TEST_CASE(clientThatLeavesInsideItsRequestIsNotReported)
 {
