Pass on answers with a status that has no body

Callers saw: a server's 204 or 304 with bytes behind its header ends the connection without an answer; without such bytes it goes on with a length of 0, which HTTP does not allow for 204 (RFC 9110, 8.6).

Cause: Beast refuses to serialize such a message with a body, by an exception, and states the length of an empty one.

answer_with_a_status_without_a_body_ends_with_its_header failed before (nothing was sent) and passes.

--- a/src/libperidotgrade/net/http_test.cpp
+++ b/src/libperidotgrade/net/http_test.cpp
@@ -49,6 +49,13 @@
         co_await forever.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         co_return;
     }
+    if (exchange.request().path() == "/nothing") {
+        HttpResponse response;
+        response.status = 204;
+        response.body = "no response with this status has a body";
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     if (exchange.request().path() == "/pause") {
         asio::steady_timer shortWait(exchange.executor(), 2ms);
         exchange.onClientDisconnect([&] { isDisconnected = true; });
@@ -223,6 +230,18 @@
     });
 }
 
+// Guards against a connection that ends without an answer for a status that has no body.
+BOOST_AUTO_TEST_CASE(answer_with_a_status_without_a_body_ends_with_its_header)
+{
+    this->run([&]() -> asio::awaitable<void> {
+        std::string both = co_await this->sendRaw(
+            "GET /nothing HTTP/1.1\r\n\r\nGET /x HTTP/1.1\r\nConnection: close\r\n\r\n");
+        BOOST_TEST(both.starts_with("HTTP/1.1 204"), both);
+        BOOST_TEST(both.substr(both.find("\r\n\r\n") + 4).starts_with("HTTP/1.1 200"), both);
+        BOOST_TEST(both.find("Content-Length") > both.find("\r\n\r\n"), both);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(handler_is_notified_when_the_client_disconnects)
 {
     this->run([&]() -> asio::awaitable<void> {
--- a/src/libperidotgrade/net/response_writer.cpp
+++ b/src/libperidotgrade/net/response_writer.cpp
@@ -45,10 +45,13 @@
     http::response<http::string_body> message;
     fillHead(message, response);
     message.keep_alive(context.keepAlive);
-    message.body() = std::move(response.body);
+    bool canHaveBody
+        = message.result() != http::status::no_content && message.result() != http::status::not_modified;
+    if (canHaveBody)
+        message.body() = std::move(response.body);
     message.prepare_payload();
     // The length that a body would have is not known from a server's own answer to HEAD.
-    if (context.isHead && message.body().empty())
+    if (!canHaveBody || (context.isHead && message.body().empty()))
         message.erase(http::field::content_length);
     http::response_serializer<http::string_body> serializer { message };
     co_return co_await writeSteadily(this->socket, this->timeout, [&](boost::system::error_code& error) {
