Split the gateway's node, group member and shared state

The steps of a stop (GatewayStop), route and key of a request (KeyCheck) and the answers that the gateway makes itself (OwnAnswers) are parts of their own; role changes, and what is known of lost runs and ended servers, are files of their classes.

No behaviour changes.

--- a/src/libperidotgrade/gateway/gateway_node.cpp
+++ b/src/libperidotgrade/gateway/gateway_node.cpp
@@ -2,12 +2,14 @@
 #include "peridotgrade/gateway/gateway_node.h"
 
 #include "peridotgrade/core/serving/retry_after.h"
-#include "peridotgrade/gateway/caller_authentication.h"
 #include "peridotgrade/gateway/crash_log.h"
 #include "peridotgrade/gateway/final_answer.h"
 #include "peridotgrade/gateway/gateway_state.h"
+#include "peridotgrade/gateway/gateway_stop.h"
 #include "peridotgrade/gateway/generation_call.h"
 #include "peridotgrade/gateway/group_member.h"
+#include "peridotgrade/gateway/key_check.h"
+#include "peridotgrade/gateway/own_answers.h"
 #include "peridotgrade/gateway/peer_notices.h"
 #include "peridotgrade/gateway/peer_socket.h"
 #include "peridotgrade/gateway/plain_call.h"
@@ -33,18 +35,6 @@
 
 namespace {
 
-    // New requests are served for this first part of shutdown, since callers are sent elsewhere only after
-    // two unanswered readiness checks of a second each.
-    constexpr std::chrono::milliseconds ServeAfterSignal { 3000 };
-    // Running requests are given up this long before the process is killed.
-    constexpr std::chrono::milliseconds StopMargin { 300 };
-    // Before running requests are given up: the time for requests that arrive as the port is closed, and the
-    // last part of it, in which those that are still incomplete get their answers.
-    constexpr std::chrono::milliseconds LastRequestsTime { 500 };
-    constexpr std::chrono::milliseconds RefusalTime { 100 };
-    constexpr std::chrono::milliseconds StopCheckInterval { 50 };
-    // Time-out of a caller that states none; about that of the shortest calls.
-    constexpr std::chrono::milliseconds DefaultCallerTimeout { 1500 };
     // Callers keep connections for less than the configured idle time, which is at most this.
     constexpr std::chrono::milliseconds CallerIdleTimeout { 60'000 };
     constexpr std::uint64_t MaxBodyBytes = 16 * 1024 * 1024;
@@ -54,42 +44,6 @@
     // Out of 4,100 file descriptors; the rest is for connections to servers and the store.
     constexpr std::uint32_t MaxCallerConnections = 2'500;
 
-    /// Increments a counter for its own lifetime.
-    class OpenCount {
-    public:
-        explicit OpenCount(std::size_t& count)
-            : count(count)
-        {
-            ++this->count;
-        }
-        ~OpenCount() { --this->count; }
-        OpenCount(const OpenCount&) = delete;
-        OpenCount& operator=(const OpenCount&) = delete;
-
-    private:
-        std::size_t& count;
-    };
-
-    /// The host without its port.
-    std::string_view hostName(std::string_view host) { return host.substr(0, host.find(':')); }
-
-    struct KeyCheck {
-        /// Null before the first one.
-        std::shared_ptr<const RoutingConfiguration> configuration;
-        /// Null if none matches.
-        const ServiceRoute* route;
-        CallerAuthentication caller;
-        /// The answer to a caller that is not accepted.
-        std::optional<HttpResponse> rejection;
-    };
-
-    const ServiceRoute* routeOf(const RoutingConfiguration& configuration, const HttpRequest& request)
-    {
-        std::string_view host = request.field("Host");
-        const ServiceRoute* route = configuration.routeFor(host, request.path());
-        return route != nullptr ? route : configuration.routeFor(hostName(host), request.path());
-    }
-
     HttpServerSettings serverSettings(const Endpoint& listen, const MemoryBudgets& budgets)
     {
         HttpServerSettings settings;
@@ -119,6 +73,7 @@
         , originLog(this->state, this->store)
         , versionLog(this->state, this->store)
         , crashLog(this->state, this->store)
+        , ownAnswers(this->state)
         , signals(this->context, SIGTERM, SIGINT, SIGHUP)
         , callers(this->context.get_executor(), this->callerSettings(),
               [this](HttpExchange& exchange) { return this->serveCaller(exchange); })
@@ -128,6 +83,10 @@
         , metricsServer(this->context.get_executor(),
               this->internalSettings(this->state.settings.metricsListen),
               [this](HttpExchange& exchange) { return this->serveOperator(exchange); })
+        , stop(this->state, this->callers, [this](bool isWhole) {
+            this->hasDrained = isWhole;
+            this->context.stop();
+        })
     {
         addProcessMetrics(this->registry);
         this->registry.callbackCounter(
@@ -172,10 +131,12 @@
             = serverSettings(this->state.settings.callersListen, this->state.memoryBudgets);
         settings.bodyMemory = this->state.requestMemory;
         settings.unreadResponse = [this](const HttpRequest& request, UnreadReason reason) {
-            return this->refuseUnread(request, reason);
+            return this->ownAnswers.unread(request, reason);
         };
-        settings.onRequestRefused = [this](const RefusedRequest& refused) { this->noteRefused(refused); };
-        settings.onRequestDropped = [this](const DroppedRequest& dropped) { this->noteDropped(dropped); };
+        settings.onRequestRefused
+            = [this](const RefusedRequest& refused) { this->ownAnswers.noteRefused(refused); };
+        settings.onRequestDropped
+            = [this](const DroppedRequest& dropped) { this->ownAnswers.noteDropped(dropped); };
         return settings;
     }
 
@@ -186,29 +147,6 @@
         return settings;
     }
 
-    void noteRefused(const RefusedRequest& refused)
-    {
-        this->state.metrics.countOwnAnswer(refused.status);
-        this->state.log.write(LogLevel::Warn, "request_refused",
-            { { "client", refused.client }, { "status", std::to_string(refused.status) },
-                { "detail", refused.detail } });
-    }
-
-    /// Sends a response that no server has made.
-    asio::awaitable<void> answer(HttpExchange& exchange, HttpResponse response)
-    {
-        this->state.metrics.countOwnAnswer(response.status);
-        co_await exchange.respond(std::move(response));
-    }
-
-    void noteDropped(const DroppedRequest& dropped)
-    {
-        this->state.metrics.countDroppedRequest(dropped.isClosing);
-        this->state.log.write(LogLevel::Warn, "request_dropped",
-            { { "client", dropped.client }, { "bytes", std::to_string(dropped.bytes) },
-                { "closing", dropped.isClosing ? "true" : "false" } });
-    }
-
     void addMemoryMetrics()
     {
         auto add = [this](const char* kind, const BodyMemory* memory) {
@@ -220,57 +158,12 @@
         add("answer", &this->state.answerMemory);
     }
 
-    HttpResponse refuseUnread(const HttpRequest& request, UnreadReason reason)
-    {
-        // The header of a request that is cut short by the stop may be incomplete, which says nothing of its
-        // key.
-        bool isStopping = reason == UnreadReason::Stopping;
-        auto unauthorized = isStopping ? std::nullopt : this->checkKey(request).rejection;
-        HttpResponse response
-            = unauthorized ? std::move(*unauthorized) : this->rejectUnread(request, isStopping);
-        this->state.metrics.countOwnAnswer(response.status);
-        return response;
-    }
-
-    HttpResponse rejectUnread(const HttpRequest& request, bool isStopping)
-    {
-        std::string reason = isStopping ? "stopping" : "no_memory";
-        auto parsed = parseCallerRequest(request, {}, this->state.now());
-        const auto* read = std::get_if<GatewayRequest>(&parsed);
-        auto timeout = read != nullptr ? read->callerTimeout : std::nullopt;
-        auto retryAfter = chooseRetryAfter(timeout.value_or(DefaultCallerTimeout), this->state.random);
-        this->state.metrics.countRefusal(reason);
-        // Null where the bodies of requests are not bounded.
-        const BodyMemory* memory = this->state.requestMemory.get();
-        this->state.log.write(LogLevel::Info, "request_ended",
-            { { "request", read != nullptr ? read->attempt : "" }, { "outcome", "not_run" },
-                { "reason", reason },
-                { "held_bytes", memory != nullptr ? std::to_string(memory->used()) : "" } });
-        return notRunResponse(reason, retryAfter);
-    }
-
-    /// Finds the route of a request and checks its caller's key.
-    KeyCheck checkKey(const HttpRequest& request)
-    {
-        auto configuration = this->state.configuration;
-        const ServiceRoute* route = configuration ? routeOf(*configuration, request) : nullptr;
-        CallerAuthentication caller(configuration.get(), route, request);
-        if (caller.result() != AuthenticationResult::NotRequired)
-            this->state.metrics.countAuthentication(std::string { nameOf(caller.result()) });
-        if (caller.isAccepted())
-            return { configuration, route, caller, std::nullopt };
-        this->state.log.write(LogLevel::Info, "request_ended",
-            { { "request", std::string { attemptOf(request) } }, { "outcome", "unauthorized" },
-                { "reason", std::string { nameOf(caller.result()) } }, { "route", route->name } });
-        return { configuration, route, caller, rejectionResponse(401, "unauthorized") };
-    }
-
     asio::awaitable<void> serveCaller(HttpExchange& exchange)
     {
         // Keys are checked before anything is spent on the request, also by an entry that is not ready yet.
-        KeyCheck checked = this->checkKey(exchange.request());
+        KeyCheck checked = checkKey(this->state, exchange.request());
         if (checked.rejection) {
-            co_await this->answer(exchange, std::move(*checked.rejection));
+            co_await this->ownAnswers.send(exchange, std::move(*checked.rejection));
             co_return;
         }
         const auto& configuration = checked.configuration;
@@ -280,7 +173,7 @@
             tenant != nullptr ? tenant->name.raw() : std::string_view {}, this->state.now());
         if (auto* problem = std::get_if<std::string>(&parsed)) {
             this->state.log.write(LogLevel::Warn, "request_malformed", { { "detail", *problem } });
-            co_await this->answer(exchange, rejectionResponse(400, *problem));
+            co_await this->ownAnswers.send(exchange, rejectionResponse(400, *problem));
             co_return;
         }
         auto& request = std::get<GatewayRequest>(parsed);
@@ -290,16 +183,15 @@
         if (!configuration || !this->hasReadStore()) {
             // The store is unavailable, mostly for seconds. The Retry-After delay is the same as after any
             // other rejection, and spread.
-            auto retryAfter
-                = chooseRetryAfter(request.callerTimeout.value_or(DefaultCallerTimeout), this->state.random);
-            co_await this->rejectEarly(exchange, request, "not_ready", retryAfter);
+            auto left = request.callerTimeout.value_or(OwnAnswers::DefaultCallerTimeout);
+            co_await this->ownAnswers.reject(exchange, request, "not_ready", left);
             co_return;
         }
         if (route == nullptr) {
             this->state.log.write(LogLevel::Info, "request_ended",
                 { { "request", request.attempt }, { "outcome", "no_route" }, { "host", request.host },
                     { "config", std::to_string(configuration->version.raw()) } });
-            co_await this->answer(exchange, rejectionResponse(404, "no route"));
+            co_await this->ownAnswers.send(exchange, rejectionResponse(404, "no route"));
             co_return;
         }
         co_await this->serveRoute(exchange, std::move(request), configuration, *route, tenant);
@@ -325,11 +217,11 @@
         if (configuration->hasPriorities(context.service))
             context.request.urgency = urgencyOf(context.priority);
         bool isGeneration = service != nullptr && service->engine;
-        if (this->isRejecting && (isGeneration || deadline > this->stopAt)) {
+        if (this->stop.isTooLateFor(isGeneration, deadline)) {
             // The request might not end before this process has to, and a caller that still connects here
             // finds no other entry, so it is told to wait for one to start.
-            auto retryAfter = chooseRetryAfter(timeLeft(this->state, context), this->state.random);
-            co_await this->rejectEarly(exchange, context.request, "stopping", retryAfter);
+            co_await this->ownAnswers.reject(
+                exchange, context.request, "stopping", timeLeft(this->state, context));
         } else if (!mayGoOn) {
             auto retryAfter = chooseRetryAfter(timeLeft(this->state, context), this->state.random);
             co_await answerNotRun(this->state, context, "unknown_stream", retryAfter);
@@ -346,7 +238,7 @@
         if (overQuota) {
             co_await answerOverQuota(this->state, context, *overQuota);
         } else if (engine != nullptr) {
-            OpenCount counted(this->openGenerations);
+            GatewayStop::OpenGeneration counted(this->stop);
             auto broker = this->brokerOf(context.service);
             if (engine->maxReservation.count() > 0)
                 broker->setLifetime(engine->maxReservation);
@@ -389,16 +281,6 @@
         co_return true;
     }
 
-    asio::awaitable<void> rejectEarly(HttpExchange& exchange, const GatewayRequest& request,
-        std::string_view reason, std::chrono::milliseconds retryAfter)
-    {
-        this->state.metrics.countRefusal(std::string { reason });
-        this->state.log.write(LogLevel::Info, "request_ended",
-            { { "request", request.attempt }, { "outcome", "not_run" },
-                { "reason", std::string { reason } } });
-        co_await this->answer(exchange, notRunResponse(reason, retryAfter));
-    }
-
     ServiceId pickService(const ServiceRoute& route)
     {
         double total = 0;
@@ -462,7 +344,7 @@
             if (number == SIGHUP)
                 this->reload();
             else
-                this->stop();
+                this->stop.begin();
             this->awaitSignal();
         });
     }
@@ -481,56 +363,6 @@
         this->state.log.write(LogLevel::Info, "reloaded", { { "file", this->settingsFile } });
     }
 
-    void stop()
-    {
-        if (std::exchange(this->state.isStopping, true))
-            return;
-        this->stopAt = this->state.now() + this->state.settings.stopWithin - StopMargin;
-        this->state.log.write(LogLevel::Info, "stopping",
-            { { "open_requests", std::to_string(this->callers.openExchanges()) } });
-        this->state.subscribeAfter(ServeAfterSignal, [this] {
-            this->isRejecting = true;
-            this->logStopStep("connections_closing");
-            this->callers.disableKeepAlive();
-            this->finishWhenIdle();
-        });
-    }
-
-    void logStopStep(std::string_view event)
-    {
-        this->state.log.write(LogLevel::Info, event,
-            { { "open_requests", std::to_string(this->callers.openExchanges()) },
-                { "open_generations", std::to_string(this->openGenerations) },
-                { "arriving_requests", std::to_string(this->callers.arrivingRequests()) },
-                { "open_connections", std::to_string(this->callers.openConnections()) } });
-    }
-
-    void finishWhenIdle()
-    {
-        TimePoint now = this->state.now();
-        // If no other entry is ready, callers are still sent here, so the port stays open as long as it can.
-        bool hasClosedBefore = this->isClosed;
-        if (!this->isClosed && (this->openGenerations == 0 || now >= this->stopAt - LastRequestsTime)) {
-            this->isClosed = true;
-            this->logStopStep("port_closed");
-            this->callers.stopAccepting();
-        }
-        if (this->isClosed && now >= this->stopAt - RefusalTime)
-            this->callers.refuseArriving();
-        // Requests that were sent just before the port closed are seen at the next check.
-        bool isIdle = this->callers.openExchanges() == 0;
-        bool isAwaited = !isIdle || !hasClosedBefore || this->callers.arrivingRequests() > 0;
-        if (isAwaited && now < this->stopAt) {
-            this->state.subscribeAfter(StopCheckInterval, [this] { this->finishWhenIdle(); });
-            return;
-        }
-        this->hasDrained = isIdle;
-        this->state.log.write(LogLevel::Info, "stopped",
-            { { "whole", isIdle ? "true" : "false" },
-                { "open_requests", std::to_string(this->callers.openExchanges()) } });
-        this->context.stop();
-    }
-
     asio::io_context context { 1 };
     const std::string settingsFile;
     MetricsRegistry registry;
@@ -544,16 +376,13 @@
     StreamOriginLog originLog;
     VersionLog versionLog;
     CrashLog crashLog;
+    OwnAnswers ownAnswers;
     std::map<ServiceId, std::shared_ptr<ReservationBroker>> brokers;
     asio::signal_set signals;
     HttpServer callers;
     HttpServer readiness;
     HttpServer metricsServer;
-    TimePoint stopAt {};
-    std::size_t openGenerations = 0;
-    bool isRejecting = false;
-    /// The port for callers is closed.
-    bool isClosed = false;
+    GatewayStop stop;
     bool hasDrained = true;
 };
 
--- a/testsuite/gateway_soak/removed_guards.py
+++ b/testsuite/gateway_soak/removed_guards.py
@@ -47,8 +47,8 @@
     ("a resumable stream begins at a version on record", GATEWAY + "generation_call.cpp",
      "return !this->context.route.isResumable\n"
      "        || this->state.versions[this->context.service].isRecorded(candidate);", "return true;"),
-    ("a stopping entry finishes what runs", GATEWAY + "gateway_node.cpp",
-     "if (isAwaited && now < this->stopAt) {", "if (isAwaited && false) {"),
+    ("a stopping entry finishes what runs", GATEWAY + "gateway_stop.cpp",
+     "if (isAwaited && now < this->endsAt) {", "if (isAwaited && false) {"),
     ("a caller that leaves ends its request", GATEWAY + "gateway_node.cpp",
      "exchange.onClientDisconnect([&cancellation] { cancellation.cancel(); });", ""),
 ]
@@ -61,14 +61,14 @@
     ("an idle connection is not read again as it is closed", "src/libperidotgrade/net/http_session.cpp",
      "if (!hasArrived)\n                co_return false;", "if (!hasArrived && error)\n                co_return false;",
      "gateway_stop_open_connections"),
-    ("an accepted connection does not complete an answer", GATEWAY + "gateway_state.cpp",
+    ("an accepted connection does not complete an answer", GATEWAY + "gateway_state_losses.cpp",
      "check = co_await watch->check(times.settleTime, times.timeout, times.newConnectionAllowance);",
      "{}\n    auto probe = co_await this->endProbe.run(this->clients.clientFor(watch->record()));\n"
      "    check.liveness = probe.isRefused || times.timeout <= times.timeout.zero() ? Liveness::Ended : Liveness::Alive;",
      ENDED_SERVERS),
-    ("an answer of a server that has shown nothing is incomplete", GATEWAY + "gateway_state.cpp",
+    ("an answer of a server that has shown nothing is incomplete", GATEWAY + "gateway_state_losses.cpp",
      "co_return check.liveness != Liveness::Alive;", "co_return check.liveness == Liveness::Ended;", ENDED_SERVERS),
-    ("servers that leave or are not listed are asked", GATEWAY + "gateway_state.cpp",
+    ("servers that leave or are not listed are asked", GATEWAY + "gateway_state_losses.cpp",
      "    if (!watch)\n        co_return false;",
      "    const ServerRecord* listed = watch ? this->directory.find(watch->record().id) : nullptr;\n"
      "    if (listed == nullptr || listed->isDraining)\n        co_return false;", ENDED_SERVERS),
@@ -82,7 +82,7 @@
     ("a reset of the kept connection is a sign of the end", GATEWAY + "server_liveness.cpp",
      "bool wasKept = this->hasConnectionAnswered || (this->isContinued && isPeerClosed);",
      "bool wasKept = isPeerClosed;", ENDED_SERVERS),
-    ("an answer that ends at its limit is incomplete", GATEWAY + "gateway_state.cpp",
+    ("an answer that ends at its limit is incomplete", GATEWAY + "gateway_state_losses.cpp",
      "if (times.timeout >= MinEndCheckTime)", "if (times.timeout >= Duration::zero())", ENDED_SERVERS),
     ("a server that has stopped listening has not completed its answers", GATEWAY + "server_liveness.cpp",
      "if (isRefusing)", "if (isRefusing && endedAt > due)",
