Keep what is known of a client's end in one place; names and times at their places

ClientWatch holds whether the client has left and who is to be told; the status of a request that cannot be read is chosen in one function. The store's paths are names of the adapter.

--- a/src/bench/slopes/main.cpp
+++ b/src/bench/slopes/main.cpp
@@ -52,7 +52,7 @@
 {
     std::vector<Point> points;
     for (std::uint32_t servers : { 10u, 44u, 100u, 300u })
-        points.push_back({ static_cast<double>(servers), placementSeconds(servers) * 1e9 });
+        points.push_back({ static_cast<double>(servers), placementTime(servers).count() * 1e9 });
     printFit("choice of an engine by pace per server", "ns/server", points);
 }
 
--- a/src/bench/slopes/placement_bench.cpp
+++ b/src/bench/slopes/placement_bench.cpp
@@ -10,7 +10,7 @@
 
 namespace peridotgrade::bench {
 
-double placementSeconds(std::uint32_t servers)
+std::chrono::duration<double> placementTime(std::uint32_t servers)
 {
     constexpr int Choices = 2'000;
     constexpr std::uint32_t Tokens = 4'000;
@@ -35,7 +35,7 @@
         for (int choice = 0; choice < Choices; ++choice)
             load.choose(candidates, DataCentreId {}, Tokens, now, random);
     });
-    return seconds / Choices;
+    return std::chrono::duration<double> { seconds / Choices };
 }
 
 } // namespace peridotgrade::bench
--- a/src/libperidotgrade/gateway/store_watch_test.cpp
+++ b/src/libperidotgrade/gateway/store_watch_test.cpp
@@ -2,6 +2,7 @@
 #include "peridotgrade/gateway/store_watch.h"
 
 #include "peridotgrade/gateway/gateway_state.h"
+#include "platform/wire_names.h"
 #include "src/libperidotgrade/net/test_support/scripted_server.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -66,8 +67,8 @@
     std::vector<std::string> targets;
 };
 
-const std::string Newest = "GET /api/log-newest?topic=keyed.t&part=0";
-const std::string ReadFrom = "GET /api/log-read?topic=keyed.t&part=0&from=";
+const std::string Newest = "GET " + std::string { wire_names::NewestPath } + "?topic=keyed.t&part=0";
+const std::string ReadFrom = "GET " + std::string { wire_names::ReadPath } + "?topic=keyed.t&part=0&from=";
 
 } // namespace
 
--- a/src/libperidotgrade/gateway/version_log_test.cpp
+++ b/src/libperidotgrade/gateway/version_log_test.cpp
@@ -2,6 +2,7 @@
 #include "peridotgrade/gateway/version_log.h"
 
 #include "peridotgrade/gateway/gateway_state.h"
+#include "platform/wire_names.h"
 #include "src/libperidotgrade/net/test_support/scripted_server.h"
 
 #include <boost/asio/io_context.hpp>
@@ -78,7 +79,8 @@
         BOOST_TEST(state.onlyVersion(Service)->raw() == "v1");
     });
     BOOST_REQUIRE(this->targets.size() == 2U);
-    BOOST_TEST(this->targets[0].starts_with("GET /api/log-newest?topic=keyed.peridotgrade.versions"));
+    BOOST_TEST(this->targets[0].starts_with(
+        "GET " + std::string { wire_names::NewestPath } + "?topic=keyed.peridotgrade.versions"));
     BOOST_TEST(this->targets[1].ends_with("as_of=0"));
 }
 
--- a/src/libperidotgrade/net/client_watch.cpp
+++ b/src/libperidotgrade/net/client_watch.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <utility>
+
 namespace peridotgrade {
 
 namespace asio = boost::asio;
@@ -13,9 +15,8 @@
 {
 }
 
-void ClientWatch::begin(std::shared_ptr<void> owner, std::function<void()> callback)
+void ClientWatch::begin(std::shared_ptr<void> owner)
 {
-    this->onDisconnect = std::move(callback);
     this->isWatching = true;
     this->waitReadable(std::move(owner));
 }
@@ -27,6 +28,16 @@
     this->socket.cancel(ignored);
 }
 
+void ClientWatch::setCallback(std::function<void()> newCallback) { this->callback = std::move(newCallback); }
+
+void ClientWatch::noteDisconnected()
+{
+    if (std::exchange(this->hasLeft, true))
+        return;
+    if (auto call = std::exchange(this->callback, nullptr))
+        call();
+}
+
 void ClientWatch::waitReadable(std::shared_ptr<void> owner)
 {
     this->socket.async_wait(tcp::socket::wait_read,
@@ -47,7 +58,7 @@
     if (error == asio::error::would_block)
         this->waitReadable(std::move(owner));
     else if (error)
-        this->onDisconnect();
+        this->noteDisconnected();
 }
 
 } // namespace peridotgrade
--- a/src/libperidotgrade/net/http_session.cpp
+++ b/src/libperidotgrade/net/http_session.cpp
@@ -87,14 +87,14 @@
 
         asio::awaitable<bool> writeChunk(std::string chunk) override
         {
-            if (this->isDisconnected)
+            if (this->watch.isDisconnected())
                 co_return false;
             co_return this->finishWrite(co_await this->writer.writeChunk(std::move(chunk)));
         }
 
         asio::awaitable<bool> endStream() override
         {
-            if (this->isDisconnected)
+            if (this->watch.isDisconnected())
                 co_return false;
             co_return this->finishWrite(co_await this->writer.end());
         }
@@ -103,14 +103,15 @@
         {
             this->keepAlive = false;
             this->isAnswered = true;
-            this->isDisconnected = true;
+            this->watch.setCallback(nullptr);
+            this->watch.noteDisconnected();
             boost::system::error_code ignored;
             this->stream.socket().close(ignored);
         }
 
         void onClientDisconnect(std::function<void()> callback) override
         {
-            this->disconnectCallback = std::move(callback);
+            this->watch.setCallback(std::move(callback));
         }
 
         asio::any_io_executor executor() override { return this->stream.get_executor(); }
@@ -141,18 +142,10 @@
             this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
             this->stream.socket().close(ignored);
             this->keepAlive = false;
-            this->markDisconnected();
+            this->watch.noteDisconnected();
             return false;
         }
 
-        void markDisconnected()
-        {
-            if (std::exchange(this->isDisconnected, true))
-                return;
-            if (auto callback = std::exchange(this->disconnectCallback, nullptr))
-                callback();
-        }
-
         void reportRefused(std::uint16_t status, const std::string& detail) const
         {
             if (this->shared->settings.onRequestRefused)
@@ -161,7 +154,7 @@
 
         void reportDropped()
         {
-            bool wasTold = !this->keepAlive || this->isDisconnected;
+            bool wasTold = !this->keepAlive || this->watch.isDisconnected();
             if (this->buffer.size() == 0 || wasTold || !this->shared->settings.onRequestDropped)
                 return;
             this->shared->settings.onRequestDropped(
@@ -306,15 +299,13 @@
         {
             NetError netError = netErrorFrom(error, true);
             if (netError.kind == NetErrorKind::Closed) {
-                this->markDisconnected();
+                this->watch.noteDisconnected();
                 co_return;
             }
-            bool isHeader = error == http::error::header_limit || error == http::error::buffer_overflow;
-            std::uint16_t status = isHeader ? 431 : statusFor(netError);
             this->keepAlive = false;
             this->current.method = std::string { this->parser->get().method_string() };
-            this->reportRefused(status, netError.detail);
-            HttpResponse response = errorResponse(status, netError.detail);
+            HttpResponse response = errorResponse(statusFor(error, netError.kind), netError.detail);
+            this->reportRefused(response.status, netError.detail);
             response.fields = this->shared->settings.refusalFields;
             co_await this->respondUnread(std::move(response));
         }
@@ -358,20 +349,20 @@
             this->keepAlive = message.keep_alive();
             this->current = requestFrom(std::move(message));
             this->isAnswered = false;
-            this->disconnectCallback = nullptr;
+            this->watch.setCallback(nullptr);
         }
 
         asio::awaitable<void> serve()
         {
-            this->watch.begin(this->shared_from_this(), [this] { this->markDisconnected(); });
+            this->watch.begin(this->shared_from_this());
             try {
                 co_await this->shared->handler(*this);
             } catch (const std::exception&) {
                 this->keepAlive = false;
             }
-            this->disconnectCallback = nullptr;
+            this->watch.setCallback(nullptr);
             this->watch.end();
-            if (!this->isAnswered && !this->isDisconnected) {
+            if (!this->isAnswered && !this->watch.isDisconnected()) {
                 constexpr std::uint16_t InternalError = 500;
                 this->reportRefused(InternalError, "the handler has failed");
                 co_await this->respond(errorResponse(InternalError, "the request was not handled"));
@@ -392,11 +383,9 @@
         /// Memory of the body that is being read, or of the request that is being served.
         BodyMemory::Share bodyShare;
         std::string client;
-        std::function<void()> disconnectCallback;
         bool keepAlive = true;
         bool isFirstRequest = true;
         bool isAnswered = false;
-        bool isDisconnected = false;
     };
 
 } // namespace
--- a/src/libperidotgrade/net/session_messages.cpp
+++ b/src/libperidotgrade/net/session_messages.cpp
@@ -4,6 +4,7 @@
 #include "beast_convert.h"
 
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <optional>
@@ -32,9 +33,11 @@
 
 } // namespace
 
-std::uint16_t statusFor(const NetError& error)
+std::uint16_t statusFor(const boost::system::error_code& error, NetErrorKind kind)
 {
-    switch (error.kind) {
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        return 431;
+    switch (kind) {
     case NetErrorKind::TimedOut:
         return 408;
     case NetErrorKind::TooLarge:
--- a/src/libperidotgrade/net/session_messages.h
+++ b/src/libperidotgrade/net/session_messages.h
@@ -12,8 +12,8 @@
 
 namespace peridotgrade {
 
-/// The status for a request that could not be read.
-std::uint16_t statusFor(const NetError& error);
+/// The status for a request that could not be read; `kind` is that of `error`.
+std::uint16_t statusFor(const boost::system::error_code& error, NetErrorKind kind);
 
 /// False for a body whose end this server and the one behind it could see at different places (request
 /// smuggling): Beast treats a request with an unknown transfer coding as one without a body.
--- a/src/standins/engine/engine.cpp
+++ b/src/standins/engine/engine.cpp
@@ -225,7 +225,7 @@
         LoadSample sample;
         sample.at = StandinClock::now();
         sample.placesFree = this->placesFree();
-        sample.backlogMs = millis(this->prefills.backlog());
+        sample.backlog = this->prefills.backlog();
         this->loadSamples.push_back(sample);
         auto shown = sample.at - std::chrono::milliseconds { this->currentSettings.loadLagMs };
         while (this->loadSamples.size() > 1 && this->loadSamples[1].at <= shown)
--- a/src/standins/engine/engine.h
+++ b/src/standins/engine/engine.h
@@ -73,7 +73,7 @@
     struct LoadSample {
         StandinClock::time_point at;
         std::uint64_t placesFree = 0;
-        long long backlogMs = 0;
+        std::chrono::nanoseconds backlog {};
     };
 
     StartRefusal admit(const StreamTaskPointer& task, ReservationKind kind, std::uint64_t tokens);
--- a/src/standins/engine/engine_reports.cpp
+++ b/src/standins/engine/engine_reports.cpp
@@ -29,7 +29,7 @@
         return result;
     const LoadSample& sample = this->loadSamples.front();
     result["places_free"] = sample.placesFree;
-    result["prefill_backlog_ms"] = sample.backlogMs;
+    result["prefill_backlog_ms"] = millis(sample.backlog);
     result["as_of_ms_ago"] = millis(StandinClock::now() - sample.at);
     return result;
 }
