--- a/src/libperidotgrade/gateway/group_member_roles.cpp
+++ b/src/libperidotgrade/gateway/group_member_roles.cpp
@@ -156,7 +156,9 @@
     if (this->mayAct())
         co_return true;
     bool hasJoined = co_await this->join();
-    co_return hasJoined&& this->mayAct();
+    if (!hasJoined)
+        co_return false;
+    co_return this->mayAct();
 }
 
 EngineSpeeds GroupMember::speedsOf(const std::vector<const ServerRecord*>& engines) const
--- a/testsuite/gateway_soak/removed_guards.py
+++ b/testsuite/gateway_soak/removed_guards.py
@@ -61,6 +61,16 @@
     ("an idle connection is not read again as it is closed", "src/libperidotgrade/net/http_session.cpp",
      "if (!hasArrived)\n                co_return false;", "if (!hasArrived && error)\n                co_return false;",
      "gateway_stop_open_connections"),
+    ("the compiler decides whether an idle connection is read again", "src/libperidotgrade/net/http_session.cpp",
+     "if (!hasArrived)\n                co_return false;\n"
+     "            error = co_await this->readFirstBytes(LastRequestTime, this->shared->arriving);\n            co_return !error;",
+     "co_return hasArrived && !co_await this->readFirstBytes(LastRequestTime, this->shared->arriving);",
+     "gateway_stop_open_connections"),
+    ("no path of the callers' port comes before the routes", GATEWAY + "gateway_node.cpp",
+     "        KeyCheck checked = checkKey(this->state, exchange.request());\n",
+     "        if (exchange.request().path() == \"/api/ready\") {\n            co_await this->answerReadiness(exchange);\n"
+     "            co_return;\n        }\n        KeyCheck checked = checkKey(this->state, exchange.request());\n",
+     "gateway_routes_with_names_of_its_own"),
     ("an accepted connection does not complete an answer", GATEWAY + "gateway_state_losses.cpp",
      "check = co_await watch->check(times.settleTime, times.timeout, times.newConnectionAllowance);",
      "{}\n    auto probe = co_await this->endProbe.run(this->clients.clientFor(watch->record()));\n"
